--- /dev/null
+++ b/eslint-rules/index.js
@@ -0,0 +1,14 @@
+import { functionVerbs } from './function-verbs.js';
+import { noDefaultClock } from './no-default-clock.js';
+import { noEnums } from './no-enums.js';
+import { oneExport } from './one-export.js';
+
+/** Lint rules for the parts of the house style that no published plugin covers. */
+export const houseRules = {
+  rules: {
+    'function-verbs': functionVerbs,
+    'no-default-clock': noDefaultClock,
+    'no-enums': noEnums,
+    'one-export': oneExport,
+  },
+};
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,42 @@
+import eslint from '@eslint/js';
+import tseslint from 'typescript-eslint';
+import { houseRules } from './eslint-rules/index.js';
+
+const packageFiles = ['packages/*/src/**/*.ts', 'packages/*/test/**/*.ts'];
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', 'node_modules/**'] },
+  {
+    files: packageFiles,
+    extends: [
+      eslint.configs.recommended,
+      tseslint.configs.strictTypeChecked,
+      tseslint.configs.stylisticTypeChecked,
+    ],
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    plugins: { house: houseRules },
+    rules: {
+      'house/function-verbs': 'error',
+      'house/no-enums': 'error',
+      'no-restricted-imports': [
+        'error',
+        { patterns: ['@laburnumshift/*/src/*', '@laburnumshift/*/dist/*', '../../*/src/*'] },
+      ],
+    },
+  },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    ignores: ['packages/*/src/**/index.ts'],
+    rules: { 'house/one-export': 'error' },
+  },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    ignores: ['packages/clock/src/**', 'packages/test-utils/src/**'],
+    rules: { 'house/no-default-clock': 'error' },
+  },
+  {
+    files: ['**/*.js', '**/*.mjs'],
+    extends: [eslint.configs.recommended],
+    languageOptions: { globals: { process: 'readonly', console: 'readonly', URL: 'readonly' } },
+  },
+);
--- /dev/null
+++ b/packages/admit-request/src/index.ts
@@ -0,0 +1,2 @@
+/** Weighted fair queue with priorities, reserved slots and deadlines. */
+export {};
--- /dev/null
+++ b/packages/audit-changes/src/index.ts
@@ -0,0 +1,2 @@
+/** Keeps and lists the audit trail of changes. */
+export {};
--- /dev/null
+++ b/packages/call-engine/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of a model engine. */
+export {};
--- /dev/null
+++ b/packages/call-node/src/index.ts
@@ -0,0 +1,2 @@
+/** Authenticated links between nodes. */
+export {};
--- /dev/null
+++ b/packages/call-older-system/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of the older serving system. */
+export {};
--- /dev/null
+++ b/packages/call-platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of the platform object API. */
+export {};
--- /dev/null
+++ b/packages/call-service/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of a plain service. */
+export {};
--- /dev/null
+++ b/packages/check-declarations/src/index.ts
@@ -0,0 +1,2 @@
+/** Collects declaration files, checks them and compiles a configuration. */
+export {};
--- /dev/null
+++ b/packages/check-histories/src/index.ts
@@ -0,0 +1,2 @@
+/** Records histories of concurrent runs with faults and checks the invariants. */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The laburnumshift command line. */
+export { runCli } from './run-cli.js';
--- /dev/null
+++ b/packages/clock/src/sleep.ts
@@ -0,0 +1,16 @@
+/** Waits for some milliseconds; resolves early when the signal aborts. Never rejects. */
+export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal?.aborted) {
+      resolve();
+      return;
+    }
+    const finish = (): void => {
+      clearTimeout(timer);
+      signal?.removeEventListener('abort', finish);
+      resolve();
+    };
+    const timer = setTimeout(finish, ms);
+    signal?.addEventListener('abort', finish);
+  });
+}
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,2 @@
+/** The demo: fakes and daemons as processes, and a table of what was seen. */
+export {};
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,2 @@
+/** Starts the demo. */
+export {};
--- /dev/null
+++ b/packages/detect-members/src/index.ts
@@ -0,0 +1,2 @@
+/** Failure detection and membership among nodes. */
+export {};
--- /dev/null
+++ b/packages/fakes/src/index.ts
@@ -0,0 +1,2 @@
+/** Small stand-ins of the outside systems with fault switches. */
+export {};
--- /dev/null
+++ b/packages/hash-pieces/src/compute-scope.ts
@@ -0,0 +1,17 @@
+import { createHash } from 'node:crypto';
+
+/**
+ * Computes the scope of cache pieces: account, model, adapter and weight version. A piece is identified by scope and chain,
+ * so pieces of another account or weight version never match.
+ *
+ * @returns 32 hexadecimal digits
+ */
+export function computeScope(
+  account: string,
+  model: string,
+  adapter: string | undefined,
+  weightVersion: string,
+): string {
+  const parts = JSON.stringify([account, model, adapter ?? null, weightVersion]);
+  return createHash('sha256').update(parts).digest('hex').slice(0, 32);
+}
--- /dev/null
+++ b/packages/hold-lease/src/index.ts
@@ -0,0 +1,2 @@
+/** Leases with rising fencing numbers on platform objects. */
+export {};
--- /dev/null
+++ b/packages/journal-calls/src/index.ts
@@ -0,0 +1,2 @@
+/** Journal that lets a non-idempotent call run at most once. */
+export {};
--- /dev/null
+++ b/packages/limit-accounts/src/index.ts
@@ -0,0 +1,2 @@
+/** Leased shares of account limits. */
+export {};
--- /dev/null
+++ b/packages/limit-retries/src/index.ts
@@ -0,0 +1,2 @@
+/** Retry budgets and backoff. */
+export {};
--- /dev/null
+++ b/packages/manage-cell/src/index.ts
@@ -0,0 +1,2 @@
+/** Home of a cell of engines: directory, load, queue, placement and retention. */
+export {};
--- /dev/null
+++ b/packages/measure/src/index.ts
@@ -0,0 +1,2 @@
+/** Measurement scenarios, baselines and the load tool. */
+export {};
--- /dev/null
+++ b/packages/order-engines/src/index.ts
@@ -0,0 +1,2 @@
+/** Rollouts of weights, adapters and roles by fenced orders. */
+export {};
--- /dev/null
+++ b/packages/place-request/src/index.ts
@@ -0,0 +1,2 @@
+/** Placement decision and the baselines it is measured against. */
+export {};
--- /dev/null
+++ b/packages/plan-retention/src/index.ts
@@ -0,0 +1,2 @@
+/** Decides which pieces are kept, where, and what is prefetched. */
+export {};
--- /dev/null
+++ b/packages/publish-config/src/index.ts
@@ -0,0 +1,2 @@
+/** Publishes, compares and rolls back configurations. */
+export {};
--- /dev/null
+++ b/packages/quarantine-requests/src/index.ts
@@ -0,0 +1,2 @@
+/** Suspects and convictions of requests that crash engines. */
+export {};
--- /dev/null
+++ b/packages/read-settings/src/index.ts
@@ -0,0 +1,2 @@
+/** Reads and checks the settings of a daemon. */
+export {};
--- /dev/null
+++ b/packages/record-metrics/src/create-metrics.ts
@@ -0,0 +1,61 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+import type { Metrics } from './metrics.js';
+import { renderSeries } from './render-series.js';
+
+/** Histograms keep microseconds up to one hour. */
+const HIGHEST_US = 3_600_000_000;
+const US_PER_MS = 1000;
+const QUANTILES = [0.5, 0.95, 0.99] as const;
+
+/** Creates the metrics of one node. Histograms keep 3 significant digits from 1 microsecond to 1 hour. */
+export function createMetrics(): Metrics {
+  const counters = new Map<string, number>();
+  const gauges = new Map<string, () => number>();
+  const histograms = new Map<
+    string,
+    { name: string; labels: Readonly<Record<string, string>>; data: Histogram }
+  >();
+
+  const renderMetrics = (): string => {
+    const lines = [
+      ...[...counters].map(([series, value]) => `${series} ${String(value)}`),
+      ...[...gauges].map(([series, read]) => `${series} ${String(read())}`),
+    ];
+    for (const { name, labels, data } of histograms.values()) {
+      for (const quantile of QUANTILES) {
+        const series = renderSeries(name, { ...labels, quantile: String(quantile) });
+        lines.push(`${series} ${String(data.getValueAtPercentile(quantile * 100) / US_PER_MS)}`);
+      }
+      lines.push(`${renderSeries(`${name}_count`, labels)} ${String(data.totalCount)}`);
+    }
+    return `${lines.sort().join('\n')}\n`;
+  };
+
+  return {
+    countEvent: (name, labels = {}, by = 1) => {
+      const series = renderSeries(name, labels);
+      counters.set(series, (counters.get(series) ?? 0) + by);
+    },
+    setGauge: (name, read, labels = {}) => {
+      gauges.set(renderSeries(name, labels), read);
+    },
+    recordMs: (name, ms, labels = {}) => {
+      const series = renderSeries(name, labels);
+      let entry = histograms.get(series);
+      if (entry === undefined) {
+        entry = {
+          name,
+          labels,
+          data: build({ highestTrackableValue: HIGHEST_US, numberOfSignificantValueDigits: 3 }),
+        };
+        histograms.set(series, entry);
+      }
+      entry.data.recordValue(Math.min(HIGHEST_US, Math.max(0, Math.round(ms * US_PER_MS))));
+    },
+    getPercentile: (name, percentile, labels = {}) => {
+      const entry = histograms.get(renderSeries(name, labels));
+      return entry === undefined ? undefined : entry.data.getValueAtPercentile(percentile) / US_PER_MS;
+    },
+    renderMetrics,
+  };
+}
--- /dev/null
+++ b/packages/record-metrics/src/metrics.ts
@@ -0,0 +1,16 @@
+/** Labels of a metric; values must not name a client account. */
+type Labels = Readonly<Record<string, string>>;
+
+/** Counters, gauges and histograms of one node. */
+export interface Metrics {
+  /** Adds to a counter; names end in `_total`. */
+  readonly countEvent: (name: string, labels?: Labels, by?: number) => void;
+  /** Registers a gauge that is read when the metrics are rendered. */
+  readonly setGauge: (name: string, read: () => number, labels?: Labels) => void;
+  /** Records a duration in milliseconds; names end in `_ms`. */
+  readonly recordMs: (name: string, ms: number, labels?: Labels) => void;
+  /** Value of a histogram at a percentile, milliseconds; `undefined` when nothing was recorded. */
+  readonly getPercentile: (name: string, percentile: number, labels?: Labels) => number | undefined;
+  /** Renders everything in the Prometheus text format. */
+  readonly renderMetrics: () => string;
+}
--- /dev/null
+++ b/packages/run-call/src/index.ts
@@ -0,0 +1,2 @@
+/** Runs one plain service call. */
+export {};
--- /dev/null
+++ b/packages/run-completion/src/index.ts
@@ -0,0 +1,2 @@
+/** Runs one completion from placement to the last token. */
+export {};
--- /dev/null
+++ b/packages/run-node/src/index.ts
@@ -0,0 +1,2 @@
+/** Wires all parts to one node. */
+export {};
--- /dev/null
+++ b/packages/serve-callers/src/index.ts
@@ -0,0 +1,2 @@
+/** HTTP server for callers. */
+export {};
--- /dev/null
+++ b/packages/serve-operators/src/index.ts
@@ -0,0 +1,2 @@
+/** HTTP server for operators: status, explain, outcome, metrics, health. */
+export {};
--- /dev/null
+++ b/packages/track-cache/src/index.ts
@@ -0,0 +1,2 @@
+/** Cache directory of a cell. */
+export {};
--- /dev/null
+++ b/packages/types/src/config-segment.ts
@@ -0,0 +1,14 @@
+import type { AccountConfig } from './account-config.js';
+import type { PoolConfig } from './pool-config.js';
+import type { RouteConfig } from './route-config.js';
+import type { ServiceConfig } from './service-config.js';
+
+/** The content of one declaration file after checking; stored as an immutable segment named by its hash. */
+export interface ConfigSegment {
+  /** Path of the file below the published directory, with forward slashes. */
+  readonly file: string;
+  readonly accounts: readonly AccountConfig[];
+  readonly services: readonly ServiceConfig[];
+  readonly pools: readonly PoolConfig[];
+  readonly routes: readonly RouteConfig[];
+}
--- /dev/null
+++ b/packages/types/src/conviction-notice.ts
@@ -0,0 +1,6 @@
+/** Says that a request crashed an engine for the second time. */
+export interface ConvictionNotice {
+  readonly fingerprint: string;
+  /** End of the quarantine, milliseconds since the epoch. */
+  readonly untilMs: number;
+}
--- /dev/null
+++ b/packages/types/src/engine-failure.ts
@@ -0,0 +1,8 @@
+/** Reports that an engine crashed or could not be reached. */
+export interface EngineFailure {
+  readonly pool: string;
+  readonly cell: number;
+  readonly engine: string;
+  readonly crashed: boolean;
+  readonly bootId?: string | undefined;
+}
--- /dev/null
+++ b/packages/types/src/engine-token.ts
@@ -0,0 +1,12 @@
+/** One token of an engine's answer. */
+export interface EngineToken {
+  readonly id: string;
+  readonly weight_version: string;
+  /** Output tokens before this one. */
+  readonly offset: number;
+  readonly text: string;
+  readonly cached_pieces: number;
+  readonly imported_pieces: number;
+  readonly computed_tokens: number;
+  readonly finish_reason: 'stop' | 'length' | null;
+}
--- /dev/null
+++ b/packages/types/src/journal-decision.ts
@@ -0,0 +1,13 @@
+import type { CallAnswer } from './call-answer.js';
+import type { System } from './system.js';
+
+/** What the journal says about a call. Only `run` permits a dispatch, and only of that attempt. */
+export type JournalDecision =
+  | { readonly kind: 'run'; readonly attemptId: string; readonly system: System }
+  | { readonly kind: 'finished'; readonly answer: CallAnswer; readonly system: System }
+  | { readonly kind: 'in-progress'; readonly retryAfterMs: number }
+  | { readonly kind: 'unknown'; readonly detail: string }
+  | { readonly kind: 'body-differs' }
+  | { readonly kind: 'expired' }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'unavailable'; readonly detail: string };
--- /dev/null
+++ b/packages/types/src/journal-finish.ts
@@ -0,0 +1,10 @@
+import type { CallAnswer } from './call-answer.js';
+
+/** Records the answer of a non-idempotent call. */
+export interface JournalFinish {
+  readonly account: string;
+  readonly service: string;
+  readonly key: string;
+  readonly attemptId: string;
+  readonly answer: CallAnswer;
+}
--- /dev/null
+++ b/packages/types/src/journal-look.ts
@@ -0,0 +1,6 @@
+/** Asks for the state of a call without starting it. */
+export interface JournalLook {
+  readonly account: string;
+  readonly service: string;
+  readonly key: string;
+}
--- /dev/null
+++ b/packages/types/src/node-messages.ts
@@ -0,0 +1,51 @@
+import type { ConfigHead } from './config-head.js';
+import type { ConfigSegment } from './config-segment.js';
+import type { ConvictionNotice } from './conviction-notice.js';
+import type { EngineFailure } from './engine-failure.js';
+import type { HostEntry } from './host-entry.js';
+import type { JournalAbandon } from './journal-abandon.js';
+import type { JournalBegin } from './journal-begin.js';
+import type { JournalDecision } from './journal-decision.js';
+import type { JournalFinish } from './journal-finish.js';
+import type { JournalLook } from './journal-look.js';
+import type { PlaceReply } from './place-reply.js';
+import type { PlaceRequest } from './place-request.js';
+import type { RequestTrace } from './request-trace.js';
+import type { RunAttach } from './run-attach.js';
+import type { RunChunk } from './run-chunk.js';
+import type { RunClaim } from './run-claim.js';
+import type { RunClaimReply } from './run-claim-reply.js';
+import type { RunReport } from './run-report.js';
+import type { ShareGrant } from './share-grant.js';
+import type { ShareRequest } from './share-request.js';
+import type { SuspectClaim } from './suspect-claim.js';
+import type { SuspectDecision } from './suspect-decision.js';
+import type { SuspectNotice } from './suspect-notice.js';
+
+/** A message type between nodes with the shapes of its body and its reply. */
+export interface NodeMessages {
+  readonly probe: { body: unknown; reply: unknown };
+  readonly 'probe-for': { body: unknown; reply: unknown };
+  readonly place: { body: PlaceRequest; reply: PlaceReply };
+  readonly 'run-finished': { body: RunReport; reply: null };
+  readonly 'engine-failed': { body: EngineFailure; reply: null };
+  readonly share: { body: ShareRequest; reply: ShareGrant };
+  readonly 'journal-begin': { body: JournalBegin; reply: JournalDecision };
+  readonly 'journal-finish': { body: JournalFinish; reply: { readonly recorded: boolean } };
+  readonly 'journal-abandon': { body: JournalAbandon; reply: { readonly recorded: boolean } };
+  readonly 'journal-look': { body: JournalLook; reply: JournalDecision };
+  readonly 'config-head': { body: ConfigHead; reply: { readonly generation: number } };
+  readonly 'config-get': {
+    body: { readonly above: number };
+    reply: { readonly head: ConfigHead; readonly segments: Readonly<Record<string, ConfigSegment>> } | null;
+  };
+  readonly hosts: { body: readonly HostEntry[]; reply: null };
+  readonly suspect: { body: SuspectNotice; reply: null };
+  readonly convict: { body: ConvictionNotice; reply: null };
+  readonly clear: { body: { readonly fingerprint: string }; reply: null };
+  readonly 'suspect-claim': { body: SuspectClaim; reply: SuspectDecision };
+  readonly 'run-claim': { body: RunClaim; reply: RunClaimReply };
+  readonly 'run-attach': { body: RunAttach; reply: RunChunk };
+  readonly status: { body: null; reply: unknown };
+  readonly explain: { body: { readonly requestId: string }; reply: readonly RequestTrace[] };
+}
--- /dev/null
+++ b/packages/types/src/outcome.ts
@@ -0,0 +1,4 @@
+import type { OUTCOMES } from './outcomes.js';
+
+/** One of the three outcomes that a refusal states. */
+export type Outcome = (typeof OUTCOMES)[keyof typeof OUTCOMES];
--- /dev/null
+++ b/packages/types/src/place-reply.ts
@@ -0,0 +1,11 @@
+import type { Grant } from './grant.js';
+
+/** What a cell's home answers. */
+export type PlaceReply =
+  | { readonly kind: 'granted'; readonly grant: Grant }
+  | {
+      readonly kind: 'refused';
+      readonly code: 'deadline_unreachable' | 'overloaded' | 'no_engine';
+      readonly retryAfterMs: number;
+    }
+  | { readonly kind: 'queued'; readonly position: number };
--- /dev/null
+++ b/packages/types/src/priority.ts
@@ -0,0 +1,4 @@
+import type { PRIORITIES } from './priorities.js';
+
+/** Name of a priority class. */
+export type Priority = keyof typeof PRIORITIES;
--- /dev/null
+++ b/packages/types/src/read-result.ts
@@ -0,0 +1,7 @@
+import type { PlatformObject } from './platform-object.js';
+
+/** What became of a read. */
+export type ReadResult<T = unknown> =
+  | { readonly kind: 'found'; readonly object: PlatformObject<T> }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'unavailable'; readonly detail: string };
--- /dev/null
+++ b/packages/types/src/run-claim.ts
@@ -0,0 +1,9 @@
+/** Registers a run under its request id with the request's home. */
+export interface RunClaim {
+  readonly account: string;
+  readonly requestId: string;
+  readonly host: string;
+  readonly address: string;
+  /** Hash of the request body; the same id with another body is refused. */
+  readonly bodyHash: string;
+}
--- /dev/null
+++ b/packages/types/src/run-report.ts
@@ -0,0 +1,22 @@
+import type { PieceRef } from './piece-ref.js';
+
+/** What an entry node reports after a run or an attempt. */
+export interface RunReport {
+  readonly requestId: string;
+  readonly pool: string;
+  readonly cell: number;
+  readonly engine: string;
+  readonly fingerprint: string;
+  readonly result: 'finished' | 'failed' | 'cancelled';
+  readonly firstTokenMs?: number | undefined;
+  readonly estimateMs: number;
+  readonly weightVersion: string;
+  readonly cacheScope: string;
+  readonly service: string;
+  readonly account: string;
+  readonly pieces: readonly PieceRef[];
+  readonly cachedPieces: number;
+  readonly importedPieces: number;
+  readonly computedTokens: number;
+  readonly outputTokens: number;
+}
--- /dev/null
+++ b/packages/types/src/service-client.ts
@@ -0,0 +1,29 @@
+import type { CallAnswer } from './call-answer.js';
+import type { CallRequest } from './call-request.js';
+import type { PeerError } from './peer-error.js';
+import type { Result } from './result.js';
+
+/** The client of one plain service instance. */
+export interface ServiceClient {
+  /**
+   * Sends one call on one connection, at most once. With `proven`, the connection must have answered within the last
+   * 500 ms, so that a silent connection is not chosen.
+   */
+  readonly sendCall: (
+    call: CallRequest,
+    timeoutMs: number,
+    proven: boolean,
+  ) => Promise<Result<CallAnswer, PeerError>>;
+  readonly readLoad: () => Promise<
+    Result<
+      {
+        readonly running: number;
+        readonly queued: number;
+        readonly leaving: boolean;
+        readonly boot_id: string;
+      },
+      PeerError
+    >
+  >;
+  readonly close: () => void;
+}
--- /dev/null
+++ b/packages/types/src/store-client.ts
@@ -0,0 +1,17 @@
+import type { PeerError } from './peer-error.js';
+import type { Result } from './result.js';
+import type { StoreStat } from './store-stat.js';
+import type { StoredPiece } from './stored-piece.js';
+import type { Tier } from './tier.js';
+
+/** The client of one store host. */
+export interface StoreClient {
+  readonly readStat: () => Promise<Result<StoreStat, PeerError>>;
+  readonly listPieces: () => Promise<Result<readonly StoredPiece[], PeerError>>;
+  /** Keeps a piece from being freed for a while; fails with `rejected` 404 when it is not there. */
+  readonly pinPiece: (scope: string, chain: string, ttlMs: number) => Promise<Result<StoredPiece, PeerError>>;
+  readonly unpinPiece: (scope: string, chain: string) => Promise<void>;
+  readonly movePiece: (scope: string, chain: string, tier: Tier) => Promise<Result<StoredPiece, PeerError>>;
+  readonly deletePiece: (scope: string, chain: string) => Promise<Result<boolean, PeerError>>;
+  readonly close: () => void;
+}
--- /dev/null
+++ b/packages/types/src/store-stat.ts
@@ -0,0 +1,11 @@
+/** State of a store host. */
+export interface StoreStat {
+  readonly memoryBytes: number;
+  readonly memoryUsed: number;
+  readonly diskBytes: number;
+  readonly diskUsed: number;
+  readonly linkBytesPerSecond: number;
+  readonly linkQueuedBytes: number;
+  /** Share of the link that the older system uses, 0 to 1. */
+  readonly otherShare: number;
+}
--- /dev/null
+++ b/packages/types/src/tiers.ts
@@ -0,0 +1,2 @@
+/** Storage tiers of a store host. */
+export const TIERS = { memory: 'memory', disk: 'disk' } as const;
--- /dev/null
+++ b/packages/types/src/trace-step.ts
@@ -0,0 +1,6 @@
+/** One step in the life of a request, for `explain`. */
+export interface TraceStep {
+  readonly atMs: number;
+  readonly step: string;
+  readonly detail: Readonly<Record<string, unknown>>;
+}
--- /dev/null
+++ b/packages/watch-config/src/index.ts
@@ -0,0 +1,2 @@
+/** Brings the newest configuration into force on a node. */
+export {};
