Mix rendezvous weights from remembered hashes

Names are now hashed once and mixed with an integer finalizer; findHome returns the first member without sorting.

--- a/packages/rank-homes/src/index.ts
+++ b/packages/rank-homes/src/index.ts
@@ -1,3 +1,5 @@
 /** Rendezvous order of members for a key. */
 export { computeWeight } from './compute-weight.js';
+export { findHome } from './find-home.js';
+export { hashName } from './hash-name.js';
 export { rankHomes } from './rank-homes.js';
