Add the platform client

Cause: every durable step goes through the platform, whose answers can be late, refused or lost, and whose rates grow more slowly than the fleet. Change: createPlatformClient has a token budget for reads and one for writes with priority by class, attempt and call deadlines, jittered backoff, one shared watch per kind, and read-back of lost write answers by change id. A write that another change replaced before the read-back is reported as unknown, because the read-back cannot tell whether it came first.

--- /dev/null
+++ b/packages/call-platform/src/answer-schemas.ts
@@ -0,0 +1,35 @@
+import { z } from 'zod';
+
+const versionSchema = z.number().int().min(0);
+
+/** Shapes of the platform's answers. */
+export const ANSWER_SCHEMAS = {
+  object: z.object({
+    kind: z.string(),
+    name: z.string(),
+    version: versionSchema.min(1),
+    value: z.json(),
+    changeId: z.string().optional(),
+  }),
+  version: z.object({ version: versionSchema }),
+  page: z.object({
+    items: z.array(z.object({ name: z.string(), version: versionSchema, value: z.json() })),
+    revision: versionSchema,
+    next: z.string().optional(),
+  }),
+  changes: z.object({
+    revision: versionSchema,
+    events: z.array(z.object({ name: z.string(), version: versionSchema, value: z.json() })),
+  }),
+  hosts: z.object({
+    hosts: z.array(
+      z.object({
+        host: z.string().min(1),
+        kind: z.enum(['node', 'engine', 'store', 'service']),
+        failureDomain: z.string(),
+        state: z.enum(['live', 'leaving']),
+        address: z.string().optional(),
+      }),
+    ),
+  }),
+};
--- /dev/null
+++ b/packages/call-platform/src/fetch-answer.ts
@@ -0,0 +1,40 @@
+import type { PlatformClass } from '@laburnumshift/types';
+import type { z } from 'zod';
+import type { Transport } from './transport.js';
+
+/** Result of a read; `status` is 404 or 410. */
+type FetchResult<T> =
+  | { readonly kind: 'fetched'; readonly body: T }
+  | { readonly kind: 'status'; readonly status: number }
+  | { readonly kind: 'unavailable'; readonly detail: string };
+
+const FINAL_STATUSES = new Set([400, 404, 410]);
+
+/** Reads with retries until the deadline. An answer of the wrong shape counts as a failed attempt. */
+export async function fetchAnswer<T>(
+  transport: Transport,
+  path: string,
+  schema: z.ZodType<T>,
+  callClass: PlatformClass,
+  deadlineAt: number,
+): Promise<FetchResult<T>> {
+  for (let attempt = 0; ; attempt += 1) {
+    const answer = await transport.sendCall({ method: 'GET', path }, callClass, deadlineAt);
+    let detail: string;
+    let retryAfterMs = 0;
+    if (answer.kind === 'failed') {
+      detail = answer.detail;
+    } else if (answer.status === 200) {
+      const parsed = schema.safeParse(answer.body);
+      if (parsed.success) return { kind: 'fetched', body: parsed.data };
+      detail = 'the answer has the wrong shape';
+    } else if (FINAL_STATUSES.has(answer.status)) {
+      return { kind: 'status', status: answer.status };
+    } else {
+      detail = `status ${String(answer.status)}`;
+      retryAfterMs = answer.retryAfterMs;
+    }
+    if (!(await transport.waitBackoff(attempt, retryAfterMs, deadlineAt)))
+      return { kind: 'unavailable', detail };
+  }
+}
--- a/packages/call-platform/src/index.ts
+++ b/packages/call-platform/src/index.ts
@@ -1,2 +1,3 @@
 /** Client of the platform object API. */
-export {};
+export { createPlatformClient } from './create-platform-client.js';
+export type { PlatformClientOptions } from './platform-client-options.js';
--- /dev/null
+++ b/packages/call-platform/src/list-kind.ts
@@ -0,0 +1,35 @@
+import type { ListResult, PlatformClass, PlatformObject } from '@laburnumshift/types';
+import { ANSWER_SCHEMAS } from './answer-schemas.js';
+import { encodePath } from './encode-path.js';
+import { fetchAnswer } from './fetch-answer.js';
+import type { Transport } from './transport.js';
+
+const PAGE_LIMIT = 1000;
+
+/**
+ * Reads all pages of a kind. The revision is that of the first page, so a watch that starts there repeats changes made
+ * between the pages and misses none.
+ */
+export async function listKind(
+  transport: Transport,
+  kind: string,
+  prefix: string,
+  callClass: PlatformClass,
+): Promise<ListResult> {
+  const items: PlatformObject[] = [];
+  let revision: number | undefined;
+  let after = '';
+  for (;;) {
+    const query = new URLSearchParams({ prefix, after, limit: String(PAGE_LIMIT) });
+    const path = `${encodePath('objects', kind)}?${query.toString()}`;
+    const deadlineAt = transport.computeDeadline();
+    const result = await fetchAnswer(transport, path, ANSWER_SCHEMAS.page, callClass, deadlineAt);
+    if (result.kind === 'unavailable') return result;
+    if (result.kind === 'status') return { kind: 'unavailable', detail: `status ${String(result.status)}` };
+    const { body } = result;
+    revision ??= body.revision;
+    items.push(...body.items.map((item) => ({ kind, ...item })));
+    if (body.next === undefined || body.next <= after) return { kind: 'listed', items, revision };
+    after = body.next;
+  }
+}
--- /dev/null
+++ b/packages/call-platform/src/read-stored.ts
@@ -0,0 +1,37 @@
+import type { PlatformClass, PlatformObject } from '@laburnumshift/types';
+import { ANSWER_SCHEMAS } from './answer-schemas.js';
+import { encodePath } from './encode-path.js';
+import { fetchAnswer } from './fetch-answer.js';
+import type { Transport } from './transport.js';
+
+/** An object with the id of its last change. */
+type StoredResult =
+  | { readonly kind: 'found'; readonly object: PlatformObject; readonly changeId: string | undefined }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'unavailable'; readonly detail: string };
+
+/** Reads one object; an answer that names another object is not accepted. */
+export async function readStored(
+  transport: Transport,
+  kind: string,
+  name: string,
+  callClass: PlatformClass,
+  deadlineAt: number,
+): Promise<StoredResult> {
+  const schema = ANSWER_SCHEMAS.object.refine((object) => object.kind === kind && object.name === name);
+  const result = await fetchAnswer(
+    transport,
+    encodePath('objects', kind, name),
+    schema,
+    callClass,
+    deadlineAt,
+  );
+  if (result.kind === 'unavailable') return result;
+  if (result.kind === 'status') {
+    return result.status === 404
+      ? { kind: 'absent' }
+      : { kind: 'unavailable', detail: `status ${String(result.status)}` };
+  }
+  const { changeId, ...object } = result.body;
+  return { kind: 'found', object, changeId };
+}
