Check declarations and settings, and compile configurations

Cause: operators declare services, accounts and routes in short files and need all mistakes at once, with their places. Change: read-settings checks JSON with comments against zod schemas and finds line and column of each problem; check-declarations collects the files, checks them alone and together and compiles a Config whose records have no prototype.

--- /dev/null
+++ b/packages/check-declarations/src/entity-schemas.ts
@@ -0,0 +1,19 @@
+import { z } from 'zod';
+
+const NAME_MESSAGE =
+  'must be 1 to 63 lower-case letters, digits and hyphens, and begin with a letter or digit';
+
+/** Building blocks of the declaration schemas. */
+export const ENTITY_SCHEMAS = {
+  name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, NAME_MESSAGE),
+  /** Backend servers and stores carry the host names of the platform's host list. */
+  hostName: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,252}$/, 'must be a host name'),
+  /** Models, adapters and weight versions carry names from outside, e.g. `org/model-8b`. */
+  modelName: z
+    .string()
+    .regex(/^[A-Za-z0-9][A-Za-z0-9._/:-]{0,127}$/, 'must be a model, adapter or version name'),
+  url: z.url({ protocol: /^https?$/, error: 'must be a URL with http or https' }),
+  positive: z.number().positive(),
+  count: z.number().int().min(1),
+  share: z.number().min(0).max(1),
+};
--- a/packages/check-declarations/src/index.ts
+++ b/packages/check-declarations/src/index.ts
@@ -1,2 +1,5 @@
 /** Collects declaration files, checks them and compiles a configuration. */
-export {};
+export { checkDeclarations } from './check-declarations.js';
+export { checkSegments } from './check-segments.js';
+export { compileConfig } from './compile-config.js';
+export { hashSegment } from './hash-segment.js';
--- a/packages/read-settings/src/index.ts
+++ b/packages/read-settings/src/index.ts
@@ -1,2 +1,5 @@
-/** Reads and checks the settings of a daemon. */
-export {};
+/** Reads and checks the settings of a daemon; checks documents written as JSON with comments. */
+export { checkDocument } from './check-document.js';
+export { formatPath } from './format-path.js';
+export { findPathPosition } from './find-path-position.js';
+export { readSettings } from './read-settings.js';
--- /dev/null
+++ b/packages/read-settings/src/split-address.ts
@@ -0,0 +1,9 @@
+import { isIP } from 'node:net';
+
+/** Splits `IP:port` or `[IPv6]:port`; `undefined` when it is neither. */
+export function splitAddress(text: string): { readonly ip: string; readonly port: number } | undefined {
+  const found = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
+  const ip = found?.[1] ?? found?.[2] ?? '';
+  const port = Number(found?.[3]);
+  return isIP(ip) === 0 || !(port <= 65_535) ? undefined : { ip, port };
+}
