Add a fake engine and the clients of engines and stores

Placement, completion and the measurements need both peers, with checks that keep crossed, repeated or foreign tokens from a caller.

The fake engine models prefill, decode, the prefix cache, imports beside the head, orders and loading, with fault switches. The clients classify failures, bound what they read and leave silent connections behind.

--- /dev/null
+++ b/packages/call-engine/src/engine-schemas.ts
@@ -0,0 +1,27 @@
+import { z } from 'zod';
+
+const count = z.number().min(0);
+
+/** Shapes of an engine's answers. */
+export const ENGINE_SCHEMAS = {
+  load: z.object({
+    boot_id: z.string().min(1),
+    at: z.number(),
+    weight_version: z.string(),
+    adapters: z.array(z.string()),
+    role: z.string(),
+    leaving: z.boolean(),
+    loading: z.boolean(),
+    running: count,
+    queued_tokens: count,
+    running_tokens: count,
+    slots: count,
+    other_share: count.max(1),
+    last_fencing: z.number().int(),
+  }),
+  pieces: z.object({
+    seq: count,
+    pieces: z.array(z.object({ scope: z.string(), chain: z.string() })),
+  }),
+  exported: z.object({ length: count, checksum: z.string().min(1), generation: z.number().int() }),
+} as const;
--- a/packages/call-engine/src/index.ts
+++ b/packages/call-engine/src/index.ts
@@ -1,2 +1,3 @@
 /** Client of a model engine. */
-export {};
+export { createEngineClient } from './create-engine-client.js';
+export type { EngineClientOptions } from './engine-client-options.js';
--- /dev/null
+++ b/packages/call-engine/src/stream-completion.ts
@@ -0,0 +1,101 @@
+import type { IncomingMessage } from 'node:http';
+import type { HttpPool } from '@laburnumshift/call-store';
+import { toPeerError } from '@laburnumshift/call-store';
+import { readMonotonicMs } from '@laburnumshift/clock';
+import type { EngineRequest, EngineStreamItem, StreamLimits } from '@laburnumshift/types';
+import { checkToken } from './check-token.js';
+import { streamLines } from './stream-lines.js';
+
+/** Time for the body of a negative answer. */
+const ERROR_BODY_MS = 1_000;
+
+function failStream(detail: string): EngineStreamItem {
+  return { kind: 'error', error: { kind: 'bad-answer', detail, sent: true } };
+}
+
+/** Reads the tokens of an opened answer; the last item is `done` or an error. */
+async function* readTokens(
+  response: IncomingMessage,
+  request: EngineRequest,
+  readLimitMs: (offset: number) => number,
+  maxLineBytes: number,
+  signal: AbortSignal,
+): AsyncGenerator<EngineStreamItem> {
+  const bootId = response.headers['x-boot-id'];
+  if (typeof bootId !== 'string') {
+    yield failStream('the answer has no boot id');
+    return;
+  }
+  let offset = request.resume_offset;
+  let finished = offset >= request.max_tokens;
+  for await (const item of streamLines(response, maxLineBytes, () => readLimitMs(offset), signal)) {
+    if (item.kind === 'error') {
+      yield item;
+      return;
+    }
+    if (item.kind === 'end') {
+      const detail = 'the answer ended without [DONE]';
+      yield { kind: 'error', error: { kind: 'broken', detail, sent: true } };
+      return;
+    }
+    if (item.data === '[DONE]') {
+      yield finished ? { kind: 'done' } : failStream('[DONE] before the last token');
+      return;
+    }
+    const token = checkToken(request, offset, item.data);
+    if (!token.ok || finished) {
+      yield failStream(token.ok ? 'a token after the last one' : token.error);
+      return;
+    }
+    offset += 1;
+    finished = token.value.finish_reason !== null;
+    yield { kind: 'token', token: token.value, bootId };
+  }
+}
+
+/**
+ * Runs a completion. Every token is checked before it is yielded; the stream ends with `done` or an error. Leaving the loop early
+ * closes the connection, which cancels the run. After a silence the pool uses fresh connections.
+ */
+export async function* streamCompletion(
+  pool: HttpPool,
+  maxLineBytes: number,
+  request: EngineRequest,
+  limits: StreamLimits,
+  signal: AbortSignal,
+): AsyncGenerator<EngineStreamItem> {
+  const startMs = readMonotonicMs();
+  const opened = await pool.openAnswer({
+    method: 'POST',
+    path: '/v1/completions',
+    body: request,
+    limitMs: limits.firstTokenMs,
+    signal,
+  });
+  if (!opened.ok) {
+    yield { kind: 'error', error: opened.error };
+    return;
+  }
+  const response = opened.value;
+  if (response.statusCode !== 200) {
+    const answer = await pool.readAnswer(response, ERROR_BODY_MS);
+    yield { kind: 'error', error: answer.ok ? toPeerError(answer.value) : answer.error };
+    return;
+  }
+  const readLimitMs = (offset: number): number =>
+    offset > request.resume_offset
+      ? limits.betweenTokensMs
+      : Math.max(1, limits.firstTokenMs - (readMonotonicMs() - startMs));
+  let complete = false;
+  try {
+    for await (const item of readTokens(response, request, readLimitMs, maxLineBytes, signal)) {
+      complete = item.kind === 'done';
+      if (item.kind === 'error' && item.error.kind === 'silent') pool.refreshConnections();
+      yield item;
+    }
+  } finally {
+    // After [DONE] only the end of the answer is missing; reading it keeps the connection usable.
+    if (complete) response.resume();
+    else response.destroy();
+  }
+}
--- /dev/null
+++ b/packages/call-store/src/check-answer.ts
@@ -0,0 +1,18 @@
+import type { PeerError, Result } from '@laburnumshift/types';
+import type { z } from 'zod';
+import type { HttpAnswer } from './http-answer.js';
+import { toPeerError } from './to-peer-error.js';
+
+/** Checks an answer: another status than 200 is a peer error, another shape a bad answer. */
+export function checkAnswer<T>(
+  answer: Result<HttpAnswer, PeerError>,
+  schema: z.ZodType<T>,
+): Result<T, PeerError> {
+  if (!answer.ok) return answer;
+  if (answer.value.status !== 200) return { ok: false, error: toPeerError(answer.value) };
+  const parsed = schema.safeParse(answer.value.body);
+  if (parsed.success) return { ok: true, value: parsed.data };
+  const issue = parsed.error.issues[0];
+  const detail = `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'unexpected shape'}`;
+  return { ok: false, error: { kind: 'bad-answer', detail, sent: true } };
+}
--- /dev/null
+++ b/packages/call-store/src/create-http-pool.ts
@@ -0,0 +1,82 @@
+import http from 'node:http';
+import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
+import type { PeerError, Result } from '@laburnumshift/types';
+import type { HttpAnswer } from './http-answer.js';
+import type { HttpPoolOptions } from './http-pool-options.js';
+import type { HttpPool } from './http-pool.js';
+import { startRequest } from './start-request.js';
+
+function parseBody(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Creates a pool of keep-alive connections to one peer. After a silence the next request uses a fresh connection. Nothing is
+ * repeated here: a reset connection may mean that the request itself crashed the peer.
+ */
+export function createHttpPool(options: HttpPoolOptions): HttpPool {
+  const createAgent = (): http.Agent =>
+    new http.Agent({ keepAlive: true, maxSockets: options.maxSockets, scheduling: 'lifo' });
+  let agent = createAgent();
+  const refreshConnections = (): void => {
+    const old = agent;
+    agent = createAgent();
+    old.maxFreeSockets = 0;
+    for (const sockets of Object.values(old.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  };
+  const readAnswer: HttpPool['readAnswer'] = async (response, limitMs) => {
+    const wait = { late: false };
+    const cancelTimer = startTimer(limitMs, () => {
+      wait.late = true;
+      response.destroy();
+    });
+    const chunks: Buffer[] = [];
+    let size = 0;
+    try {
+      for await (const chunk of response as AsyncIterable<Buffer>) {
+        size += chunk.length;
+        if (size > options.maxBodyBytes) {
+          return failCall({ kind: 'bad-answer', detail: 'the answer is too large', sent: true });
+        }
+        chunks.push(chunk);
+      }
+    } catch (error) {
+      if (!wait.late) return failCall({ kind: 'broken', detail: String(error), sent: true });
+      refreshConnections();
+      return failCall({ kind: 'silent', detail: 'the answer stopped', sent: true });
+    } finally {
+      cancelTimer();
+    }
+    const body = parseBody(Buffer.concat(chunks).toString());
+    return { ok: true, value: { status: response.statusCode ?? 0, headers: response.headers, body } };
+  };
+  const openAnswer: HttpPool['openAnswer'] = async (request) => {
+    const opened = await startRequest(options.url, agent, request);
+    if (!opened.ok && opened.error.kind === 'silent') refreshConnections();
+    return opened;
+  };
+  return {
+    openAnswer,
+    readAnswer,
+    callPeer: async (request) => {
+      const startMs = readMonotonicMs();
+      const opened = await openAnswer(request);
+      if (!opened.ok) return opened;
+      return readAnswer(opened.value, Math.max(1, request.limitMs - (readMonotonicMs() - startMs)));
+    },
+    refreshConnections,
+    close: () => {
+      agent.destroy();
+    },
+  };
+}
+
+function failCall(error: PeerError): Result<HttpAnswer, PeerError> {
+  return { ok: false, error };
+}
--- /dev/null
+++ b/packages/call-store/src/create-store-client.ts
@@ -0,0 +1,96 @@
+import type { PeerError, Result, StoreClient, StoredPiece } from '@laburnumshift/types';
+import { z } from 'zod';
+import { checkAnswer } from './check-answer.js';
+import { createHttpPool } from './create-http-pool.js';
+import type { HttpPool } from './http-pool.js';
+import { pieceSchema } from './piece-schema.js';
+import type { StoreClientOptions } from './store-client-options.js';
+
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+/** Bound on the pages of a listing, against a store whose listing never ends. */
+const MAX_PAGES = 10_000;
+
+const rate = z.number().min(0);
+
+const statSchema = z.object({
+  memoryBytes: rate,
+  memoryUsed: rate,
+  diskBytes: rate,
+  diskUsed: rate,
+  linkBytesPerSecond: rate,
+  linkQueuedBytes: rate,
+  otherShare: rate.max(1),
+});
+
+const pageSchema = z.object({ pieces: z.array(pieceSchema), next: z.string().optional() });
+
+function toStoredPiece(store: string, piece: z.infer<typeof pieceSchema>): StoredPiece {
+  const { key, tier, generation, length, checksum, bytes } = piece;
+  const [scope = '', chain = ''] = key.split(':');
+  return { scope, chain, store, tier, generation, length, checksum, bytes };
+}
+
+async function listPages(
+  pool: HttpPool,
+  store: string,
+  limitMs: number,
+): Promise<Result<readonly StoredPiece[], PeerError>> {
+  const pieces: StoredPiece[] = [];
+  let after: string | undefined;
+  for (let page = 0; page < MAX_PAGES; page += 1) {
+    const query = after === undefined ? '' : `?after=${encodeURIComponent(after)}`;
+    const answer = await pool.callPeer({ method: 'GET', path: `/pieces${query}`, limitMs });
+    const checked = checkAnswer(answer, pageSchema);
+    if (!checked.ok) return checked;
+    for (const piece of checked.value.pieces) pieces.push(toStoredPiece(store, piece));
+    after = checked.value.next;
+    if (after === undefined) return { ok: true, value: pieces };
+  }
+  return { ok: false, error: { kind: 'bad-answer', detail: 'the listing does not end', sent: true } };
+}
+
+/** Creates the client of one store host. Answers are checked; an answer about another piece is a bad answer. */
+export function createStoreClient(options: StoreClientOptions): StoreClient {
+  const { name, url } = options;
+  const callLimitMs = options.callLimitMs ?? 1_000;
+  const moveLimitMs = options.moveLimitMs ?? 10_000;
+  const pool = createHttpPool({
+    url,
+    maxSockets: options.maxSockets ?? 16,
+    maxBodyBytes: options.maxBodyBytes ?? MAX_BODY_BYTES,
+  });
+  const callPiece = async (
+    scope: string,
+    chain: string,
+    action: string,
+    body: unknown,
+    limitMs: number,
+  ): Promise<Result<StoredPiece, PeerError>> => {
+    const key = `${scope}:${chain}`;
+    const path = `/pieces/${encodeURIComponent(key)}/${action}`;
+    const answer = checkAnswer(await pool.callPeer({ method: 'POST', path, body, limitMs }), pieceSchema);
+    if (!answer.ok) return answer;
+    if (answer.value.key === key) return { ok: true, value: toStoredPiece(name, answer.value) };
+    return { ok: false, error: { kind: 'bad-answer', detail: 'answer about another piece', sent: true } };
+  };
+  return {
+    readStat: async () =>
+      checkAnswer(await pool.callPeer({ method: 'GET', path: '/stat', limitMs: callLimitMs }), statSchema),
+    listPieces: () => listPages(pool, name, callLimitMs),
+    pinPiece: (scope, chain, ttlMs) => callPiece(scope, chain, 'pin', { ttlMs }, callLimitMs),
+    unpinPiece: async (scope, chain) => {
+      const path = `/pieces/${encodeURIComponent(`${scope}:${chain}`)}/unpin`;
+      await pool.callPeer({ method: 'POST', path, body: {}, limitMs: callLimitMs });
+    },
+    movePiece: (scope, chain, tier) => callPiece(scope, chain, 'move', { tier }, moveLimitMs),
+    deletePiece: async (scope, chain) => {
+      const path = `/pieces/${encodeURIComponent(`${scope}:${chain}`)}`;
+      const answer = await pool.callPeer({ method: 'DELETE', path, limitMs: callLimitMs });
+      if (answer.ok && answer.value.status === 404) return { ok: true, value: false };
+      const checked = checkAnswer(answer, z.object({}));
+      return checked.ok ? { ok: true, value: true } : checked;
+    },
+    close: pool.close,
+  };
+}
--- a/packages/call-store/src/index.ts
+++ b/packages/call-store/src/index.ts
@@ -1,2 +1,10 @@
-/** Client of a store host. */
-export {};
+/** Client of a store host, and the HTTP connection pool that it shares with the client of an engine. */
+export { checkAnswer } from './check-answer.js';
+export { createHttpPool } from './create-http-pool.js';
+export { createStoreClient } from './create-store-client.js';
+export type { HttpAnswer } from './http-answer.js';
+export type { HttpPoolOptions } from './http-pool-options.js';
+export type { HttpPool } from './http-pool.js';
+export type { OpenRequest } from './open-request.js';
+export type { StoreClientOptions } from './store-client-options.js';
+export { toPeerError } from './to-peer-error.js';
--- /dev/null
+++ b/packages/call-store/src/piece-schema.ts
@@ -0,0 +1,11 @@
+import { z } from 'zod';
+
+/** A piece as the store describes it; the key is `SCOPE:CHAIN`. */
+export const pieceSchema = z.object({
+  key: z.string().regex(/^[^:]+:[^:]+$/),
+  tier: z.enum(['memory', 'disk']),
+  generation: z.number().int(),
+  length: z.number().int().min(0),
+  checksum: z.string(),
+  bytes: z.number().min(0),
+});
--- /dev/null
+++ b/packages/call-store/src/start-request.ts
@@ -0,0 +1,65 @@
+import http from 'node:http';
+import { startTimer } from '@laburnumshift/clock';
+import type { PeerError, Result } from '@laburnumshift/types';
+import type { OpenRequest } from './open-request.js';
+
+/** Sends one request and waits for the head of the answer. `sent` is true from the moment the connection is open. */
+export function startRequest(
+  baseUrl: string,
+  agent: http.Agent,
+  { method, path, body, limitMs, signal }: OpenRequest,
+): Promise<Result<http.IncomingMessage, PeerError>> {
+  return new Promise((resolve) => {
+    if (signal?.aborted === true) {
+      resolve({ ok: false, error: { kind: 'cancelled', detail: 'before it was sent', sent: false } });
+      return;
+    }
+    const text = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
+    const headers = {
+      'content-length': String(text?.length ?? 0),
+      ...(text === undefined ? {} : { 'content-type': 'application/json' }),
+    };
+    const request = http.request(`${baseUrl}${path}`, { method, agent, headers });
+    let sent = false;
+    let response: http.IncomingMessage | undefined;
+    const finish = (result: Result<http.IncomingMessage, PeerError>): void => {
+      cancelTimer();
+      if (!result.ok) {
+        signal?.removeEventListener('abort', cancelRequest);
+        request.destroy();
+      }
+      resolve(result);
+    };
+    const fail = (error: PeerError): void => {
+      finish({ ok: false, error });
+    };
+    const cancelRequest = (): void => {
+      if (response === undefined) fail({ kind: 'cancelled', detail: 'by the caller', sent });
+      else response.destroy();
+    };
+    const cancelTimer = startTimer(limitMs, () => {
+      const detail = `no answer within ${String(Math.round(limitMs))} ms`;
+      fail(sent ? { kind: 'silent', detail, sent } : { kind: 'unreachable', detail, sent });
+    });
+    signal?.addEventListener('abort', cancelRequest);
+    request.on('socket', (socket) => {
+      if (socket.connecting) {
+        socket.once('connect', () => {
+          sent = true;
+        });
+      } else {
+        sent = true;
+      }
+    });
+    request.on('response', (opened) => {
+      response = opened;
+      opened.on('close', () => signal?.removeEventListener('abort', cancelRequest));
+      finish({ ok: true, value: opened });
+    });
+    request.on('error', (error) => {
+      const detail = error.message;
+      fail(sent ? { kind: 'broken', detail, sent } : { kind: 'unreachable', detail, sent });
+    });
+    request.end(text);
+  });
+}
--- /dev/null
+++ b/packages/fakes/src/engine/engine-run.ts
@@ -0,0 +1,18 @@
+import type { EngineRequest } from '@laburnumshift/types';
+
+/** A run of one completion on the fake engine. */
+export interface EngineRun {
+  readonly request: EngineRequest;
+  /** Cancels the run. */
+  readonly stopper: AbortController;
+  /** Weight version that the run keeps to its end. */
+  weightVersion: string;
+  promptTokens: number;
+  cachedPieces: number;
+  importedPieces: number;
+  computedTokens: number;
+  /** Output tokens still to be sent. */
+  outputLeft: number;
+  /** True when a block of another scope, version or text was used. */
+  foreign: boolean;
+}
