Add the placement decision and its baselines

Cause: the request path needs a decision that weighs queue, transfer and prefill against each other, and baselines to measure it against. Change: placeRequest is a pure function over plain data. For each engine it tries the borders of stored runs and the point where computing the head takes as long as fetching the tail; a property test compares it with all plans. Round robin, least loaded, sticky and prefix-aware share its type.

--- a/packages/place-request/src/index.ts
+++ b/packages/place-request/src/index.ts
@@ -1,2 +1,10 @@
 /** Placement decision and the baselines it is measured against. */
-export {};
+export { BASELINES } from './baselines.js';
+export type { EngineState } from './engine-state.js';
+export { isEligible } from './is-eligible.js';
+export type { LinkState } from './link-state.js';
+export { placeRequest } from './place-request.js';
+export type { PlacementDecision } from './placement-decision.js';
+export type { PlacementInput } from './placement-input.js';
+export type { PlacementPolicy } from './placement-policy.js';
+export type { PromptCache } from './prompt-cache.js';
