Add the admission queue

Cause: a cell's home must decide who goes first when slots are short, and must refuse at once what cannot be served in time. Change: priorities with one admission in eight for entries that waited over 10 s, start-time fair queueing by tokens among accounts, reserved slots, refusal with the time at which a retry is accepted, bounds and expiry.

--- a/packages/admit-request/src/index.ts
+++ b/packages/admit-request/src/index.ts
@@ -1,2 +1,6 @@
 /** Weighted fair queue with priorities, reserved slots and deadlines. */
-export {};
+export type { AdmissionEntry } from './admission-entry.js';
+export type { AdmissionOptions } from './admission-options.js';
+export type { AdmissionQueue } from './admission-queue.js';
+export type { AdmissionRefusal } from './admission-refusal.js';
+export { createAdmissionQueue } from './create-admission-queue.js';
