Add leased shares of account limits

Cause: an account's limits hold over all nodes together, and no node may wait for another on the request path. Change: the account's home divides the limits by demand; shares are valid for 6 s and refreshed every 2 s; a node whose home is silent keeps its last share until it ends and then applies limit / nodes.

--- /dev/null
+++ b/packages/limit-accounts/src/create-account-limiter.ts
@@ -0,0 +1,134 @@
+import { readMonotonicMs, runEvery } from '@laburnumshift/clock';
+import type { AccountLimits } from '@laburnumshift/types';
+import type { AccountLimiter } from './account-limiter.js';
+import type { AccountUse } from './account-use.js';
+import { createShareDivider } from './create-share-divider.js';
+import { createTokenBucket } from './create-token-bucket.js';
+import type { LimiterOptions } from './limiter-options.js';
+import { buildLimits } from './build-limits.js';
+import { SHARE_TIMES } from './share-times.js';
+
+const MS_PER_S = 1000;
+const MIN_RETRY_MS = 20;
+/** Weight of the latest call in the smoothed duration. */
+const DURATION_GAIN = 0.1;
+const FIRST_CALL_MS = 500;
+
+/**
+ * Creates the limiter of a node. Each account's limits are divided among the nodes by the account's home. A share is valid
+ * for 6 s; when the home is silent for longer, and before the first answer, the node applies limit / nodes.
+ */
+export function createAccountLimiter(options: LimiterOptions): AccountLimiter {
+  const { getLimits, countNodes } = options;
+  const divider = createShareDivider(getLimits, countNodes);
+  const uses = new Map<string, AccountUse>();
+  const counts = { admitted: 0, refused: 0, shares: 0, silentHomes: 0 };
+
+  const getUse = (account: string, nowMs: number): AccountUse => {
+    const known = uses.get(account);
+    if (known !== undefined) return known;
+    const limits = getFallback(account);
+    const use: AccountUse = {
+      requests: createTokenBucket(limits.requestsPerSecond, nowMs),
+      tokens: createTokenBucket(limits.tokensPerSecond, nowMs),
+      running: 0,
+      callMs: FIRST_CALL_MS,
+      lastCallMs: nowMs,
+      askedRequests: 0,
+      askedTokens: 0,
+      peakRunning: 0,
+      refreshedAtMs: nowMs,
+      share: undefined,
+    };
+    uses.set(account, use);
+    return use;
+  };
+  const getFallback = (account: string): AccountLimits => {
+    const limits = getLimits(account);
+    const nodes = Math.max(1, countNodes());
+    return buildLimits((field) => limits[field] / nodes);
+  };
+  const getCurrent = (account: string, nowMs: number): AccountLimits => {
+    const share = uses.get(account)?.share;
+    return share !== undefined && share.untilMs > nowMs ? share.limits : getFallback(account);
+  };
+
+  const admitCall: AccountLimiter['admitCall'] = (account, tokens) => {
+    const nowMs = readMonotonicMs();
+    const use = getUse(account, nowMs);
+    const limits = getCurrent(account, nowMs);
+    use.lastCallMs = nowMs;
+    use.askedRequests += 1;
+    use.askedTokens += tokens;
+    use.peakRunning = Math.max(use.peakRunning, use.running + 1);
+    // One call at a time is always allowed, or a small limit divided by many nodes would stop the account.
+    const slots = Math.max(1, Math.floor(limits.concurrent));
+    const delayMs = Math.max(
+      use.requests.getDelayMs(limits.requestsPerSecond, nowMs),
+      use.tokens.getDelayMs(limits.tokensPerSecond, nowMs),
+      use.running < slots ? 0 : use.callMs / use.running,
+    );
+    if (delayMs > 0) {
+      counts.refused += 1;
+      return { kind: 'refused', retryAfterMs: Math.max(MIN_RETRY_MS, Math.ceil(delayMs)) };
+    }
+    counts.admitted += 1;
+    use.requests.takeAmount(1);
+    use.tokens.takeAmount(tokens);
+    use.running += 1;
+    let released = false;
+    return {
+      kind: 'admitted',
+      release: (usedTokens = tokens) => {
+        if (released) return;
+        released = true;
+        use.running -= 1;
+        use.tokens.takeAmount(usedTokens - tokens);
+        use.callMs += DURATION_GAIN * (readMonotonicMs() - nowMs - use.callMs);
+      },
+    };
+  };
+
+  const refreshShare = async (account: string, use: AccountUse): Promise<void> => {
+    const nowMs = readMonotonicMs();
+    const seconds = Math.max((nowMs - use.refreshedAtMs) / MS_PER_S, 0.1);
+    const demand = {
+      requestsPerSecond: use.askedRequests / seconds,
+      tokensPerSecond: use.askedTokens / seconds,
+      concurrent: use.peakRunning,
+    };
+    Object.assign(use, {
+      askedRequests: 0,
+      askedTokens: 0,
+      peakRunning: use.running,
+      refreshedAtMs: nowMs,
+    });
+    const grant = await options.askShare({ account, host: options.host, ...demand });
+    if (grant === undefined) {
+      counts.silentHomes += 1;
+      return;
+    }
+    counts.shares += 1;
+    // Counted from before the request was sent, so that the share ends here before it ends at the home.
+    use.share = { limits: grant.limits, untilMs: nowMs + grant.validMs };
+  };
+  const refreshShares = async (): Promise<void> => {
+    const nowMs = readMonotonicMs();
+    const active: Promise<void>[] = [];
+    for (const [account, use] of uses) {
+      if (use.running === 0 && nowMs - use.lastCallMs > SHARE_TIMES.idleMs) uses.delete(account);
+      else active.push(refreshShare(account, use));
+    }
+    await Promise.all(active);
+  };
+  const stop = runEvery(SHARE_TIMES.refreshMs, refreshShares, options.onError);
+
+  return {
+    admitCall,
+    refreshShares,
+    handleShare: (request) => divider.grantShare(request, readMonotonicMs()),
+    getShare: (account) => getCurrent(account, readMonotonicMs()),
+    getCounts: () => ({ ...counts, accounts: uses.size }),
+    close: stop,
+  };
+}
--- a/packages/limit-accounts/src/index.ts
+++ b/packages/limit-accounts/src/index.ts
@@ -1,2 +1,6 @@
 /** Leased shares of account limits. */
-export {};
+export type { AccountLimiter } from './account-limiter.js';
+export type { CallPermit } from './call-permit.js';
+export { createAccountLimiter } from './create-account-limiter.js';
+export type { LimiterOptions } from './limiter-options.js';
+export { SHARE_TIMES } from './share-times.js';
