Add the home of a cell and the local placer

Cause: placement needs one view of an engine's load, caches and links that is fresher than the engines' own reports. Change: manageCell follows engines and stores with one task each, corrects load by its own grants, learns rates from run reports, holds requests in the admission queue, pins imports before a grant, carries out exports and moves on idle links, and reports the requests in flight on a crashed engine. A crash is a changed boot id or two refused connections in a row; a single refusal may be a full backlog. createLocalPlacer decides for an entry node alone. splitPool and chooseCells divide a pool into cells of at most 24.

--- /dev/null
+++ b/packages/manage-cell/src/cell-metrics.ts
@@ -0,0 +1,5 @@
+/** Sink for the cell's metrics. */
+export interface CellMetrics {
+  readonly addCount: (name: string, amount: number) => void;
+  readonly recordValue: (name: string, value: number) => void;
+}
--- /dev/null
+++ b/packages/manage-cell/src/create-engine-screen.ts
@@ -0,0 +1,42 @@
+import { isEligible } from '@laburnumshift/place-request';
+import type { PlaceRequest } from '@laburnumshift/types';
+import { buildEngineState } from './build-engine-state.js';
+import type { CellState } from './cell-state.js';
+import type { EngineScreen } from './engine-screen.js';
+import { hasAdapter } from './has-adapter.js';
+import { hasRoom } from './has-room.js';
+
+/** Takes a picture of all engines, to check many waiting requests against it. */
+export function createEngineScreen(state: CellState, nowMs: number): EngineScreen {
+  const shown = [...state.engines.values()].map((record) => ({
+    record,
+    engine: buildEngineState(state, record, nowMs),
+  }));
+  const usable = shown.filter(({ engine }) => engine.usable);
+  const isSuspect = (request: PlaceRequest): boolean =>
+    request.suspect || state.options.isSuspect(request.fingerprint);
+  const isInFlight = (fingerprint: string): boolean =>
+    shown.some(({ record }) => [...record.running.values()].some((run) => run.fingerprint === fingerprint));
+  return {
+    usable: usable.length,
+    slots: {
+      free: usable.reduce((sum, { engine }) => sum + Math.max(0, engine.slots - engine.running), 0),
+      reserved: usable.length * state.pool.urgentSlots,
+    },
+    canEverRun: (request) =>
+      usable.some(
+        ({ record, engine }) =>
+          hasAdapter(record, request) && isEligible(engine, { ...request, suspect: false }),
+      ),
+    canRunNow: (request) => {
+      const suspect = isSuspect(request);
+      if (suspect && isInFlight(request.fingerprint)) return false;
+      return usable.some(
+        ({ record, engine }) =>
+          hasRoom(engine, request, state.pool) &&
+          hasAdapter(record, request) &&
+          isEligible(engine, { ...request, suspect }),
+      );
+    },
+  };
+}
--- a/packages/manage-cell/src/index.ts
+++ b/packages/manage-cell/src/index.ts
@@ -1,2 +1,11 @@
 /** Home of a cell of engines: directory, load, queue, placement and retention. */
-export {};
+export type { CellHome } from './cell-home.js';
+export type { CellMetrics } from './cell-metrics.js';
+export type { CellOptions } from './cell-options.js';
+export type { CellStatus } from './cell-status.js';
+export { chooseCells } from './choose-cells.js';
+export { createLocalPlacer } from './create-local-placer.js';
+export type { LocalPlacer } from './local-placer.js';
+export { manageCell } from './manage-cell.js';
+export { MAX_CELL_ENGINES } from './max-cell-engines.js';
+export { splitPool } from './split-pool.js';
--- /dev/null
+++ b/packages/manage-cell/src/reconcile-pool.ts
@@ -0,0 +1,47 @@
+import type { BackendServer, PoolConfig } from '@laburnumshift/types';
+import type { CellState } from './cell-state.js';
+import { createEngineRecord } from './create-engine-record.js';
+import { createStoreRecord } from './create-store-record.js';
+import { watchEngine } from './watch-engine.js';
+import { watchStore } from './watch-store.js';
+
+/** Starts tasks for servers and stores that are new and stops those of the ones that are gone or have another address. */
+export function reconcilePool(state: CellState, pool: PoolConfig, servers: readonly BackendServer[]): void {
+  const { options } = state;
+  const reportEnd = (name: string) => (error: unknown) => {
+    options.logger.error('peer task failed', { peer: name, reason: String(error) });
+  };
+  state.pool = pool;
+  for (const [name, record] of state.engines) {
+    const server = servers.find((candidate) => candidate.name === name);
+    if (server?.url === record.server.url) record.server = server;
+    else {
+      record.stopper.abort();
+      record.client.close();
+      state.engines.delete(name);
+      options.directory.removeEngine(name);
+    }
+  }
+  for (const server of servers) {
+    if (state.engines.has(server.name)) continue;
+    const record = createEngineRecord(server, options);
+    state.engines.set(server.name, record);
+    watchEngine(state, record).catch(reportEnd(server.name));
+  }
+  for (const [name, record] of state.stores) {
+    const host = pool.stores.find((candidate) => candidate.name === name);
+    if (host?.url === record.host.url) record.host = host;
+    else {
+      record.stopper.abort();
+      record.client.close();
+      state.stores.delete(name);
+      options.directory.removeStore(name);
+    }
+  }
+  for (const host of pool.stores) {
+    if (state.stores.has(host.name)) continue;
+    const record = createStoreRecord(host, options);
+    state.stores.set(host.name, record);
+    watchStore(state, record).catch(reportEnd(host.name));
+  }
+}
--- /dev/null
+++ b/packages/manage-cell/src/run-changes.ts
@@ -0,0 +1,38 @@
+import { readMonotonicMs } from '@laburnumshift/clock';
+import type { StoreChange } from '@laburnumshift/types';
+import { addLinkBytes } from './add-link-bytes.js';
+import type { CellState } from './cell-state.js';
+import { CELL_TIMES } from './cell-times.js';
+import { estimateLink } from './estimate-link.js';
+import { listStoreViews } from './list-store-views.js';
+
+/** Asks the planner for moves and deletions and carries them out. Moves to memory need an idle link. */
+export async function runChanges(state: CellState): Promise<void> {
+  const { planner, directory } = state.options;
+  for (const change of planner.planChanges(listStoreViews(state), directory, readMonotonicMs())) {
+    await runChange(state, change);
+  }
+}
+
+async function runChange(state: CellState, change: StoreChange): Promise<void> {
+  const { directory, metrics } = state.options;
+  const { scope, chain, action } = change;
+  const record = state.stores.get(change.store);
+  if (record === undefined) return;
+  const nowMs = readMonotonicMs();
+  const link = estimateLink(record, nowMs);
+  if (!link.usable) return;
+  if (action === 'delete') {
+    const result = await record.client.deletePiece(scope, chain);
+    if (result.ok) directory.removeStored(change.store, scope, chain);
+    return;
+  }
+  if (action === 'to-memory') {
+    if (link.queueMs > CELL_TIMES.idleLinkMs) return;
+    addLinkBytes(record, state.pool.pieceBytes, nowMs);
+  }
+  const result = await record.client.movePiece(scope, chain, action === 'to-memory' ? 'memory' : 'disk');
+  metrics?.addCount('cell_moves', 1);
+  if (result.ok) directory.recordStored(result.value);
+  else if (result.error.kind === 'rejected') directory.removeStored(change.store, scope, chain);
+}
--- /dev/null
+++ b/packages/manage-cell/src/store-record.ts
@@ -0,0 +1,20 @@
+import type { ExportPlan, StoreClient, StoreHost, StoreStat } from '@laburnumshift/types';
+
+/** What the home knows of a store host. */
+export interface StoreRecord {
+  host: StoreHost;
+  readonly client: StoreClient;
+  readonly stopper: AbortController;
+  stat: StoreStat | undefined;
+  failures: number;
+  backoffUntilMs: number;
+  /** Bytes waiting on the link at `queuedAtMs`. */
+  queuedBytes: number;
+  queuedAtMs: number;
+  /** Observed rate as a part of the stated one. */
+  rateScale: number;
+  scaledAtMs: number;
+  /** Waiting exports, the most valuable first. */
+  readonly exports: ExportPlan[];
+  exporting: boolean;
+}
--- /dev/null
+++ b/packages/manage-cell/src/watch-engine.ts
@@ -0,0 +1,78 @@
+import { readMonotonicMs, sleep } from '@laburnumshift/clock';
+import { renderPeerError } from '@laburnumshift/errors';
+import { applyLoad } from './apply-load.js';
+import type { CellState } from './cell-state.js';
+import { CELL_TIMES } from './cell-times.js';
+import type { EngineRecord } from './engine-record.js';
+import { failEngine } from './fail-engine.js';
+import { isStopped } from './is-stopped.js';
+
+/** One refused connection may be a full backlog; the second in a row means that the process is gone. */
+const UNREACHABLE_CRASH = 2;
+
+/** Follows an engine until its record is stopped: load reports, boot id changes and cache events. */
+export async function watchEngine(state: CellState, record: EngineRecord): Promise<void> {
+  await Promise.all([pollLoad(state, record), pollEvents(state, record)]);
+}
+
+async function pollLoad(state: CellState, record: EngineRecord): Promise<void> {
+  const { signal } = record.stopper;
+  let unreachable = 0;
+  while (!isStopped(record)) {
+    const result = await record.client.readLoad();
+    if (isStopped(record)) return;
+    const nowMs = readMonotonicMs();
+    if (result.ok) {
+      unreachable = 0;
+      const lastBootId = record.load?.boot_id;
+      if (lastBootId !== undefined && lastBootId !== result.value.boot_id) {
+        failEngine(state, record, true, nowMs);
+        record.backoffUntilMs = 0;
+      }
+      applyLoad(record, result.value, nowMs);
+    } else {
+      record.failures += 1;
+      unreachable = result.error.kind === 'unreachable' ? unreachable + 1 : 0;
+      if (result.error.kind === 'leaving') record.leavingSeen = true;
+      if (unreachable === UNREACHABLE_CRASH) failEngine(state, record, true, nowMs);
+      state.options.logger.debug('load not read', {
+        engine: record.server.name,
+        reason: renderPeerError(result.error),
+      });
+    }
+    state.grantWaiting();
+    await sleep(CELL_TIMES.loadEveryMs, signal);
+  }
+}
+
+async function pollEvents(state: CellState, record: EngineRecord): Promise<void> {
+  const { signal } = record.stopper;
+  while (!isStopped(record)) {
+    try {
+      const seq = await resyncPieces(state, record);
+      if (seq !== undefined) await applyEvents(state, record, seq);
+    } catch (error) {
+      state.options.logger.debug('cache events ended', { engine: record.server.name, reason: String(error) });
+    }
+    await sleep(CELL_TIMES.eventRetryMs, signal);
+  }
+}
+
+/** Applies events until the stream ends; a gap is repaired by listing the pieces. */
+async function applyEvents(state: CellState, record: EngineRecord, since: number): Promise<void> {
+  const { signal } = record.stopper;
+  for await (const event of record.client.watchEvents(since, signal)) {
+    if (isStopped(record)) return;
+    if (state.options.directory.applyEvent(record.server.name, event) === 'gap') {
+      state.options.metrics?.addCount('cell_event_gaps', 1);
+      if ((await resyncPieces(state, record)) === undefined) return;
+    }
+  }
+}
+
+async function resyncPieces(state: CellState, record: EngineRecord): Promise<number | undefined> {
+  const result = await record.client.listPieces();
+  if (!result.ok || isStopped(record)) return undefined;
+  state.options.directory.replaceEngine(record.server.name, result.value.seq, result.value.pieces);
+  return result.value.seq;
+}
--- /dev/null
+++ b/packages/manage-cell/test/cells.test.ts
@@ -0,0 +1,67 @@
+import test from 'ava';
+import { chooseCells, createLocalPlacer, splitPool } from '@laburnumshift/manage-cell';
+import { installClock } from '@laburnumshift/test-utils';
+import type { BackendServer, PoolConfig } from '@laburnumshift/types';
+import { createRequest } from './doubles.js';
+
+const createServers = (count: number): BackendServer[] =>
+  Array.from({ length: count }, (_, index) => ({
+    name: `e${String(index)}`,
+    url: `http://e${String(index)}`,
+    failureDomain: 'd',
+    checksFencing: true,
+    slots: 4,
+    prefillTokensPerSecond: 10_000,
+    decodeTokensPerSecond: 50,
+  }));
+
+// Guards against cells that grow with the fleet, lost servers, and a reshuffle when one server leaves.
+test('cells hold at most 24 servers and stay stable', (t) => {
+  const servers = createServers(100);
+  const cells = splitPool('p', servers);
+  t.is(cells.flat().length, 100);
+  t.true(cells.every((cell) => cell.length <= 24));
+  const findCell = (split: BackendServer[][], name: string): number =>
+    split.findIndex((cell) => cell.some((server) => server.name === name));
+  const next = splitPool('p', servers.slice(1));
+  const moved = servers.slice(1).filter(({ name }) => findCell(cells, name) !== findCell(next, name));
+  t.true(moved.length <= 10);
+  t.not(chooseCells('p', 'chain', 5).first, chooseCells('p', 'chain', 5).spill);
+  t.is(chooseCells('p', 'chain', 1).spill, undefined);
+});
+
+// Guards against an entry node that sends all its work to one engine, or to failed and leaving ones.
+test.serial('the local placer spreads and avoids failures', (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const servers = createServers(4);
+  const pool: PoolConfig = {
+    name: 'p',
+    kind: 'model',
+    servers,
+    stores: [],
+    weightVersion: 'v1',
+    adapters: [],
+    pieceTokens: 2000,
+    pieceBytes: 1,
+    urgentSlots: 0,
+  };
+  const placer = createLocalPlacer();
+  placer.setLeaving(new Set(['e0']));
+  placer.reportFailure('e1');
+  const chosen = new Set<string>();
+  for (let i = 0; i < 4; i += 1) {
+    const request = createRequest();
+    const reply = placer.place(request, pool, servers);
+    if (reply.kind !== 'granted') throw new Error(reply.kind);
+    t.like(reply.grant, { weightVersion: 'v1', imports: [] });
+    placer.registerRun(request.requestId, reply.grant.engine);
+    chosen.add(reply.grant.engine);
+  }
+  t.deepEqual([...chosen].sort(), ['e2', 'e3']);
+  t.is(placer.place(createRequest({ exclude: ['e2', 'e3'] }), pool, servers).kind, 'refused');
+  clock.tick(600);
+  t.is(placer.place(createRequest({ exclude: ['e2', 'e3'] }), pool, servers).kind, 'granted');
+});
