--- a/packages/limit-retries/src/index.ts
+++ b/packages/limit-retries/src/index.ts
@@ -1,2 +1,5 @@
 /** Retry budgets and backoff. */
-export {};
+export { createRetryBudget } from './create-retry-budget.js';
+export type { RetryBudget } from './retry-budget.js';
+export type { RetryBudgetOptions } from './retry-budget-options.js';
+export type { RetryScope } from './retry-scope.js';
