--- /dev/null
+++ b/packages/run-completion/src/stream-attempt.ts
@@ -0,0 +1,121 @@
+import { readMonotonicMs } from '@laburnumshift/clock';
+import type {
+  EngineClient,
+  EngineRequest,
+  EngineToken,
+  Grant,
+  PeerError,
+  RunReport,
+} from '@laburnumshift/types';
+import { PRIORITIES } from '@laburnumshift/types';
+import type { AttemptResult } from './attempt-result.js';
+import { checkToken } from './check-token.js';
+import type { RunState } from './run-state.js';
+
+/** A silent stream shows no byte for this long; section 6.5 of the design page sets it. */
+const SILENCE_MS = 2_000;
+
+/** Runs one attempt on the granted engine and passes on its tokens. Reports the run and cancels it when it fails. */
+export async function streamAttempt(
+  state: RunState,
+  grant: Grant,
+  engine: EngineClient,
+  attemptId: string,
+  recompute: boolean,
+): Promise<AttemptResult> {
+  const startedAt = readMonotonicMs();
+  const request = buildRequest(state, grant, attemptId, recompute);
+  const limits = {
+    firstTokenMs: Math.max(1, Math.min(grant.estimateMs + SILENCE_MS, state.deadlineMs - startedAt)),
+    betweenTokensMs: SILENCE_MS,
+  };
+  const expected = { id: attemptId, version: grant.weightVersion };
+  let bootId: string | undefined;
+  let last: EngineToken | undefined;
+  let firstTokenMs: number | undefined;
+
+  const finishAttempt = (result: AttemptResult): AttemptResult => {
+    const cancelled = result.kind === 'failed' && state.signal.aborted;
+    state.deps.reportRun({
+      ...buildReport(state, grant, attemptId, last),
+      result: result.kind === 'finished' ? 'finished' : cancelled ? 'cancelled' : 'failed',
+      firstTokenMs,
+    });
+    return result;
+  };
+  const failAttempt = (error: PeerError): AttemptResult => {
+    if (error.sent) state.sent = true;
+    // A silent connection may still run; without the cancel it would hold a slot of the engine.
+    if (error.sent && error.kind !== 'version-mismatch')
+      void engine.cancelRun(attemptId).catch(() => undefined);
+    return finishAttempt({ kind: 'failed', error, bootId });
+  };
+
+  try {
+    for await (const item of engine.streamCompletion(request, limits, state.signal)) {
+      if (item.kind === 'error') return failAttempt(item.error);
+      if (item.kind === 'done') break;
+      state.sent = true;
+      bootId = item.bootId;
+      state.deps.bootIds.set(grant.engine, bootId);
+      const verdict = checkToken(item.token, expected, state.job.startOffset, state.texts);
+      if (verdict === 'duplicate') continue;
+      if (verdict !== 'pass') return failAttempt({ kind: 'bad-answer', detail: verdict, sent: true });
+      last = item.token;
+      firstTokenMs ??= readMonotonicMs() - startedAt;
+      state.version = grant.weightVersion;
+      const reason =
+        item.token.finish_reason ?? (item.token.offset + 1 >= state.job.maxTokens ? 'length' : null);
+      state.texts.push(item.token.text);
+      state.emit(item.token.text, reason);
+      if (reason !== null) return finishAttempt({ kind: 'finished', reason });
+    }
+  } catch (error) {
+    return failAttempt({ kind: 'broken', detail: String(error), sent: true });
+  }
+  if (state.signal.aborted) return failAttempt({ kind: 'cancelled', detail: 'caller gone', sent: true });
+  return failAttempt({ kind: 'broken', detail: 'stream ended without a finish reason', sent: true });
+}
+
+function buildRequest(state: RunState, grant: Grant, attemptId: string, recompute: boolean): EngineRequest {
+  return {
+    model: state.service.model ?? state.pool.model ?? '',
+    adapter: state.service.adapter,
+    prompt: state.job.prompt,
+    max_tokens: state.job.maxTokens,
+    stream: true,
+    request_id: attemptId,
+    priority: PRIORITIES[state.service.priority],
+    cache_scope: grant.cacheScope,
+    weight_version: grant.weightVersion,
+    pieces: state.pieces,
+    resume_offset: state.job.startOffset + state.texts.length,
+    imports: recompute ? [] : grant.imports,
+    head_pieces: recompute ? state.pieces.length : grant.headPieces,
+  };
+}
+
+function buildReport(
+  state: RunState,
+  grant: Grant,
+  attemptId: string,
+  last: EngineToken | undefined,
+): Omit<RunReport, 'result' | 'firstTokenMs'> {
+  return {
+    requestId: attemptId,
+    pool: state.pool.name,
+    cell: state.cell,
+    engine: grant.engine,
+    fingerprint: state.fingerprint,
+    estimateMs: grant.estimateMs,
+    weightVersion: grant.weightVersion,
+    cacheScope: grant.cacheScope,
+    service: state.service.name,
+    account: state.job.account.name,
+    pieces: state.pieces,
+    cachedPieces: last?.cached_pieces ?? 0,
+    importedPieces: last?.imported_pieces ?? 0,
+    computedTokens: last?.computed_tokens ?? 0,
+    outputTokens: state.texts.length,
+  };
+}
--- /dev/null
+++ b/packages/run-completion/test/run-completion.test.ts
@@ -0,0 +1,137 @@
+import test from 'ava';
+import { installClock } from '@laburnumshift/test-utils';
+import { BROKEN, LEAVING, SILENT, simulateCluster, type Step, UNSENT, WHOLE } from './simulate-cluster.js';
+
+// The steps count no real time: retries use the paused clock, which this advances until the run ends.
+async function runPaused<T>(start: () => Promise<T>): Promise<T> {
+  const clock = installClock();
+  try {
+    const progress = { ended: false };
+    const running = start().finally(() => (progress.ended = true));
+    for (let i = 0; i < 400 && !progress.ended; i += 1) await clock.tickAsync(10);
+    return await running;
+  } finally {
+    clock.uninstall();
+  }
+}
+
+const whole = [0, 1, 2, 3, 4, 5, 'done'] as const;
+const faults: Readonly<Record<string, Record<string, (readonly Step[])[]>>> = {
+  'late and silent before the first token': { a: [[SILENT]], b: [] },
+  'silent in the middle': { a: [[0, 1, SILENT]], b: [] },
+  'broken in the middle': { a: [[0, 1, 2, BROKEN]], b: [] },
+  'truncated without an error': { a: [[0, 1, 'done']], b: [] },
+  'duplicated tokens': { a: [[0, 0, 1, 0, 1, 2, 3, 4, 5, 'done']], b: [] },
+  'crossed answer of another request': { a: [[0, { offset: 1, id: 'other', text: 'x' }]], b: [whole] },
+  'gap in the offsets': { a: [[0, 2, 3]], b: [] },
+  'overlap with another text': { a: [[0, 1, { offset: 1, text: 'x' }, 2]], b: [] },
+  'token of another version': { a: [[0, { offset: 1, version: 'v2', text: 'x' }]], b: [] },
+  'resumed stream that starts too early': { a: [[0, 1, BROKEN], whole], b: [] },
+  'leaving engine': { a: [[LEAVING]], b: [] },
+  'unreachable engine': { a: [[UNSENT]], b: [] },
+  'crash in the middle': { a: [[0, 'crash']], b: [] },
+};
+
+for (const [name, scripts] of Object.entries(faults)) {
+  // Guards against lost, doubled or foreign tokens after a stream fault.
+  test.serial(`the answer is whole after: ${name}`, async (t) => {
+    const cluster = simulateCluster(scripts);
+    const { texts, end } = await runPaused(() => cluster.runJob());
+    t.deepEqual(texts, WHOLE);
+    t.deepEqual(end, { kind: 'finished', reason: 'stop' });
+    t.deepEqual(cluster.crashes, name.startsWith('crash') ? ['a'] : []);
+  });
+}
+
+const refusals: readonly [string, readonly Step[], string][] = [
+  ['nothing sent', [UNSENT], 'not run'],
+  ['sent without a token', [SILENT], 'unknown'],
+  ['tokens produced', [0, BROKEN], 'ran'],
+];
+for (const [name, script, outcome] of refusals) {
+  // Guards against an untrue `not run` and against waiting when nothing is left to try.
+  test.serial(`the outcome is ${outcome} after: ${name}`, async (t) => {
+    const { end } = await runPaused(() => simulateCluster({ a: [script, script, script, script] }).runJob());
+    t.like(end, { kind: 'refused', refusal: { outcome } });
+    t.true(end.kind === 'refused' && (end.refusal.retryAfterMs ?? 0) > 0);
+  });
+}
+
+// Guards against failing a request whose engine was swapped before it began.
+test.serial('another version before the first token is placed again with it', async (t) => {
+  const cluster = simulateCluster({ a: [] });
+  const engine = cluster.engines.get('a');
+  if (engine) engine.version = 'v2';
+  const { place } = cluster.deps;
+  const placeAnew: typeof place = (request) => {
+    if (request.weightVersion === 'v2') cluster.believed.set('a', 'v2');
+    return place(request);
+  };
+  const { texts, end } = await runPaused(() => cluster.runJob({ place: placeAnew }));
+  t.deepEqual(texts, WHOLE);
+  t.is(end.kind, 'finished');
+  t.deepEqual(
+    engine?.requests.map((r) => r.cache_scope),
+    ['v1', 'v2'],
+  );
+});
+
+// Guards against a silent mix of two weight versions, and against blocks of the old version in the new run.
+test.serial('a version change in the middle recomputes everything and is traced', async (t) => {
+  const cluster = simulateCluster({ a: [[0, 1, BROKEN]], b: [] });
+  const engine = cluster.engines.get('b');
+  if (engine) engine.version = 'v2';
+  cluster.believed.set('b', 'v2');
+  const { place } = cluster.deps;
+  const placeElsewhere: typeof place = (request) => {
+    if (cluster.placed.length > 0) cluster.believed.delete('a');
+    return place(request);
+  };
+  const { texts, end } = await runPaused(() => cluster.runJob({ place: placeElsewhere }));
+  t.deepEqual(texts, WHOLE);
+  t.is(end.kind, 'finished');
+  t.deepEqual(
+    cluster.placed.map((p) => p.weightVersion),
+    [undefined, 'v1', undefined],
+  );
+  t.like(engine?.requests[0], { imports: [], resume_offset: 2, cache_scope: 'v2', head_pieces: 1 });
+  t.true(cluster.traces.includes('version-changed'));
+});
+
+// Guards against holding a request back until its deadline when it can be refused at once.
+test.serial('an unreachable deadline is refused at once as not run', async (t) => {
+  const cluster = simulateCluster({ a: [] });
+  const { end } = await cluster.runJob({
+    place: () => Promise.resolve({ kind: 'refused', code: 'deadline_unreachable', retryAfterMs: 700 }),
+  });
+  t.like(end, { refusal: { code: 'deadline_unreachable', outcome: 'not run', retryAfterMs: 700 } });
+});
+
+// Guards against losing the place in the queue and against waiting beyond the deadline.
+test.serial('a queued request asks again with the same id until its deadline', async (t) => {
+  const ids = new Set<string>();
+  const waits: number[] = [];
+  const { end } = await runPaused(() =>
+    simulateCluster({ a: [] }).runJob({
+      place: async (request) => {
+        ids.add(request.requestId);
+        waits.push(request.waitMs);
+        const { sleep } = await import('@laburnumshift/clock');
+        await sleep(request.waitMs);
+        return { kind: 'queued', position: 1 };
+      },
+    }),
+  );
+  t.is(ids.size, 1);
+  t.deepEqual(waits.slice(0, 3), [20, 200, 200]);
+  t.like(end, { refusal: { code: 'deadline_unreachable', outcome: 'not run' } });
+});
+
+// Guards against runs that nobody reads, and against blaming the engine for them.
+test.serial('an aborted run ends as cancelled', async (t) => {
+  const cluster = simulateCluster({ a: [[0, { error: { kind: 'cancelled', detail: '', sent: true } }]] });
+  const { end } = await cluster.runJob({}, true);
+  t.is(end.kind, 'refused');
+  t.deepEqual(cluster.crashes, []);
+  t.is(cluster.engines.get('a')?.requests.length, 0);
+});
--- a/packages/types/src/quarantine.ts
+++ b/packages/types/src/quarantine.ts
@@ -13,6 +13,8 @@
   ) => Promise<void>;
   /** Reports that the request finished without a crash. */
   readonly reportFinish: (fingerprint: string, requestId: string) => void;
+  /** Gives up the right to run without saying that the request finished; another run may start after the claim lapses. */
+  readonly releaseRequest: (fingerprint: string, requestId: string) => void;
   /** True when the fingerprint is convicted as far as this node knows. */
   readonly isConvicted: (fingerprint: string) => boolean;
   readonly close: () => void;
--- a/packages/types/src/run-claim.ts
+++ b/packages/types/src/run-claim.ts
@@ -6,4 +6,6 @@
   readonly address: string;
   /** Hash of the request body; the same id with another body is refused. */
   readonly bodyHash: string;
+  /** Mesh address of an owner that no longer knows the run or cannot be reached; its entry is replaced. */
+  readonly replaces?: string | undefined;
 }
