Add authenticated links between nodes

Cause: nodes need request/reply messages that survive silent connections. Change: createNodeMesh over ws and msgpackr with a mutual HMAC challenge, request ids, pings every 500 ms while a link is in use, replacement of silent links with replies kept by sender and id, bounded frames, queues and kept replies, counts by message type, and optional TLS.

--- /dev/null
+++ b/packages/call-node/src/create-node-mesh.ts
@@ -0,0 +1,176 @@
+import { randomUUID } from 'node:crypto';
+import { readFile } from 'node:fs/promises';
+import { createServer as createPlainServer } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
+import type { AddressInfo } from 'node:net';
+import { WebSocketServer } from 'ws';
+import { runEvery, waitAtMost } from '@laburnumshift/clock';
+import { createLogger } from '@laburnumshift/logger';
+import type { NodeCallError, NodeMesh, NodeMessageType, NodeMessages, Result } from '@laburnumshift/types';
+import type { Channel } from './channel.js';
+import { createChannel } from './create-channel.js';
+import { createLink } from './create-link.js';
+import { createMeshCounts } from './create-mesh-counts.js';
+import { createReplyCache } from './create-reply-cache.js';
+import { DEFAULT_LIMITS } from './default-limits.js';
+import type { Frame } from './frame.js';
+import type { Link } from './link.js';
+import type { NodeMeshOptions } from './node-mesh-options.js';
+import { openChannel } from './open-channel.js';
+import type { ReplyCache } from './reply-cache.js';
+import { serveLink } from './serve-link.js';
+
+type Handler = (body: unknown, from: string) => Promise<unknown>;
+
+/**
+ * Creates the links of one node to the others and listens for theirs. Handlers get the mesh address of the sender.
+ * Rejects when the address cannot be bound or a TLS file cannot be read.
+ */
+export async function createNodeMesh(options: NodeMeshOptions): Promise<NodeMesh> {
+  const limits = { ...DEFAULT_LIMITS, ...options.limits };
+  const logger = createLogger('mesh');
+  const counts = createMeshCounts();
+  const handlers = new Map<string, Handler>();
+  const links = new Map<string, Link>();
+  const incoming = new Set<Channel>();
+  const caches = new Map<string, ReplyCache>();
+  const instance = randomUUID();
+  let nextId = 1;
+  let closed = false;
+
+  const tls =
+    options.tls === undefined
+      ? undefined
+      : { cert: await readFile(options.tls.certFile), key: await readFile(options.tls.keyFile) };
+  const server = tls === undefined ? createPlainServer() : createTlsServer(tls);
+  const split = options.listen.lastIndexOf(':');
+  const ip = options.listen.slice(0, split);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(options.listen.slice(split + 1)), ip.replace(/^\[|\]$/g, ''), resolve);
+  });
+  const address = `${ip}:${String((server.address() as AddressInfo).port)}`;
+  const self = { address, instance };
+
+  const runHandler = async (type: string, body: unknown, from: string): Promise<unknown> => {
+    const handler = handlers.get(type);
+    if (handler === undefined) throw new Error('no handler for this message type');
+    return handler(body, from);
+  };
+  const describeError = (error: unknown): string => (error instanceof Error ? error.message : String(error));
+  const runRequest = async (request: Frame, from: string): Promise<Frame> => {
+    try {
+      const body = await runHandler(request.type, request.body, from);
+      return { id: 0, type: request.type, replyTo: request.id, body };
+    } catch (error) {
+      const body = describeError(error);
+      return { id: 0, type: request.type, replyTo: request.id, failed: true, body };
+    }
+  };
+  const getCache = (peer: string): ReplyCache => {
+    const cache = caches.get(peer) ?? createReplyCache(limits);
+    caches.set(peer, cache);
+    return cache;
+  };
+
+  const sockets = new WebSocketServer({
+    server,
+    maxPayload: limits.maxFrameBytes,
+    perMessageDeflate: false,
+  });
+  sockets.on('error', (error) => {
+    logger.error('the listener failed', { detail: error.message });
+  });
+  sockets.on('connection', (socket, request) => {
+    if (incoming.size >= limits.maxLinks) {
+      logger.warn('refuses a link over the limit', { links: incoming.size });
+      socket.terminate();
+      return;
+    }
+    const channel = createChannel(socket, String(request.socket.remoteAddress), limits, counts, logger);
+    incoming.add(channel);
+    void serveLink(channel, self, options.secret, limits, logger, getCache, runRequest).finally(() => {
+      incoming.delete(channel);
+    });
+  });
+  const stopUpkeep = runEvery(
+    limits.heartbeatMs,
+    () => {
+      for (const [peer, cache] of caches) {
+        if (cache.countRunning() === 0 && cache.getIdleMs() > 3 * limits.keepReplyMs) caches.delete(peer);
+      }
+      // The connecting side pings every heartbeat, so a long silence means that it is gone.
+      for (const channel of incoming) {
+        if (channel.getSilenceMs() > 2 * limits.silentMs) channel.end('silent');
+      }
+    },
+    (error) => {
+      logger.error('upkeep failed', { detail: String(error) });
+    },
+  );
+
+  const getLink = (peer: string): Link => {
+    const known = links.get(peer);
+    if (known !== undefined) return known;
+    const link = createLink(
+      peer,
+      limits,
+      counts,
+      logger,
+      () => openChannel(peer, self, options.secret, tls, limits, counts, logger),
+      () => {
+        if (links.get(peer) === link) links.delete(peer);
+      },
+    );
+    links.set(peer, link);
+    return link;
+  };
+  const callSelf = async (
+    type: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, NodeCallError>> => {
+    const run = runHandler(type, body, address).then(
+      (value): Result<unknown, NodeCallError> => ({ ok: true, value }),
+      (error: unknown): Result<unknown, NodeCallError> => ({
+        ok: false,
+        error: { kind: 'refused', detail: describeError(error) },
+      }),
+    );
+    const detail = `no reply in ${String(timeoutMs)} ms`;
+    return (await waitAtMost(run, timeoutMs)) ?? { ok: false, error: { kind: 'timeout', detail } };
+  };
+
+  const callNode = <T extends NodeMessageType>(
+    peer: string,
+    type: T,
+    body: NodeMessages[T]['body'],
+    timeoutMs: number,
+  ): Promise<Result<NodeMessages[T]['reply'], NodeCallError>> => {
+    if (closed) return Promise.resolve({ ok: false, error: { kind: 'unreachable', detail: 'closed' } });
+    if (peer === address) return callSelf(type, body, timeoutMs);
+    return getLink(peer).sendRequest(nextId++, type, body, timeoutMs);
+  };
+
+  return {
+    callNode,
+    handleMessage: (type, handler) => {
+      if (handlers.has(type)) throw new Error(`a handler for '${type}' is registered already`);
+      handlers.set(type, handler);
+    },
+    getAddress: () => address,
+    getCounts: counts.get,
+    close: async () => {
+      closed = true;
+      stopUpkeep();
+      for (const link of [...links.values()]) link.close('closed');
+      for (const channel of incoming) channel.end('closed');
+      sockets.close();
+      await new Promise<void>((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/call-node/src/default-limits.ts
@@ -0,0 +1,15 @@
+import type { MeshLimits } from './mesh-limits.js';
+
+/** Limits that fit the time promises between nodes: heartbeats every 500 ms, silence after 1.5 s. */
+export const DEFAULT_LIMITS: MeshLimits = {
+  maxFrameBytes: 8 * 1024 * 1024,
+  maxQueuedBytes: 16 * 1024 * 1024,
+  maxPending: 4096,
+  maxLinks: 2048,
+  heartbeatMs: 500,
+  silentMs: 1500,
+  connectMs: 1000,
+  idleMs: 10_000,
+  keepReplyMs: 10_000,
+  maxKeptBytes: 8 * 1024 * 1024,
+};
--- /dev/null
+++ b/packages/call-node/src/open-channel.ts
@@ -0,0 +1,50 @@
+import { WebSocket } from 'ws';
+import { waitAtMost } from '@laburnumshift/clock';
+import type { Logger } from '@laburnumshift/logger';
+import { authenticateClient } from './authenticate-client.js';
+import type { Channel } from './channel.js';
+import { createChannel } from './create-channel.js';
+import type { Identity } from './identity.js';
+import type { MeshCounts } from './mesh-counts.js';
+import type { MeshLimits } from './mesh-limits.js';
+import type { TlsFiles } from './tls-files.js';
+
+/** Connects and authenticates to a node; a string is the reason of a failure. */
+export async function openChannel(
+  address: string,
+  self: Identity,
+  secret: string,
+  tls: TlsFiles | undefined,
+  limits: MeshLimits,
+  counts: MeshCounts,
+  logger: Logger,
+): Promise<{ readonly channel: Channel; readonly peer: Identity } | string> {
+  const socket = new WebSocket(`${tls === undefined ? 'ws' : 'wss'}://${address}`, {
+    maxPayload: limits.maxFrameBytes,
+    perMessageDeflate: false,
+    handshakeTimeout: limits.connectMs,
+    // Nodes are addressed by IP, so the host name check is off: the certificate is checked against the trust anchor
+    // and the identity by the challenge. For `tls.connect` a falsy result means that there is no error.
+    ...(tls === undefined ? {} : { ca: tls.cert, checkServerIdentity: () => false }),
+  });
+  const channel = createChannel(socket, address, limits, counts, logger);
+  const authenticate = async (): Promise<Identity | undefined> => {
+    await new Promise<void>((resolve) => {
+      socket.once('open', resolve);
+      socket.once('close', () => {
+        resolve();
+      });
+    });
+    if (channel.getEndReason() !== undefined) return undefined;
+    return authenticateClient(channel, self, secret);
+  };
+  const peer = await waitAtMost(authenticate(), limits.connectMs);
+  if (peer !== undefined) {
+    counts.add('links.opened');
+    return { channel, peer };
+  }
+  const reason = channel.getEndReason() ?? 'not authenticated in time';
+  channel.end(reason);
+  counts.add('links.failed');
+  return reason;
+}
