Serve callers over HTTP and HTTPS

Cause: the node has no caller-facing server yet. Change: serveCallers with authentication, limits, streams with back pressure, typed errors, outcomes and a drain mode; a RunItem type that the server and the run registry share.

--- /dev/null
+++ b/packages/serve-callers/src/read-body.ts
@@ -0,0 +1,27 @@
+import type { IncomingMessage } from 'node:http';
+import type { Result } from '@laburnumshift/types';
+
+/** Reads a request body as UTF-8 text; stops reading at the limit. */
+export async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<string, 'too-large' | 'not-utf8' | 'cut'>> {
+  if (Number(request.headers['content-length'] ?? 0) > maxBytes) return { ok: false, error: 'too-large' };
+  const chunks: Buffer[] = [];
+  let length = 0;
+  try {
+    // Not destroyed on the early return: the refusal still has to go out on this connection.
+    for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+      length += chunk.length;
+      if (length > maxBytes) return { ok: false, error: 'too-large' };
+      chunks.push(chunk);
+    }
+  } catch {
+    return { ok: false, error: 'cut' };
+  }
+  try {
+    return { ok: true, value: new TextDecoder('utf-8', { fatal: true }).decode(Buffer.concat(chunks)) };
+  } catch {
+    return { ok: false, error: 'not-utf8' };
+  }
+}
--- /dev/null
+++ b/packages/serve-callers/test/serve-callers.test.ts
@@ -0,0 +1,280 @@
+import http from 'node:http';
+import https from 'node:https';
+import net from 'node:net';
+import { once } from 'node:events';
+import test from 'ava';
+import { createRefusal } from '@laburnumshift/errors';
+import type { CallerCall, CallerCompletion } from '@laburnumshift/serve-callers';
+import { waitFor } from '@laburnumshift/test-utils';
+import type { JournalLook } from '@laburnumshift/types';
+import { COMPLETION, sendRequest, startServer, TOKENS } from './start-server.js';
+import { TLS_PAIR } from './tls-pair.js';
+
+const refused: readonly [string, string, unknown, http.OutgoingHttpHeaders, number, string][] = [
+  ['no key', '/v1/completions', COMPLETION, { authorization: '' }, 401, 'unauthenticated'],
+  ['a wrong key', '/v1/completions', COMPLETION, { authorization: 'Bearer key-x' }, 401, 'unauthenticated'],
+  [
+    'a key after its period',
+    '/v1/completions',
+    COMPLETION,
+    { authorization: 'Bearer key-old' },
+    401,
+    'unauthenticated',
+  ],
+  [
+    'a key before its period',
+    '/v1/completions',
+    COMPLETION,
+    { authorization: 'Bearer key-next' },
+    401,
+    'unauthenticated',
+  ],
+  ['no JSON', '/v1/completions', '{"service":', {}, 400, 'bad_request'],
+  ['a wrong type', '/v1/completions', { ...COMPLETION, max_tokens: '5' }, {}, 400, 'bad_request'],
+  ['an unknown field', '/v1/completions', { ...COMPLETION, top_k: 1 }, {}, 400, 'bad_request'],
+  ['no UTF-8', '/call/s/x', Buffer.from([0xff, 0xfe]), {}, 400, 'bad_request'],
+  ['a blank in its id', '/call/s/x', '{}', { 'x-request-id': 'a b' }, 400, 'bad_request'],
+  [
+    'a declared large body',
+    '/v1/completions',
+    'x'.repeat(5_000),
+    { 'content-length': 5_000 },
+    413,
+    'body_too_large',
+  ],
+  [
+    'a large chunked body',
+    '/call/s/x',
+    'x'.repeat(5_000),
+    { 'transfer-encoding': 'chunked' },
+    413,
+    'body_too_large',
+  ],
+  ['large headers', '/v1/completions', COMPLETION, { 'x-large': 'x'.repeat(5_000) }, 431, 'bad_request'],
+  ['a wrong offset', '/v1/completions', COMPLETION, { 'x-resume-offset': '-1' }, 400, 'bad_request'],
+  ['a dot segment', '/call/s/a/%2e%2E/b', '{}', {}, 400, 'bad_request'],
+  ['a wrong issue time', '/call/s/a', '{}', { 'idempotency-issued-at': 'now' }, 400, 'bad_request'],
+  ['an unknown path', '/v2/completions', COMPLETION, {}, 404, 'not_found'],
+];
+
+for (const [name, path, body, headers, status, code] of refused) {
+  // Guards against work for requests that must not get in, and against errors without their typed body.
+  test(`a request with ${name} is refused before any work`, async (t) => {
+    const fail = (): never => t.fail();
+    const server = await startServer({ runCompletion: fail, runCall: fail });
+    const answer = await sendRequest(server, path, body, headers);
+    t.is(answer.status, status);
+    t.like(JSON.parse(answer.body), { error: { code, outcome: 'not run' } });
+    await server.close();
+  });
+}
+
+// Guards against lost fields between the caller and the run, in both forms of answer.
+test('completions are answered whole and as a stream', async (t) => {
+  const seen: CallerCompletion[] = [];
+  const server = await startServer({
+    async *runCompletion(request) {
+      seen.push(request);
+      for (const item of TOKENS) yield await Promise.resolve(item);
+    },
+  });
+  const plain = await sendRequest(server, '/v1/completions', COMPLETION);
+  t.like(JSON.parse(plain.body), { text: 'one two', finish_reason: 'stop', output_tokens: 2 });
+  const headers = { 'x-request-id': 'r-1', 'x-resume-offset': '3' };
+  const stream = await sendRequest(server, '/v1/completions', { ...COMPLETION, stream: true }, headers);
+  const events = stream.body.split('\n\n').filter(Boolean);
+  t.is(events.length, 3);
+  t.deepEqual(JSON.parse(events[1]?.slice(6) ?? ''), {
+    id: 'r-1',
+    offset: 1,
+    text: 'two',
+    finish_reason: 'stop',
+  });
+  t.is(events[2], 'data: [DONE]');
+  t.like(seen[1], { requestId: 'r-1', named: true, startOffset: 3, maxTokens: 5 });
+  t.false(seen[0]?.named);
+  t.is(seen[0]?.bodyHash, seen[1]?.bodyHash, 'the form of the answer does not change the request');
+  await server.close();
+});
+
+// Guards against refusals without outcome or retry time, before and after the first token.
+test('refusals of a run carry outcome and retry time', async (t) => {
+  const refusal = createRefusal('overloaded', 'full', 'not run', 1_200);
+  for (const count of [0, 1]) {
+    const server = await startServer({
+      async *runCompletion() {
+        yield* TOKENS.slice(0, count);
+        yield await Promise.resolve({ kind: 'end' as const, end: { kind: 'refused' as const, refusal } });
+      },
+    });
+    const answer = await sendRequest(server, '/v1/completions', { ...COMPLETION, stream: true });
+    const last = answer.body.split('\n\n').filter(Boolean).at(-1) ?? '';
+    t.like(JSON.parse(last.replace('data: ', '')), { error: { outcome: 'not run', retryAfterMs: 1_200 } });
+    t.is(answer.status, count === 0 ? 503 : 200);
+    t.is(answer.headers['retry-after'], count === 0 ? '2' : undefined);
+    t.false(answer.body.includes('[DONE]'));
+    await server.close();
+  }
+});
+
+// Guards against leaking the account key to a service and against lost idempotency headers.
+test('plain calls pass on path, query and allowed headers', async (t) => {
+  const seen: CallerCall[] = [];
+  const server = await startServer({
+    runCall: (call) => {
+      seen.push(call);
+      return Promise.resolve({ ok: true, value: { status: 201, headers: { connection: 'x' }, body: 'ok' } });
+    },
+  });
+  const headers = { 'idempotency-key': 'k', 'idempotency-issued-at': '17', connection: 'x-b', 'x-b': '1' };
+  const answer = await sendRequest(server, '/call/seats/a/b?c=d', '{}', headers);
+  t.is(answer.status, 201);
+  t.like(seen[0], { service: 'seats', idempotencyKey: 'k', issuedAtMs: 17 });
+  t.like(seen[0]?.call, { method: 'POST', path: '/a/b?c=d', body: '{}' });
+  const passed = Object.keys(seen[0]?.call.headers ?? {});
+  t.false(passed.some((name) => ['authorization', 'host', 'connection', 'x-b'].includes(name)));
+  await server.close();
+});
+
+// Guards against one account learning of another's keys.
+test('outcomes are looked up under the own account only', async (t) => {
+  const looks: JournalLook[] = [];
+  const server = await startServer({
+    findOutcome: (look) => {
+      looks.push(look);
+      const answer = { status: 200, headers: {}, body: 'booked' };
+      return Promise.resolve(
+        look.account === 'a' ? { kind: 'finished', answer, system: 'own' } : { kind: 'absent' },
+      );
+    },
+  });
+  const own = await sendRequest(server, '/outcome/seats/k1');
+  t.like(JSON.parse(own.body), { state: 'finished', outcome: 'ran', status: 200, body: 'booked' });
+  const other = await sendRequest(server, '/outcome/seats/k1', undefined, { authorization: 'Bearer key-b' });
+  t.is(other.status, 404);
+  t.like(JSON.parse(other.body), { error: { code: 'not_found', outcome: 'unknown' } });
+  t.deepEqual(
+    looks.map((look) => look.account),
+    ['a', 'b'],
+  );
+  await server.close();
+});
+
+// Guards against work that goes on for a caller that is gone.
+test('a caller that goes away aborts its run', async (t) => {
+  let signal: AbortSignal | undefined;
+  const server = await startServer({
+    async *runCompletion(_request, given) {
+      signal = given;
+      yield TOKENS[0] ?? t.fail();
+      await once(given, 'abort');
+    },
+  });
+  const request = http.request(`http://${server.address}/v1/completions`, {
+    method: 'POST',
+    headers: { authorization: 'Bearer key-a' },
+  });
+  request.on('error', () => undefined).end(JSON.stringify({ ...COMPLETION, stream: true }));
+  await once(request, 'response');
+  request.destroy();
+  await waitFor('the abort', () => signal?.aborted === true);
+  await waitFor('the end', () => server.getCounts().active === 0);
+  await server.close();
+  t.pass();
+});
+
+// Guards against unbounded memory for a caller that does not read, and against holding its run forever.
+test('a caller that stops reading holds a bounded buffer and is cut', async (t) => {
+  let produced = 0;
+  const text = 'x'.repeat(10_000);
+  const server = await startServer(
+    {
+      async *runCompletion(_request, signal) {
+        for (; !signal.aborted; produced += 1) {
+          yield await Promise.resolve({ kind: 'token' as const, offset: produced, text, finishReason: null });
+        }
+      },
+    },
+    { stallTimeoutMs: 300 },
+  );
+  const { port } = new URL(`http://${server.address}`);
+  const socket = net.connect(Number(port), '127.0.0.1');
+  const body = JSON.stringify({ ...COMPLETION, stream: true });
+  const head = `POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-a\r\n`;
+  socket.on('error', () => undefined).write(`${head}content-length: ${String(body.length)}\r\n\r\n${body}`);
+  socket.pause();
+  await waitFor('the cut', () => server.getCounts().stalled === 1);
+  // Kernel buffers of both sides hold a few MB on loopback; without the bound this grows until the timeout.
+  t.true(produced * text.length < 64 * 1_048_576, String(produced));
+  socket.destroy();
+  await server.close();
+});
+
+// Guards against connections held by callers that send slowly.
+test('slow headers and idle connections are closed', async (t) => {
+  const server = await startServer({}, { headersTimeoutMs: 50, requestTimeoutMs: 100 });
+  const { port } = new URL(`http://${server.address}`);
+  const socket = net.connect(Number(port), '127.0.0.1');
+  socket.write('POST /v1/completions HTTP/1.1\r\nhost:');
+  let text = '';
+  socket.setEncoding('utf8').on('data', (part: string) => (text += part));
+  await once(socket, 'close');
+  t.regex(text, /^HTTP\/1\.1 408 /);
+  t.regex(text, /"outcome":"not run"/);
+  await server.close();
+});
+
+// Guards against more connections than the node has memory for.
+test('connections over the limit are dropped', async (t) => {
+  const limits = { maxBodyBytes: 100, maxHeaderBytes: 1_000, maxConnections: 2, maxBufferedBytes: 100 };
+  const server = await startServer({}, { limits });
+  const { port } = new URL(`http://${server.address}`);
+  const sockets = [1, 2, 3].map(() => net.connect(Number(port), '127.0.0.1'));
+  for (const socket of sockets) socket.on('error', () => undefined);
+  await waitFor('a drop', () => server.getCounts().dropped === 1);
+  for (const socket of sockets) socket.destroy();
+  await server.close();
+  t.pass();
+});
+
+// Guards against a shutdown that cuts a stream or takes work that it will not finish.
+test('a draining server finishes streams and refuses new work', async (t) => {
+  const gate = new AbortController();
+  const agent = new http.Agent({ keepAlive: true });
+  const server = await startServer({
+    async *runCompletion() {
+      yield* TOKENS.slice(0, 1);
+      await once(gate.signal, 'abort');
+      yield* TOKENS.slice(1);
+    },
+  });
+  const running = sendRequest(server, '/v1/completions', { ...COMPLETION, stream: true }, {}, agent);
+  await waitFor('the run', () => server.getCounts().active === 1);
+  const drained = server.drain();
+  const refusedNow = await sendRequest(server, '/v1/completions', COMPLETION);
+  t.is(refusedNow.status, 503);
+  t.is(refusedNow.headers.connection, 'close');
+  t.like(JSON.parse(refusedNow.body), {
+    error: { code: 'not_ready', outcome: 'not run', retryAfterMs: 1_000 },
+  });
+  gate.abort();
+  t.true((await running).body.endsWith('data: [DONE]\n\n'));
+  await drained;
+  await waitFor('closed connections', () => Object.keys(agent.freeSockets).length === 0);
+  await server.close();
+});
+
+// Guards against a TLS pair that is set but not used.
+test('a TLS pair makes the server speak HTTPS only', async (t) => {
+  const server = await startServer({}, { tls: TLS_PAIR });
+  const request = https.get(`https://${server.address}/outcome/s/k`, {
+    ca: TLS_PAIR.cert,
+    checkServerIdentity: () => undefined,
+    headers: { authorization: 'Bearer key-a' },
+  });
+  const [response] = (await once(request, 'response')) as [http.IncomingMessage];
+  t.is(response.statusCode, 404);
+  response.resume();
+  await t.throwsAsync(sendRequest(server, '/outcome/s/k'));
+  await server.close();
+});
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -68,6 +68,7 @@
 export type { RunClaim } from './run-claim.js';
 export type { RunClaimReply } from './run-claim-reply.js';
 export type { RunEnd } from './run-end.js';
+export type { RunItem } from './run-item.js';
 export type { RunReport } from './run-report.js';
 export type { ServiceClient } from './service-client.js';
 export type { ServiceConfig } from './service-config.js';
