Run plain service calls, idempotent or journaled

Cause: nothing yet dispatches calls to plain services. Change: runCall with retries for idempotent calls, one permitted dispatch for others, key checks and the cutover; findOutcome.

--- /dev/null
+++ b/packages/run-call/src/run-journaled.ts
@@ -0,0 +1,84 @@
+import { createHash, randomUUID } from 'node:crypto';
+import { readMonotonicMs, readWallMs, waitAtMost } from '@laburnumshift/clock';
+import { createRefusal } from '@laburnumshift/errors';
+import type { CallAnswer, JournalAbandon, JournalDecision, Refusal, Result } from '@laburnumshift/types';
+import { OUTCOMES } from '@laburnumshift/types';
+import { match } from 'ts-pattern';
+import type { CallState } from './call-state.js';
+import { checkKey } from './check-key.js';
+import { runAttempt } from './run-attempt.js';
+import { traceCall } from './trace-call.js';
+
+const PLATFORM_RETRY_MS = 1_000;
+/** Pause before a resend of a call that its server is still working on. */
+const LATE_RETRY_MS = 1_000;
+
+/** Runs a non-idempotent call under its key: at most one attempt is ever dispatched, over all nodes and both systems. */
+export async function runJournaled(state: CallState): Promise<Result<CallAnswer, Refusal>> {
+  const { job, deps, service } = state;
+  const key = job.idempotencyKey;
+  const issued = checkKey(key, job.issuedAtMs, readWallMs(), deps.retentionMs);
+  if (!issued.ok || key === undefined)
+    return issued.ok ? refuse('internal', 'no key', OUTCOMES.notRun) : issued;
+  const attempt = { account: job.account.name, service: service.name, key, attemptId: randomUUID() };
+  const self = deps.getSelf();
+  const decision = await deps.journal
+    .beginCall({
+      ...attempt,
+      bodyHash: hashCall(state),
+      node: self.host,
+      incarnation: self.incarnation,
+      system: state.system,
+      issuedAtMs: issued.value,
+      waitMs: Math.max(0, state.deadlineMs - readMonotonicMs()),
+    })
+    .catch((error: unknown): JournalDecision => ({ kind: 'unavailable', detail: String(error) }));
+  traceCall(state, 'journal', { kind: decision.kind, attemptId: attempt.attemptId });
+  return match(decision)
+    .with({ kind: 'run' }, (run) => waitForAttempt(state, attempt, run))
+    .with({ kind: 'finished' }, ({ answer }) => ({ ok: true as const, value: answer }))
+    .with({ kind: 'in-progress' }, ({ retryAfterMs }) =>
+      refuse('in_progress', 'the call is in progress', OUTCOMES.unknown, retryAfterMs),
+    )
+    .with({ kind: 'unknown' }, () =>
+      refuse('outcome_unknown', 'the call may have run; it is not repeated', OUTCOMES.unknown),
+    )
+    .with({ kind: 'body-differs' }, () =>
+      refuse('idempotency_key_reused', 'the key was used for another call', OUTCOMES.notRun),
+    )
+    .with({ kind: 'expired' }, () =>
+      refuse('idempotency_key_expired', 'the key is older than the records that are kept', OUTCOMES.unknown),
+    )
+    .with({ kind: 'unavailable' }, { kind: 'absent' }, () =>
+      refuse('platform_unavailable', 'the journal cannot be written', OUTCOMES.notRun, PLATFORM_RETRY_MS),
+    )
+    .exhaustive();
+}
+
+/** Waits for the attempt until the deadline; a late answer is still recorded, so that a resend gets it. */
+async function waitForAttempt(
+  state: CallState,
+  attempt: JournalAbandon,
+  run: Extract<JournalDecision, { kind: 'run' }>,
+): Promise<Result<CallAnswer, Refusal>> {
+  if (run.attemptId !== attempt.attemptId) {
+    return refuse('in_progress', 'another attempt was permitted', OUTCOMES.unknown, LATE_RETRY_MS);
+  }
+  const running = runAttempt(state, attempt, run.system);
+  const remainingMs = Math.max(1, state.deadlineMs - readMonotonicMs());
+  return (
+    (await waitAtMost(running, remainingMs)) ??
+    refuse('in_progress', 'the server is still working on the call', OUTCOMES.unknown, LATE_RETRY_MS)
+  );
+}
+
+function refuse(...refusal: Parameters<typeof createRefusal>): Result<CallAnswer, Refusal> {
+  return { ok: false, error: createRefusal(...refusal) };
+}
+
+function hashCall({ job }: CallState): string {
+  const { method, path, body } = job.call;
+  return createHash('sha256')
+    .update(JSON.stringify([method, path, body]))
+    .digest('hex');
+}
--- /dev/null
+++ b/packages/run-call/test/run-call.test.ts
@@ -0,0 +1,174 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { createRefusal } from '@laburnumshift/errors';
+import { checkKey, findOutcome } from '@laburnumshift/run-call';
+import { installClock } from '@laburnumshift/test-utils';
+import type { JournalDecision } from '@laburnumshift/types';
+import { type Behaviour, KEY, KEY_TIME_MS, simulateService } from './simulate-service.js';
+
+async function runPaused<T>(start: () => Promise<T>): Promise<T> {
+  const clock = installClock(KEY_TIME_MS);
+  try {
+    const progress = { ended: false };
+    const running = start().finally(() => (progress.ended = true));
+    for (let i = 0; i < 1_000 && !progress.ended; i += 1) await clock.tickAsync(10);
+    return await running;
+  } finally {
+    clock.uninstall();
+  }
+}
+
+const idempotent: readonly [string, Behaviour[], string][] = [
+  ['a lost answer', ['lost'], 'run 2'],
+  ['a silent connection', ['silent'], 'run 1'],
+  ['an unreachable and a leaving server', ['unsent', 'leaving'], 'run 1'],
+];
+for (const [name, behaviours, body] of idempotent) {
+  // Guards against giving up calls that another server can answer safely.
+  test.serial(`an idempotent call is sent again after ${name}`, async (t) => {
+    const service = simulateService([...behaviours], true);
+    const answer = await runPaused(() => service.runJob());
+    t.like(answer, { ok: true, value: { body } });
+    t.is(new Set(service.counts.dispatched).size, behaviours.length + 1);
+  });
+}
+
+const journaled: readonly [string, Behaviour[], object, number, number][] = [
+  ['an answer', ['answer'], { ok: true, value: { body: 'run 1' } }, 1, 1],
+  ['a lost answer', ['lost'], { error: { code: 'outcome_unknown', outcome: 'unknown' } }, 1, 1],
+  ['a silent connection', ['silent'], { error: { outcome: 'unknown' } }, 1, 0],
+  ['a server that no byte reached', ['unsent'], { ok: true }, 2, 1],
+  ['a leaving server', ['leaving'], { ok: true }, 2, 1],
+  ['no reachable server', ['unsent', 'unsent', 'unsent'], { error: { outcome: 'not run' } }, 3, 0],
+  ['a late answer', ['slow'], { error: { code: 'in_progress', outcome: 'unknown' } }, 1, 0],
+];
+for (const [name, behaviours, expected, dispatched, ran] of journaled) {
+  // Guards against a second run, an unproven connection and an untrue outcome.
+  test.serial(`a non-idempotent call after ${name}`, async (t) => {
+    const service = simulateService([...behaviours], false);
+    const answer = await runPaused(() => service.runJob());
+    t.like(answer, expected);
+    t.is(service.counts.dispatched.length, dispatched);
+    t.is(service.counts.ran, ran);
+    t.is(service.counts.unproven, 0);
+  });
+}
+
+// Guards against losing an answer that came after the deadline.
+test.serial('a late answer is recorded and given to the resend', async (t) => {
+  const service = simulateService(['slow'], false);
+  const answer = await runPaused(async () => {
+    await service.runJob();
+    const { sleep } = await import('@laburnumshift/clock');
+    await sleep(5_000);
+    return service.runJob();
+  });
+  t.like(answer, { ok: true, value: { body: 'run 1' } });
+});
+
+const decisions: readonly [JournalDecision, string, string][] = [
+  [{ kind: 'in-progress', retryAfterMs: 70 }, 'in_progress', 'unknown'],
+  [{ kind: 'unknown', detail: '' }, 'outcome_unknown', 'unknown'],
+  [{ kind: 'body-differs' }, 'idempotency_key_reused', 'not run'],
+  [{ kind: 'expired' }, 'idempotency_key_expired', 'unknown'],
+  [{ kind: 'unavailable', detail: '' }, 'platform_unavailable', 'not run'],
+  [{ kind: 'run', attemptId: 'of another', system: 'own' }, 'in_progress', 'unknown'],
+];
+for (const [decision, code, outcome] of decisions) {
+  // Guards against a dispatch without the journal's permission.
+  test.serial(`the journal's answer ${decision.kind} dispatches nothing`, async (t) => {
+    const service = simulateService([], false);
+    Object.assign(service.journal, { beginCall: () => Promise.resolve(decision) });
+    const answer = await runPaused(() => service.runJob());
+    t.like(answer, { ok: false, error: { code, outcome } });
+    if (decision.kind === 'in-progress') t.like(answer, { error: { retryAfterMs: 70 } });
+    t.is(service.counts.dispatched.length, 0);
+  });
+}
+
+const RETENTION_MS = 7_200_000;
+const keys: readonly [string, string | undefined, number | undefined, string | undefined][] = [
+  ['UUID version 7', KEY, undefined, undefined],
+  ['dated by its header', 'k', KEY_TIME_MS, undefined],
+  ['absent', undefined, undefined, 'idempotency_key_required'],
+  ['undated', 'k', undefined, 'idempotency_key_undated'],
+  ['UUID version 4', KEY.replace('-7', '-4'), undefined, 'idempotency_key_undated'],
+  ['from the future', 'k', KEY_TIME_MS + 60_001, 'idempotency_key_undated'],
+  ['older than the records', 'k', KEY_TIME_MS - RETENTION_MS, 'idempotency_key_expired'],
+  [
+    'old by its own time but not by its header',
+    '018bc000-0000-7000-8000-000000000001',
+    KEY_TIME_MS,
+    'idempotency_key_expired',
+  ],
+];
+for (const [name, key, issuedAtMs, code] of keys) {
+  // Guards against keys that outlive their record, so that a late resend would run twice.
+  test(`a key that is ${name}`, (t) => {
+    const checked = checkKey(key, issuedAtMs, KEY_TIME_MS, RETENTION_MS);
+    if (code === undefined) t.deepEqual(checked, { ok: true, value: KEY_TIME_MS });
+    else t.like(checked, { ok: false, error: { code } });
+  });
+}
+
+// Guards against a booking that both systems make.
+test.serial('a key stays with the system that first took it', async (t) => {
+  const service = simulateService([], false, 'own');
+  service.olderAnswers.set(KEY, { status: 200, headers: {}, body: 'booked there' });
+  t.like(await runPaused(() => service.runJob()), { value: { body: 'booked there' } });
+  t.is(service.counts.dispatched.length, 0);
+  const other = simulateService([], false, 'older');
+  t.like(await runPaused(() => other.runJob()), { value: { body: 'older' } });
+  Object.assign(other.deps, { chooseSystem: () => 'own' });
+  t.like(await runPaused(() => other.runJob()), { value: { body: 'older' } });
+  t.deepEqual([other.counts.older, other.counts.dispatched.length], [1, 0]);
+});
+
+// Guards against work sent to a server that the node knows to be leaving or dead.
+test.serial('unusable servers are skipped', async (t) => {
+  for (const kind of [true, false]) {
+    const service = simulateService([], kind);
+    for (const name of ['a', 'b', 'c']) service.unusable.add(name);
+    const answer = await runPaused(() => service.runJob());
+    t.like(answer, {
+      error: {
+        ...createRefusal('no_backend_server', '', 'not run'),
+        message: 'no server can take the call',
+        retryAfterMs: 1_000,
+      },
+    });
+    t.is(service.counts.dispatched.length, 0);
+  }
+});
+
+// Guards against one account reading another's answer under the same key.
+test.serial('keys of two accounts do not meet', async (t) => {
+  const service = simulateService([], false);
+  t.like(await runPaused(() => service.runJob()), { value: { body: 'run 1' } });
+  t.deepEqual(await findOutcome({ account: 'b', service: 's', key: KEY }, service.deps), { kind: 'absent' });
+  t.like(await runPaused(() => service.runJob({}, 'b')), { value: { body: 'run 2' } });
+});
+
+// Guards against double bookings and untrue refusals under any order of faults and resends.
+test.serial('a key runs at most once under random faults', async (t) => {
+  const behaviour = fc.constantFrom<Behaviour>('answer', 'lost', 'unsent', 'leaving', 'silent', 'slow');
+  const fault = fc.constantFrom(undefined, undefined, 'begin' as const, 'finish' as const);
+  const property = fc.asyncProperty(
+    fc.array(behaviour, { maxLength: 8 }),
+    fc.array(fault, { minLength: 1, maxLength: 5 }),
+    async (behaviours, faults) => {
+      const service = simulateService(behaviours, false);
+      await runPaused(async () => {
+        for (const next of faults) {
+          service.journal.fault = next;
+          const before = service.counts.ran;
+          const answer = await service.runJob();
+          if (!answer.ok && answer.error.outcome === 'not run') t.is(service.counts.ran, before);
+          service.unusable.clear();
+        }
+      });
+      return service.counts.ran <= 1;
+    },
+  );
+  await t.notThrowsAsync(fc.assert(property, { seed: 7_041, numRuns: 200 }));
+});
