Publish, compare and roll back configurations

Cause: operators race each other and the platform loses answers; an accepted configuration must never revert. Change: publishConfig stores segments by hash and moves the head by one conditional update. A loser rebases when its files are disjoint and the merged result passes all checks; otherwise it is refused with both places. A lost head write is resolved through the head and the history. Each publisher keeps the head that it replaces and completes its audit record. Cleanup spares segments whose base is the current generation, so that no racing publisher loses one. The verb 'diff' joins the list for diffConfig.

--- /dev/null
+++ b/packages/audit-changes/src/has-change.ts
@@ -0,0 +1,13 @@
+import type { PlatformClient } from '@laburnumshift/types';
+import { AUDIT_KIND } from './audit-kind.js';
+import { formatAuditName } from './format-audit-name.js';
+
+/** Tests whether a change has its audit record; `undefined` while the platform is unavailable. */
+export async function hasChange(
+  platform: PlatformClient,
+  atMs: number,
+  changeId: string,
+): Promise<boolean | undefined> {
+  const result = await platform.readObject(AUDIT_KIND, formatAuditName(atMs, changeId), 'config');
+  return result.kind === 'unavailable' ? undefined : result.kind === 'found';
+}
--- /dev/null
+++ b/packages/audit-changes/test/audit-changes.test.ts
@@ -0,0 +1,30 @@
+import { hasChange, listChanges, recordChange } from '@laburnumshift/audit-changes';
+import { createPlatformClient } from '@laburnumshift/call-platform';
+import { startFakePlatform } from '@laburnumshift/fakes/platform';
+import type { AuditRecord } from '@laburnumshift/types';
+import test from 'ava';
+
+test('guards against a replaced record and against a trail in the wrong order', async (t) => {
+  const platform = await startFakePlatform();
+  t.teardown(platform.stop);
+  const client = createPlatformClient({
+    url: platform.url,
+    readsPerSecond: 100,
+    writesPerSecond: 100,
+    deadlineMs: 200,
+  });
+  t.teardown(client.close);
+  const record = { changeId: 'b', atMs: 2000, author: 'ann', action: 'publish', fromGeneration: 0 } as const;
+  const first: AuditRecord = { ...record, files: [], result: 'accepted', detail: 'first' };
+  t.true(await recordChange(client, first));
+  t.true(await recordChange(client, { ...first, detail: 'second' }));
+  t.true(await recordChange(client, { ...first, changeId: 'a', atMs: 10_000 }));
+  t.deepEqual(
+    (await listChanges(client))?.map(({ atMs, detail }) => `${String(atMs)} ${detail}`),
+    ['10000 first', '2000 first'],
+  );
+  t.true(await hasChange(client, 2000, 'b'));
+  platform.setFaults({ down: true });
+  t.false(await recordChange(client, { ...first, changeId: 'c' }));
+  t.is(await listChanges(client), undefined);
+});
--- a/packages/check-declarations/src/index.ts
+++ b/packages/check-declarations/src/index.ts
@@ -3,3 +3,5 @@
 export { checkSegments } from './check-segments.js';
 export { compileConfig } from './compile-config.js';
 export { hashSegment } from './hash-segment.js';
+export { parseHead } from './parse-head.js';
+export { parseSegment } from './parse-segment.js';
--- /dev/null
+++ b/packages/publish-config/src/fetch-segments.ts
@@ -0,0 +1,39 @@
+import { parseSegment } from '@laburnumshift/check-declarations';
+import type { ConfigSegment, PlatformClient } from '@laburnumshift/types';
+import { CONFIG_KINDS } from './config-kinds.js';
+import type { PlatformFailure } from './platform-failure.js';
+import { runBatches } from './run-batches.js';
+import type { StoredSegment } from './stored-segment.js';
+
+/** From this number of missing segments on, a listing in pages of 1 MB takes fewer calls than single reads. */
+const LIST_FROM = 16;
+
+/** Adds the segments with these hashes to the known ones. Returns the failure when one cannot be read. */
+export async function fetchSegments(
+  platform: PlatformClient,
+  hashes: readonly string[],
+  known: Map<string, ConfigSegment>,
+): Promise<PlatformFailure | undefined> {
+  const missing = [...new Set(hashes)].filter((hash) => !known.has(hash));
+  const addSegment = (hash: string, value: unknown): PlatformFailure | undefined => {
+    const segment = parseSegment((value as StoredSegment | null)?.segment, hash);
+    if (segment === undefined) return { kind: 'unavailable', detail: `segment ${hash} is damaged` };
+    known.set(hash, segment);
+    return undefined;
+  };
+  if (missing.length >= LIST_FROM) {
+    const listed = await platform.listObjects(CONFIG_KINDS.segment, '', 'config');
+    if (listed.kind === 'unavailable') return listed;
+    const values = new Map(listed.items.map((item) => [item.name, item.value]));
+    for (const hash of missing) if (values.has(hash)) addSegment(hash, values.get(hash));
+  }
+  return runBatches(
+    missing.filter((hash) => !known.has(hash)),
+    async (hash) => {
+      const result = await platform.readObject(CONFIG_KINDS.segment, hash, 'config');
+      if (result.kind === 'unavailable') return result;
+      if (result.kind === 'absent') return { kind: 'unavailable', detail: `segment ${hash} is missing` };
+      return addSegment(hash, result.object.value);
+    },
+  );
+}
--- /dev/null
+++ b/packages/publish-config/src/record-generation.ts
@@ -0,0 +1,37 @@
+import { hasChange, recordChange } from '@laburnumshift/audit-changes';
+import type { ConfigHead, PlatformClient } from '@laburnumshift/types';
+import { compareFiles } from './compare-files.js';
+import { CONFIG_KINDS } from './config-kinds.js';
+import { formatGeneration } from './format-generation.js';
+import type { PlatformFailure } from './platform-failure.js';
+import { readGeneration } from './read-generation.js';
+
+/**
+ * Keeps a head for history before another replaces it, and completes the audit trail when the publisher of that head
+ * ended between moving the head and writing its record.
+ */
+export async function recordGeneration(
+  platform: PlatformClient,
+  head: ConfigHead,
+): Promise<PlatformFailure | undefined> {
+  if (head.generation === 0) return undefined;
+  const name = formatGeneration(head.generation);
+  const kept = await platform.writeObject(CONFIG_KINDS.history, name, head, 0, head.changeId, 'config');
+  if (kept.kind !== 'written' && kept.kind !== 'conflict') {
+    return { kind: 'unavailable', detail: `cannot keep generation ${String(head.generation)}: ${kept.kind}` };
+  }
+  if ((await hasChange(platform, head.publishedAtMs, head.changeId)) !== false) return undefined;
+  const before = await readGeneration(platform, head.generation - 1);
+  await recordChange(platform, {
+    changeId: head.changeId,
+    atMs: head.publishedAtMs,
+    author: head.author,
+    action: 'publish',
+    fromGeneration: head.generation - 1,
+    toGeneration: head.generation,
+    files: before.kind === 'read' ? compareFiles(before.head.segments, head.segments) : [],
+    result: 'accepted',
+    detail: 'recorded by the next publisher',
+  });
+  return undefined;
+}
