--- /dev/null
+++ b/packages/watch-config/test/memory-world.ts
@@ -0,0 +1,160 @@
+import { hashSegment } from '@laburnumshift/check-declarations';
+import { sleep } from '@laburnumshift/clock';
+import type {
+  ConfigHead,
+  ConfigSegment,
+  Member,
+  Membership,
+  NodeMesh,
+  PlatformClient,
+  PlatformEvent,
+} from '@laburnumshift/types';
+import { watchConfig, type ConfigWatch } from '@laburnumshift/watch-config';
+
+const DETECTION_MS = 2000;
+const PLATFORM_DEADLINE_MS = 3000;
+
+interface WorldNode {
+  readonly watch: ConfigWatch;
+  readonly generations: number[];
+}
+
+/** Nodes with an in-memory platform, mesh and membership that fail on demand. */
+export class MemoryWorld {
+  readonly nodes = new Map<string, WorldNode>();
+  /** Hosts for which the platform does not answer. */
+  readonly cutFromPlatform = new Set<string>();
+  /** Hosts whose watches stay silent. */
+  readonly muted = new Set<string>();
+  /** Links that lose every call, `FROM>TO`; `*` stands for any host. */
+  readonly cutLinks = new Set<string>();
+  head: ConfigHead | undefined;
+  private readonly segments = new Map<string, ConfigSegment>();
+  private readonly watchers = new Map<string, Set<(events: readonly PlatformEvent[]) => void>>();
+  private readonly members = new Map<string, Member>();
+  private readonly listeners = new Set<() => void>();
+  private readonly handlers = new Map<
+    string,
+    Map<string, (body: unknown, from: string) => Promise<unknown>>
+  >();
+
+  startNode(host: string, failureDomain: string, seed: number): void {
+    const member = { host, incarnation: seed, failureDomain, address: `${host}:1` };
+    this.members.set(host, member);
+    this.handlers.set(host, new Map());
+    const generations: number[] = [];
+    const watch = watchConfig({
+      platform: this.makePlatform(host),
+      mesh: this.makeMesh(host),
+      membership: this.makeMembership(member),
+      seeds: [...this.members.values()].map(({ address }) => address),
+      seed,
+    });
+    watch.onConfig((config) => generations.push(config.generation));
+    this.nodes.set(host, { watch, generations });
+    this.notifyMembers();
+  }
+
+  /** Ends a node at once; the others notice after a while. */
+  async killNode(host: string): Promise<void> {
+    this.nodes.get(host)?.watch.close();
+    this.nodes.delete(host);
+    this.handlers.delete(host);
+    this.watchers.delete(host);
+    await sleep(DETECTION_MS);
+    if (this.nodes.has(host)) return;
+    this.members.delete(host);
+    this.notifyMembers();
+  }
+
+  publishNext(): number {
+    const generation = (this.head?.generation ?? 0) + 1;
+    const segment = { file: 'a', accounts: [], services: [], pools: [], routes: [], generation };
+    const hash = hashSegment(segment);
+    this.segments.set(hash, segment);
+    this.head = {
+      generation,
+      changeId: String(generation),
+      author: '',
+      publishedAtMs: 0,
+      segments: { a: hash },
+    };
+    const events = [{ name: 'main', version: generation, value: this.head }];
+    for (const [host, handlers] of this.watchers) {
+      if (this.muted.has(host) || this.cutFromPlatform.has(host)) continue;
+      for (const handler of handlers) handler(events);
+    }
+    return generation;
+  }
+
+  /** Nodes that hold a watch of the platform. */
+  countWatchers(): number {
+    return [...this.watchers.values()].filter((handlers) => handlers.size > 0).length;
+  }
+
+  stopAll(): void {
+    for (const { watch } of this.nodes.values()) watch.close();
+  }
+
+  private notifyMembers(): void {
+    for (const listener of this.listeners) listener();
+  }
+
+  private makePlatform(host: string): PlatformClient {
+    const readObject = async (kind: string, name: string): Promise<unknown> => {
+      await sleep(2);
+      if (this.cutFromPlatform.has(host)) {
+        await sleep(PLATFORM_DEADLINE_MS);
+        return { kind: 'unavailable', detail: 'cut off' };
+      }
+      const segment = this.segments.get(name);
+      const value = kind === 'config-head' ? this.head : segment && { base: 0, segment };
+      return value === undefined
+        ? { kind: 'absent' }
+        : { kind: 'found', object: { kind, name, version: 1, value } };
+    };
+    return {
+      readObject,
+      watchObjects: (_kind: string, handler: (events: readonly PlatformEvent[]) => void) => {
+        const handlers = this.watchers.get(host) ?? new Set();
+        this.watchers.set(host, handlers.add(handler));
+        return () => handlers.delete(handler);
+      },
+    } as unknown as PlatformClient;
+  }
+
+  private makeMesh(host: string): NodeMesh {
+    const isCut = (from: string, to: string): boolean =>
+      [`${from}>${to}`, `${from}>*`, `*>${to}`].some((link) => this.cutLinks.has(link));
+    return {
+      callNode: async (address: string, type: string, body: unknown, timeoutMs: number) => {
+        const to = address.split(':')[0] ?? '';
+        await sleep(1);
+        const handler = isCut(host, to) || isCut(to, host) ? undefined : this.handlers.get(to)?.get(type);
+        if (handler !== undefined) return { ok: true, value: await handler(body, `${host}:1`) };
+        await sleep(timeoutMs);
+        return { ok: false, error: { kind: 'timeout', detail: '' } };
+      },
+      handleMessage: (type: string, handler: (body: unknown, from: string) => Promise<unknown>) => {
+        this.handlers.get(host)?.set(type, handler);
+      },
+    } as unknown as NodeMesh;
+  }
+
+  private makeMembership(self: Member): Membership {
+    const listLive = (): readonly Member[] => [...this.members.values()];
+    return {
+      getSelf: () => self,
+      listLive,
+      onChange: (handler) => {
+        const notifyListener = (): void => {
+          handler(listLive());
+        };
+        this.listeners.add(notifyListener);
+        return () => this.listeners.delete(notifyListener);
+      },
+      leave: () => Promise.resolve(),
+      close: () => undefined,
+    };
+  }
+}
