Add the cache directory with bit sets over engines

Placement needs the cached prefix of every engine of a cell within a fraction of its 200 microseconds, in bounded memory.

Pieces and engines lie in flat bit sets, counted word by word. Events are applied with gap and stale detection, finished runs are assumed until confirmed and weighed by how often they were, and silent engines expire.

--- a/packages/track-cache/src/index.ts
+++ b/packages/track-cache/src/index.ts
@@ -1,2 +1,3 @@
 /** Cache directory of a cell. */
-export {};
+export type { CacheDirectoryOptions } from './cache-directory-options.js';
+export { createCacheDirectory } from './create-cache-directory.js';
--- /dev/null
+++ b/packages/track-cache/test/create-cache-directory.test.ts
@@ -0,0 +1,192 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { installClock } from '@laburnumshift/test-utils';
+import { createCacheDirectory } from '@laburnumshift/track-cache';
+import type { CacheEvent, PieceRef, StoredPiece } from '@laburnumshift/types';
+
+const SCOPES = ['s1', 's2'];
+const CHAINS = ['c0', 'c1', 'c2', 'c3', 'c4'];
+const ENGINES = Array.from({ length: 70 }, (_, index) => `e${String(index)}`);
+const OPTIMISTIC_MS = 1_000;
+
+function buildPieces(count: number): PieceRef[] {
+  return CHAINS.slice(0, count).map((chain) => ({ chain, tokens: 2_000 }));
+}
+
+function buildEvent(seq: number, type: CacheEvent['type'], scope: string, chain: string): CacheEvent {
+  return { seq, at: 0, type, scope, chain };
+}
+
+/** The directory as plain sets: which pieces an engine has for sure, and until when a piece is assumed. */
+class PlainModel {
+  readonly seqs = new Map<string, number>();
+  readonly confirmed = new Set<string>();
+  readonly assumed = new Map<string, number>();
+
+  hasPiece(engine: string, scope: string, chain: string, nowMs: number): boolean {
+    const key = `${engine}/${scope}/${chain}`;
+    return this.confirmed.has(key) || (this.assumed.get(key) ?? 0) > nowMs;
+  }
+
+  clearEngine(engine: string, keepsAssumed: boolean): void {
+    for (const key of this.confirmed) if (key.startsWith(`${engine}/`)) this.confirmed.delete(key);
+    if (keepsAssumed) return;
+    for (const key of this.assumed.keys()) if (key.startsWith(`${engine}/`)) this.assumed.delete(key);
+  }
+
+  countPrefix(scope: string, count: number, nowMs: number): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const engine of ENGINES) {
+      const missing = CHAINS.slice(0, count).findIndex(
+        (chain) => !this.hasPiece(engine, scope, chain, nowMs),
+      );
+      const length = missing < 0 ? count : missing;
+      if (length > 0) counts.set(engine, length);
+    }
+    return counts;
+  }
+}
+
+const engine = fc.constantFrom('e0', 'e1', 'e31', 'e32', 'e63', 'e69');
+const scope = fc.constantFrom(...SCOPES);
+const chain = fc.constantFrom(...CHAINS);
+const step = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ do: fc.constant('stored' as const), engine, scope, chain }) },
+  fc.record({ do: fc.constant('evicted' as const), engine, scope, chain }),
+  fc.record({ do: fc.constant('gap' as const), engine, scope, chain }),
+  fc.record({ do: fc.constant('stale' as const), engine, scope, chain }),
+  fc.record({ do: fc.constant('replace' as const), engine, scope, chain }),
+  fc.record({ do: fc.constant('remove' as const), engine, scope, chain }),
+  { weight: 3, arbitrary: fc.record({ do: fc.constant('run' as const), engine, scope, chain }) },
+  fc.record({ do: fc.constant('wait' as const), engine, scope, chain }),
+);
+
+// Guards against counts that differ from the events: wrong words of the bit sets, stale events that are applied, lost gaps,
+// entries that survive their engine, and assumed pieces that outlive their time.
+test('agrees with a plain model', (t) => {
+  const clock = installClock();
+  const property = fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+    const directory = createCacheDirectory({ optimisticMs: OPTIMISTIC_MS, minTrust: 0 });
+    const model = new PlainModel();
+    for (const name of ENGINES) directory.replaceEngine(name, 0, []);
+    for (const { do: action, engine: name, scope: at, chain: piece } of steps) {
+      const seq = model.seqs.get(name) ?? 0;
+      const key = `${name}/${at}/${piece}`;
+      const now = performance.now();
+      const sendEvent = (
+        type: CacheEvent['type'],
+        next: number,
+        expected: 'applied' | 'gap' | 'stale',
+      ): void => {
+        t.is(directory.applyEvent(name, buildEvent(next, type, at, piece)), expected);
+        if (expected === 'stale') return;
+        model.seqs.set(name, next);
+        model.assumed.delete(key);
+        if (type === 'stored') model.confirmed.add(key);
+        else model.confirmed.delete(key);
+      };
+      if (action === 'stored' || action === 'evicted') sendEvent(action, seq + 1, 'applied');
+      if (action === 'gap') sendEvent('stored', seq + 3, 'gap');
+      if (action === 'stale') sendEvent('stored', seq, 'stale');
+      if (action === 'wait') clock.tick(OPTIMISTIC_MS / 2 + 1);
+      if (action === 'remove') {
+        directory.removeEngine(name);
+        model.clearEngine(name, false);
+        model.seqs.delete(name);
+      }
+      if (action === 'replace') {
+        directory.replaceEngine(name, seq + 5, [{ scope: at, chain: piece }]);
+        model.clearEngine(name, true);
+        model.assumed.delete(key);
+        model.confirmed.add(key);
+        model.seqs.set(name, seq + 5);
+      }
+      if (action === 'run') {
+        const pieces = buildPieces(CHAINS.indexOf(piece) + 1);
+        directory.recordRun(name, at, pieces);
+        for (const ref of pieces) {
+          if (!model.hasPiece(name, at, ref.chain, now)) {
+            model.assumed.set(`${name}/${at}/${ref.chain}`, now + OPTIMISTIC_MS);
+          }
+        }
+      }
+      for (const count of [1, 3, 5]) {
+        const actual = [...directory.countPrefix(at, buildPieces(count))].sort();
+        t.deepEqual(actual, [...model.countPrefix(at, count, performance.now())].sort());
+      }
+    }
+  });
+  try {
+    fc.assert(property, { seed: 7, numRuns: 200 });
+  } finally {
+    clock.uninstall();
+  }
+});
+
+// Guards against memory that grows with the number of prompts.
+test('stays within its bounds', (t) => {
+  const directory = createCacheDirectory({ maxEntries: 100, maxStored: 50 });
+  for (let seq = 1; seq <= 1_000; seq += 1) {
+    const place = { scope: 's', chain: String(seq) };
+    directory.applyEvent('e1', buildEvent(seq, 'stored', place.scope, place.chain));
+    directory.recordStored(buildStored('st1', place.chain));
+  }
+  t.like(directory.getCounts(), { entries: 100, stored: 50, gaps: 0 });
+  t.is(directory.countPrefix('s', [{ chain: '1000', tokens: 1 }]).get('e1'), 1);
+});
+
+// Guards against routing by the cache of an engine that has not been heard of for long.
+test('a silent engine is forgotten', (t) => {
+  const clock = installClock();
+  const directory = createCacheDirectory({ silenceMs: 5_000 });
+  directory.applyEvent('e1', buildEvent(1, 'stored', 's', 'c0'));
+  directory.applyEvent('e2', buildEvent(1, 'stored', 's', 'c0'));
+  clock.tick(4_000);
+  directory.applyEvent('e2', buildEvent(2, 'stored', 's', 'c1'));
+  clock.tick(2_000);
+  t.deepEqual([...directory.countPrefix('s', buildPieces(2))], [['e2', 2]]);
+  t.like(directory.getCounts(), { engines: 1, entries: 2 });
+  clock.uninstall();
+});
+
+// Guards against sending prompts to an engine that never keeps the pieces of its runs.
+test('assumed pieces stop counting when they are not confirmed', (t) => {
+  const clock = installClock();
+  const directory = createCacheDirectory({ optimisticMs: 300 });
+  for (let run = 0; run < 30; run += 1) {
+    directory.recordRun('e1', `s${String(run)}`, buildPieces(1));
+    clock.tick(10);
+  }
+  clock.tick(600);
+  directory.recordRun('e1', 's', buildPieces(1));
+  t.deepEqual([...directory.countPrefix('s', buildPieces(1))], []);
+  directory.applyEvent('e1', buildEvent(1, 'stored', 's', 'c0'));
+  t.deepEqual([...directory.countPrefix('s', buildPieces(1))], [['e1', 1]]);
+  clock.uninstall();
+});
+
+function buildStored(store: string, name: string): StoredPiece {
+  const place = { scope: 's', chain: name, store, tier: 'memory' as const };
+  return { ...place, generation: 1, length: 1, checksum: 'c', bytes: 10 };
+}
+
+// Guards against imports planned from a store that no longer has the piece.
+test('stored pieces follow their stores', (t) => {
+  const directory = createCacheDirectory();
+  directory.recordStored(buildStored('st1', 'c0'));
+  directory.recordStored(buildStored('st2', 'c0'));
+  directory.recordStored({ ...buildStored('st2', 'c0'), generation: 2 });
+  t.deepEqual(
+    directory.findStored('s', 'c0').map((piece) => [piece.store, piece.generation]),
+    [
+      ['st1', 1],
+      ['st2', 2],
+    ],
+  );
+  directory.removeStore('st1');
+  directory.replaceStore('st2', [buildStored('st2', 'c1')]);
+  t.deepEqual(directory.findStored('s', 'c0'), []);
+  t.is(directory.findStored('s', 'c1').length, 1);
+  directory.removeStored('st2', 's', 'c1');
+  t.is(directory.getCounts().stored, 0);
+});
