--- /dev/null
+++ b/packages/attach-runs/src/notify-readers.ts
@@ -0,0 +1,8 @@
+import type { RunBuffer } from './run-buffer.js';
+
+/** Wakes all readers of a run. */
+export function notifyReaders(run: RunBuffer): void {
+  const waiting = [...run.waiting];
+  run.waiting.clear();
+  for (const resolve of waiting) resolve();
+}
--- /dev/null
+++ b/packages/attach-runs/src/wait-change.ts
@@ -0,0 +1,23 @@
+import { startTimer } from '@laburnumshift/clock';
+import type { RunBuffer } from './run-buffer.js';
+
+/** Waits for the next change of a run, an abort, or some milliseconds. */
+export function waitChange(run: RunBuffer, signal: AbortSignal | undefined, waitMs?: number): Promise<void> {
+  return new Promise((resolve) => {
+    const cancelTimer =
+      waitMs === undefined
+        ? undefined
+        : startTimer(waitMs, () => {
+            finishWait();
+          });
+    const finishWait = (): void => {
+      cancelTimer?.();
+      run.waiting.delete(finishWait);
+      signal?.removeEventListener('abort', finishWait);
+      resolve();
+    };
+    run.waiting.add(finishWait);
+    signal?.addEventListener('abort', finishWait);
+    if (signal?.aborted) finishWait();
+  });
+}
