Quarantine requests that crash engines

Cause: one request that crashes engines would take down a whole pool through its resends. Change: suspects, claims and convictions kept at home, successor and platform; a claim field in SuspectNotice that is copied between home and successor.

--- /dev/null
+++ b/packages/quarantine-requests/src/bounded-map.ts
@@ -0,0 +1,14 @@
+/** A map that drops its oldest entries above a number. */
+export class BoundedMap<V> extends Map<string, V> {
+  constructor(readonly maxEntries: number) {
+    super();
+  }
+
+  override set(key: string, value: V): this {
+    this.delete(key);
+    super.set(key, value);
+    const oldest = this.size > this.maxEntries ? this.keys().next().value : undefined;
+    if (oldest !== undefined) this.delete(oldest);
+    return this;
+  }
+}
--- a/packages/quarantine-requests/src/index.ts
+++ b/packages/quarantine-requests/src/index.ts
@@ -1,2 +1,3 @@
 /** Suspects and convictions of requests that crash engines. */
-export {};
+export { createQuarantine } from './create-quarantine.js';
+export type { QuarantineOptions } from './quarantine-options.js';
--- a/packages/types/src/suspect-notice.ts
+++ b/packages/types/src/suspect-notice.ts
@@ -4,4 +4,7 @@
   readonly engine: string;
   readonly pool: string;
   readonly atMs: number;
+  /** Run that the sender has permitted, with the rest of its time, milliseconds; copied between home and successor. */
+  readonly claim?:
+    { readonly requestId: string; readonly host: string; readonly leaseMs: number } | undefined;
 }
