Add the commands

Cause: operators check, publish, compare and roll back declarations and ask nodes from a shell and from scripts. A publisher whose segment write stays unknown gives up after one call deadline in place of ten. serve loads the daemon when it is built.

--- /dev/null
+++ b/packages/cli/src/commands/history-command.ts
@@ -0,0 +1,31 @@
+import { listHistory } from '@laburnumshift/publish-config';
+import { Command } from 'clipanion';
+import { buildUnavailable } from '../build-unavailable.js';
+import { callWithPlatform } from '../call-with-platform.js';
+import { CliCommand } from '../cli-command.js';
+import type { CommandResult } from '../command-result.js';
+import { OPTIONS } from '../options.js';
+import { parseCount } from '../parse-count.js';
+
+/** `history`: lists generations. */
+export class HistoryCommand extends CliCommand {
+  static override paths = [['history']];
+  static override usage = Command.Usage({
+    description: 'List the generations, the newest first.',
+    examples: [['Show the last five', '$0 history --limit 5 --platform http://10.0.0.2:8600']],
+  });
+
+  platform = OPTIONS.platform();
+  limit = OPTIONS.limit();
+
+  async runCommand(): Promise<CommandResult> {
+    const limit = parseCount('--limit', this.limit);
+    const heads = await callWithPlatform(this.platform, (platform) => listHistory(platform, limit));
+    if (heads === undefined) return buildUnavailable('platform', 'the history cannot be read');
+    const lines = heads.map(
+      ({ generation, publishedAtMs, author, changeId }) =>
+        `${String(generation)}  ${new Date(publishedAtMs).toISOString()}  ${author}  ${changeId}`,
+    );
+    return { result: 'ok', text: lines.join('\n') || 'nothing was published yet', value: { heads } };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/index.ts
@@ -0,0 +1,11 @@
+export { AuditCommand } from './audit-command.js';
+export { CheckCommand } from './check-command.js';
+export { DiffCommand } from './diff-command.js';
+export { DrainCommand } from './drain-command.js';
+export { ExplainCommand } from './explain-command.js';
+export { HistoryCommand } from './history-command.js';
+export { OutcomeCommand } from './outcome-command.js';
+export { PublishCommand } from './publish-command.js';
+export { RollbackCommand } from './rollback-command.js';
+export { ServeCommand } from './serve-command.js';
+export { StatusCommand } from './status-command.js';
--- /dev/null
+++ b/packages/cli/src/commands/serve-command.ts
@@ -0,0 +1,52 @@
+import { readSettings } from '@laburnumshift/read-settings';
+import type { NodeSettings } from '@laburnumshift/types';
+import { Command, Option } from 'clipanion';
+import { CliCommand } from '../cli-command.js';
+import type { CommandResult } from '../command-result.js';
+
+/** The part of `@laburnumshift/run-node` that this command uses. */
+interface NodeModule {
+  readonly runNode?: (settings: NodeSettings) => Promise<{
+    readonly callersUrl: string;
+    readonly operatorsUrl: string;
+    readonly meshAddress: string;
+    readonly stop: () => Promise<void>;
+  }>;
+}
+
+const waitForSignal = (): Promise<void> =>
+  new Promise((resolve) => {
+    for (const signal of ['SIGTERM', 'SIGINT']) {
+      process.once(signal, () => {
+        resolve();
+      });
+    }
+  });
+
+/** `serve`: runs a node until SIGTERM or SIGINT, then shuts it down gracefully. */
+export class ServeCommand extends CliCommand {
+  static override paths = [['serve']];
+  static override usage = Command.Usage({
+    description: 'Run a node.',
+    details: 'SIGTERM or SIGINT begins a graceful shutdown.',
+    examples: [['Run a node', '$0 serve /etc/laburnumshift/node.jsonc']],
+  });
+
+  settings = Option.String({ name: 'settings' });
+
+  async runCommand(): Promise<CommandResult> {
+    const settings = await readSettings(this.settings);
+    // Loaded here, so that the other commands start without the daemon's code.
+    const { runNode } = (await import('@laburnumshift/run-node')) as NodeModule;
+    if (runNode === undefined) {
+      return { result: 'unavailable', text: 'this build has no daemon', value: { detail: 'no daemon' } };
+    }
+    const node = await runNode(settings);
+    const { callersUrl, operatorsUrl, meshAddress } = node;
+    const places = { callersUrl, operatorsUrl, meshAddress };
+    this.context.stdout.write(`${JSON.stringify(places)}\n`);
+    await waitForSignal();
+    await node.stop();
+    return { result: 'ok', text: 'the node has stopped', value: places };
+  }
+}
--- a/packages/publish-config/src/ensure-segments.ts
+++ b/packages/publish-config/src/ensure-segments.ts
@@ -36,6 +36,8 @@
         const seen = await platform.readObject<StoredSegment>(kind, name, 'config');
         if (seen.kind === 'unavailable') return seen;
         if (seen.kind === 'found' && seen.object.value.base >= base) return undefined;
+        // The client has tried until its deadline; another round would only hold up the operator's answer.
+        if (result.kind === 'unknown') return { kind: 'unavailable', detail: result.detail };
         version = seen.kind === 'found' ? seen.object.version : 0;
       }
       return { kind: 'unavailable', detail: `segment ${hash} changes too often` };
