Add failure detection and membership among nodes

Cause: homes and routes need the live nodes within 3 s of a failure, at a cost that does not grow with the fleet. Change: detectMembers with random probes, a probe of the ring successor, indirect probes through two others, suspicion with refutation, piggybacked changes, re-probing of lost members, and leave.

--- /dev/null
+++ b/packages/detect-members/src/detect-members.ts
@@ -0,0 +1,196 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { readMonotonicMs, runEvery, startTimer, waitAtMost } from '@laburnumshift/clock';
+import { createLogger } from '@laburnumshift/logger';
+import { computeWeight } from '@laburnumshift/rank-homes';
+import type { Member, Membership } from '@laburnumshift/types';
+import { createMemberTable } from './create-member-table.js';
+import { createProber } from './create-prober.js';
+import { createUpdateQueue } from './create-update-queue.js';
+import { DEFAULT_TIMING } from './default-timing.js';
+import type { DetectMembersOptions } from './detect-members-options.js';
+import { findSuccessor } from './find-successor.js';
+import { GOSSIP_SCHEMA } from './gossip-schema.js';
+import type { Gossip } from './gossip.js';
+import type { KnownMember } from './known-member.js';
+import { pickRandom } from './pick-random.js';
+
+/** Changed records in one message. */
+const MAX_UPDATES = 8;
+/** Random records in each message; they repair what the changes missed. */
+const SAMPLES = 2;
+/** Live members in the reply to a joining node. */
+const JOIN_RECORDS = 64;
+/** A node that knows fewer members asks for more. */
+const JOIN_BELOW = 2;
+const HELPERS = 2;
+/** Members that get an urgent change at once; each of them passes it on in the same way. */
+const URGENT_FANOUT = 4;
+/** Urgent changes within this time share their messages. */
+const URGENT_DELAY_MS = 20;
+const LEAVE_FANOUT = 16;
+const LEAVE_MS = 1000;
+/** A check that comes this much too late means that this process was paused. */
+const PAUSE_MS = 250;
+
+/** Starts the failure detector of a node. The cost of a node does not depend on the number of members. */
+export function detectMembers(options: DetectMembersOptions): Membership {
+  const { self, mesh } = options;
+  const timing = { ...DEFAULT_TIMING, ...options.timing };
+  const logger = createLogger('members');
+  const random = xoroshiro128plus(options.randomSeed);
+  const queue = createUpdateQueue();
+  const handlers = new Set<(live: readonly Member[]) => void>();
+  const ownWeight = computeWeight('probe-ring', self.host);
+  let candidates: readonly string[] = options.seeds;
+  let left = false;
+  let closed = false;
+  let urgentPlanned = false;
+  let live: readonly Member[] = [self];
+
+  const updateLive = (): void => {
+    const members = table.listLive().map(({ record }): Member => {
+      const { host, incarnation, failureDomain, address } = record;
+      return { host, incarnation, failureDomain, address };
+    });
+    const next = (left ? members : [...members, self]).sort((a, b) => (a.host < b.host ? -1 : 1));
+    const isSame =
+      next.length === live.length &&
+      next.every((m, i) => {
+        const other = live[i];
+        return m.host === other?.host && m.incarnation === other.incarnation && m.address === other.address;
+      });
+    if (isSame) return;
+    live = next;
+    for (const handler of handlers) handler(live);
+  };
+  const sendUrgent = (): void => {
+    urgentPlanned = false;
+    if (closed) return;
+    for (const { record } of pickRandom(random, table.listLive(), URGENT_FANOUT)) {
+      void prober.sendProbe(record.address, record.host, timing.directMs);
+    }
+  };
+  const table = createMemberTable(self, timing, (host, urgent) => {
+    queue.add(host);
+    updateLive();
+    if (!urgent || urgentPlanned) return;
+    urgentPlanned = true;
+    startTimer(URGENT_DELAY_MS, sendUrgent);
+  });
+
+  /** Records for a message: this node's, what the receiver must refute, changes and random ones. */
+  const buildGossip = (host: string | undefined): Gossip => {
+    const hosts = new Set<string>();
+    const receiver = host === undefined ? undefined : table.find(host);
+    if (receiver !== undefined && receiver.record.state !== 'alive') hosts.add(receiver.record.host);
+    const liveCount = live.length;
+    for (const changed of queue.takeHosts(MAX_UPDATES, liveCount)) hosts.add(changed);
+    for (const { record } of pickRandom(random, table.listAll(), SAMPLES)) hosts.add(record.host);
+    hosts.delete(self.host);
+    const known = [...hosts].map((h) => table.find(h)).filter((m) => m !== undefined);
+    return {
+      records: [table.buildSelf(), ...known.map(table.buildRecord)],
+      ...(liveCount < JOIN_BELOW ? { join: true } : {}),
+    };
+  };
+  const prober = createProber(mesh, table, timing, buildGossip, (exclude) =>
+    pickRandom(
+      random,
+      table.listLive().filter((m) => m.record.host !== exclude && m.record.state === 'alive'),
+      HELPERS,
+    ).map((m) => m.record),
+  );
+
+  const handleGossip = (body: unknown): { readonly gossip: Gossip; readonly reply: Gossip } => {
+    const gossip = GOSSIP_SCHEMA.parse(body);
+    for (const record of gossip.records) table.mergeRecord(record);
+    const reply = buildGossip(gossip.records[0]?.host);
+    if (gossip.join !== true) return { gossip, reply };
+    const known = pickRandom(random, table.listLive(), JOIN_RECORDS).map(table.buildRecord);
+    return { gossip, reply: { ...reply, records: [...reply.records, ...known] } };
+  };
+  mesh.handleMessage('probe', (body) => Promise.resolve(handleGossip(body).reply));
+  mesh.handleMessage('probe-for', async (body) => {
+    const { gossip, reply } = handleGossip(body);
+    if (gossip.target === undefined) return reply;
+    const reached = await prober.sendProbe(gossip.target, undefined, timing.indirectMs / 2);
+    return { ...reply, ...(reached === undefined ? {} : { reached }) };
+  });
+
+  /** Addresses to try again: candidates without a record, and dead members. */
+  const listLost = (): string[] => {
+    const known = new Map(table.listAll().map((m) => [m.record.address, m.record.state]));
+    const lost = new Set(candidates.filter((a) => a !== self.address && !known.has(a)));
+    for (const [address, state] of known) if (state === 'dead') lost.add(address);
+    return [...lost];
+  };
+  const probeLost = (): void => {
+    const lost = listLost();
+    // Over all nodes each lost address is tried about once a period, however many nodes there are.
+    const share = lost.length / live.length;
+    if (share < 1 && uniformInt(random, 0, 9999) >= share * 10_000) return;
+    const count = live.length < JOIN_BELOW ? 3 : 1;
+    for (const address of pickRandom(random, lost, count)) {
+      const dead = table.listAll().find((m) => m.record.address === address);
+      void prober.sendProbe(address, dead?.record.host, timing.directMs);
+    }
+  };
+  const probeOnce = (): void => {
+    const others = table.listLive();
+    const targets = new Set<KnownMember>(pickRandom(random, others, 1));
+    // The successor is probed each period by exactly one node, which bounds the time until a failure is noticed.
+    const successor = findSuccessor(ownWeight, others);
+    if (successor !== undefined) targets.add(successor);
+    for (const { record } of targets) void prober.probeMember(record);
+    if (!left) probeLost();
+  };
+  let checkedMs = readMonotonicMs();
+  const checkSuspicions = (): void => {
+    const now = readMonotonicMs();
+    const late = now - checkedMs > timing.tickMs + PAUSE_MS;
+    checkedMs = now;
+    table.expireSuspicions(late, (address) => candidates.includes(address));
+    updateLive();
+  };
+  const refreshCandidates = async (): Promise<void> => {
+    const hosts = await options.listHosts();
+    if (hosts === undefined) return;
+    const listed = hosts.filter((h) => h.kind === 'node' && h.state === 'live').map((h) => h.address);
+    candidates = [...new Set([...options.seeds, ...listed.filter((a) => a !== undefined)])];
+  };
+  const reportError = (error: unknown): void => {
+    logger.error('membership work failed', { detail: String(error) });
+  };
+  const addJitter = (ms: number) => () => uniformInt(random, Math.round(ms * 0.9), Math.round(ms * 1.1));
+  const stops = [
+    runEvery(addJitter(timing.periodMs), probeOnce, reportError),
+    runEvery(timing.tickMs, checkSuspicions, reportError),
+    runEvery(addJitter(timing.hostsMs), refreshCandidates, reportError),
+  ];
+
+  return {
+    getSelf: () => self,
+    listLive: () => live,
+    onChange: (handler) => {
+      handlers.add(handler);
+      return () => {
+        handlers.delete(handler);
+      };
+    },
+    leave: async () => {
+      left = true;
+      table.markLeft();
+      updateLive();
+      const told = pickRandom(random, table.listLive(), LEAVE_FANOUT).map(({ record }) =>
+        prober.sendProbe(record.address, record.host, LEAVE_MS),
+      );
+      await waitAtMost(Promise.all(told), LEAVE_MS);
+    },
+    close: () => {
+      closed = true;
+      for (const stop of stops) stop();
+      handlers.clear();
+    },
+  };
+}
