Add plain service and older system clients with their fakes

Cause: non-idempotent calls need exact knowledge of what was sent. Change: startFakeService and startFakeOlderSystem with fault switches in process and over HTTP; createServiceClient sends a call once and proves a connection by GET /load on request; createOlderSystemClient; chooseSystem.

--- /dev/null
+++ b/packages/call-older-system/src/open-stream.ts
@@ -0,0 +1,31 @@
+import { request as sendRequest } from 'node:http';
+import type { StreamResponse } from './stream-response.js';
+
+/** Opens a completion stream on a connection of its own. Aborting the signal closes it. */
+export function openStream(
+  url: string,
+  body: Readonly<Record<string, unknown>>,
+  signal: AbortSignal,
+): Promise<StreamResponse> {
+  return new Promise((resolve) => {
+    let isConnected = false;
+    const request = sendRequest(`${url}/v1/completions`, {
+      method: 'POST',
+      agent: false,
+      signal,
+      headers: { 'content-type': 'application/json', accept: 'text/event-stream' },
+    });
+    request.on('socket', (socket) => {
+      socket.once('connect', () => {
+        isConnected = true;
+      });
+    });
+    request.on('response', (response) => {
+      resolve({ ok: true, response });
+    });
+    request.on('error', (error) => {
+      resolve({ ok: false, detail: error.message, sent: isConnected });
+    });
+    request.end(JSON.stringify(body));
+  });
+}
--- /dev/null
+++ b/packages/call-older-system/src/parse-json.ts
@@ -0,0 +1,8 @@
+/** Parses JSON; `undefined` when the text is not valid. */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/call-older-system/src/split-events.ts
@@ -0,0 +1,18 @@
+/** Longest server-sent event, characters; a longer one ends the stream. */
+const MAX_EVENT = 1024 * 1024;
+
+/** Splits a stream into the data fields of its server-sent events. Throws when an event is too long. */
+export async function* splitEvents(source: AsyncIterable<Buffer>): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  let rest = '';
+  for await (const part of source) {
+    rest += decoder.decode(part, { stream: true });
+    const events = rest.split(/\r?\n\r?\n/);
+    rest = events.pop() ?? '';
+    for (const event of events) {
+      const lines = event.split(/\r?\n/).filter((line) => line.startsWith('data:'));
+      if (lines.length > 0) yield lines.map((line) => line.slice(5).trimStart()).join('\n');
+    }
+    if (rest.length > MAX_EVENT) throw new Error('an event is too long');
+  }
+}
--- /dev/null
+++ b/packages/call-older-system/src/token-schema.ts
@@ -0,0 +1,13 @@
+import { z } from 'zod';
+
+/** One token event of a completion stream. */
+export const TOKEN_SCHEMA = z.object({
+  id: z.string(),
+  weight_version: z.string(),
+  offset: z.number().int().nonnegative(),
+  text: z.string(),
+  cached_pieces: z.number(),
+  imported_pieces: z.number(),
+  computed_tokens: z.number(),
+  finish_reason: z.enum(['stop', 'length']).nullable(),
+});
--- /dev/null
+++ b/packages/call-service/src/load-schema.ts
@@ -0,0 +1,9 @@
+import { z } from 'zod';
+
+/** Answer of `GET /load`. */
+export const LOAD_SCHEMA = z.object({
+  running: z.number(),
+  queued: z.number(),
+  leaving: z.boolean(),
+  boot_id: z.string(),
+});
--- /dev/null
+++ b/packages/call-service/test/create-service-client.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava';
+import { createServiceClient } from '@laburnumshift/call-service';
+import { startFakeService } from '@laburnumshift/fakes/service';
+import { waitFor } from '@laburnumshift/test-utils';
+
+const call = (key: string) => ({
+  method: 'POST',
+  path: '/book',
+  headers: { 'idempotency-key': key },
+  body: '{}',
+});
+
+// Guards against a call that is sent twice, and against `sent: false` for a call that may have run.
+test('each fault gives its error and at most one run', async (t) => {
+  const service = await startFakeService();
+  const client = createServiceClient(service);
+  t.teardown(client.close);
+  t.teardown(service.close);
+  const faults = [
+    [{ lostAfterRun: 1 }, { kind: 'broken', sent: true }, 1],
+    [{ lostBeforeRun: 1 }, { kind: 'broken', sent: true }, 0],
+    [{ lostAfterRun: 1, lostBy: 'silence' }, { kind: 'silent', sent: true }, 1],
+    [{ lostBeforeRun: 1, lostBy: 'silence' }, { kind: 'silent', sent: true }, 0],
+    [{ leaving: true }, { kind: 'leaving', sent: true }, 0],
+    [{ leaving: false, crashed: true }, { kind: 'unreachable', sent: false }, 0],
+    [{ crashed: false, refuseConnections: true }, { kind: 'unreachable', sent: false }, 0],
+  ] as const;
+  for (const [index, [fault, error, runs]] of faults.entries()) {
+    for (const proven of [false, true]) {
+      const key = `${String(index)}-${String(proven)}`;
+      await service.setFaults(fault);
+      // Until the end of the old connections is noticed, a call on them counts as sent.
+      const isDown = async (): Promise<boolean> => {
+        const load = await client.readLoad();
+        return !load.ok && !load.error.sent;
+      };
+      if (error.kind === 'unreachable') await waitFor('the end of the old connections', isDown);
+      t.like(await client.sendCall(call(key), 300, proven), { ok: false, error }, key);
+      t.is(service.countRuns(key), runs, key);
+    }
+  }
+  await service.setFaults({ refuseConnections: false });
+  t.like(await client.sendCall(call('last'), 5000, true), { ok: true });
+});
+
+// Guards against a non-idempotent call on a connection that has gone silent, and against one cut before its reuse.
+test('a proven call avoids silent and closed connections', async (t) => {
+  const service = await startFakeService();
+  const client = createServiceClient({ url: service.url, provenMs: 0 });
+  t.teardown(client.close);
+  t.teardown(service.close);
+  for (let i = 0; i < 3; i += 1) {
+    t.like(await client.sendCall(call('warm'), 5000, false), { ok: true });
+    await service.setFaults({ silenceOpen: true });
+    t.like(await client.sendCall(call(`k${String(i)}`), 5000, true), { ok: true });
+    t.is(service.countRuns(`k${String(i)}`), 1);
+  }
+  const invalid = { ...call('x'), headers: { 'x-bad': 'a\nb' } };
+  t.like(await client.sendCall(invalid, 5000, false), { ok: false, error: { sent: false } });
+  const boot = service.getBootId();
+  await service.setFaults({ crashed: true });
+  await service.setFaults({ crashed: false });
+  t.like(await client.sendCall(call('again'), 5000, true), { ok: true });
+  const load = await client.readLoad();
+  t.true(load.ok && load.value.boot_id !== boot);
+});
+
+// Guards against fault switches that cannot be set from another process.
+test('faults are set over HTTP, also while the service refuses connections', async (t) => {
+  const service = await startFakeService();
+  const sendFaults = (url: string, body: object): Promise<Response> =>
+    fetch(`${url}/faults`, { method: 'PUT', body: JSON.stringify(body) });
+  t.is((await sendFaults(service.url, { refuseConnections: true })).status, 200);
+  await t.throwsAsync(fetch(`${service.url}/load`));
+  t.is((await sendFaults(service.adminUrl, { refuseConnections: false })).status, 200);
+  t.is((await fetch(`${service.url}/load`)).status, 200);
+  t.is((await sendFaults(service.adminUrl, { slowMs: 'x' })).status, 400);
+  await service.close();
+});
--- /dev/null
+++ b/packages/fakes/src/older-system/fake-older-system.ts
@@ -0,0 +1,12 @@
+import type { ServiceFaults } from '../service/service-faults.js';
+
+/** A running fake older system. */
+export interface FakeOlderSystem {
+  readonly url: string;
+  readonly adminUrl: string;
+  /** Times that a plain call with this idempotency key ran here. */
+  readonly countRuns: (key: string) => number;
+  readonly countCompletions: () => number;
+  readonly setFaults: (faults: Partial<ServiceFaults>) => Promise<void>;
+  readonly close: () => Promise<void>;
+}
