Add measurement of the placement decision

Cause: changes to the decision need figures against baselines and a bound. Change: npm run measure runs placement-decision (real time), and placement-repair-counter and placement-night-walk on a simulated clock: the real admission queue and decision over queueing models of engines and one store, six load variants, eight baselines, a lower bound from the trace. The rule by-return stands in for the retention planner.

--- a/packages/measure/src/index.ts
+++ b/packages/measure/src/index.ts
@@ -1,2 +1,9 @@
 /** Measurement scenarios, baselines and the load tool. */
-export {};
+export { computeLowerBound } from './compute-lower-bound.js';
+export { DEPLOYMENTS } from './deployments.js';
+export { generateTrace } from './generate-trace.js';
+export { measure } from './measure.js';
+export type { MeasureResult } from './measure-result.js';
+export { RETENTION_RULES } from './retention-rules.js';
+export { SCENARIOS } from './scenarios.js';
+export { simulateCell } from './simulate-cell.js';
--- /dev/null
+++ b/packages/measure/src/measure-result.ts
@@ -0,0 +1,10 @@
+/** The result of one scenario, as written to files. */
+export interface MeasureResult {
+  readonly command: string;
+  readonly scenario: string;
+  readonly seed: number;
+  /** Commit of the measured code; says so when the checkout has changes. */
+  readonly commit: string;
+  readonly repeatable: boolean;
+  readonly figures: unknown;
+}
--- /dev/null
+++ b/packages/measure/src/start-sim-run.ts
@@ -0,0 +1,85 @@
+import type { Deployment } from './deployment.js';
+import type { EventQueue } from './event-queue.js';
+import type { LinkView } from './link-view.js';
+import type { RequestResult } from './request-result.js';
+import type { RetentionRule } from './retention-rule.js';
+import type { ReturnMeter } from './return-meter.js';
+import type { SimRun } from './sim-run.js';
+import type { SimStore } from './sim-store.js';
+
+const MS_PER_S = 1000;
+
+/** Runs a request on its engine: head and transfer side by side, then the rest, then the output. */
+export function startSimRun(
+  run: SimRun,
+  world: {
+    readonly events: EventQueue;
+    readonly store: SimStore;
+    readonly link: LinkView;
+    readonly seen: Set<string>;
+    readonly meter: ReturnMeter;
+    readonly retention: RetentionRule;
+    readonly deployment: Deployment;
+  },
+  report: { readonly recordFirst: (result: RequestResult) => void; readonly finish: () => void },
+): void {
+  const { request, engine, decision } = run;
+  const { events, store, seen, deployment } = world;
+  const { boot } = engine;
+  const { pieces, kind } = request;
+  const beganMs = events.getNowMs();
+  const computed = pieces.filter((_, index) => index >= decision.cachedPieces && index < decision.headPieces);
+  const imported = pieces.slice(decision.headPieces, decision.importEnd);
+  computed.push(...pieces.slice(decision.importEnd));
+  const headTokens = pieces
+    .slice(decision.cachedPieces, decision.headPieces)
+    .reduce((sum, piece) => sum + piece.tokens, 0);
+  let parts = 2;
+  engine.running += 1;
+
+  const computeRest = (): void => {
+    parts -= 1;
+    if (parts > 0 || boot !== engine.boot) return;
+    const tokens = computed.reduce((sum, piece) => sum + piece.tokens, 0);
+    engine.addPrefill(tokens - headTokens, kind.priority, () => {
+      const old = computed.filter((piece) => seen.has(piece.chain));
+      const recomputedTokens = old.reduce((sum, piece) => sum + piece.tokens, 0);
+      const ttftMs = events.getNowMs() - request.atMs;
+      if (!run.started) {
+        report.recordFirst({ request, ttftMs, refused: false, computedTokens: tokens, recomputedTokens });
+      }
+      run.started = true;
+      recordPieces();
+      events.schedule((kind.outputTokens / deployment.decodeTokensPerSecond) * MS_PER_S, () => {
+        if (boot !== engine.boot) return;
+        engine.running -= 1;
+        report.finish();
+      });
+    });
+  };
+  const recordPieces = (): void => {
+    world.meter.observeRequest(request);
+    const isKept = world.retention(kind, world.meter.getRate(kind.service));
+    for (const { chain } of pieces.slice(0, -1)) {
+      seen.add(chain);
+      engine.cache.add(chain);
+      if (isKept) store.exportPiece(chain);
+    }
+  };
+
+  if (headTokens > 0) engine.addPrefill(headTokens, kind.priority, computeRest);
+  else computeRest();
+  if (imported.length === 0) {
+    computeRest();
+    return;
+  }
+  store.importPieces(
+    imported.map((piece) => piece.chain),
+    (ok) => {
+      if (boot !== engine.boot) return;
+      if (ok) world.link.observeTransfer(decision.transferMs, events.getNowMs() - beganMs, events.getNowMs());
+      else computed.push(...imported);
+      computeRest();
+    },
+  );
+}
