Tell priorities apart in the estimated prefill queue

Cause: engines honour priorities, but the estimate counted bulk tokens as waiting before an urgent request, which was then refused as too late. Change: createPrefillBacklog keeps the waiting tokens of an engine by priority; the home of a cell and the simulation share it. A load report corrects the sum, because it does not split it.

--- a/packages/manage-cell/src/apply-load.ts
+++ b/packages/manage-cell/src/apply-load.ts
@@ -18,6 +18,5 @@
   for (const { grantedAtMs, decision } of record.running.values()) {
     if (nowMs - grantedAtMs < CELL_TIMES.loadLagMs) recent += decision.computedTokens;
   }
-  record.backlogTokens = load.queued_tokens + recent;
-  record.backlogAtMs = nowMs;
+  record.backlog.setTotal(load.queued_tokens + recent, record.prefillRate, nowMs);
 }
--- a/packages/manage-cell/src/build-placement-view.ts
+++ b/packages/manage-cell/src/build-placement-view.ts
@@ -21,7 +21,7 @@
   anyRoom: boolean,
 ): PlacementView {
   const engines = [...state.engines.values()].map((record) => {
-    const engine = buildEngineState(state, record, nowMs);
+    const engine = buildEngineState(state, record, nowMs, request.priority);
     const fits = hasAdapter(record, request) && (anyRoom || hasRoom(engine, request, state.pool));
     return { ...engine, usable: engine.usable && fits };
   });
--- a/packages/manage-cell/src/build-status.ts
+++ b/packages/manage-cell/src/build-status.ts
@@ -11,7 +11,12 @@
     pool: state.pool.name,
     cell: state.options.cell,
     engines: [...state.engines.values()].map((record) => {
-      const { name, usable, weightVersion, running, slots, queueMs } = buildEngineState(state, record, nowMs);
+      const { name, usable, weightVersion, running, slots, queueMs } = buildEngineState(
+        state,
+        record,
+        nowMs,
+        'bulk',
+      );
       return {
         name,
         usable,
--- a/packages/manage-cell/src/create-engine-record.ts
+++ b/packages/manage-cell/src/create-engine-record.ts
@@ -1,4 +1,5 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
+import { createPrefillBacklog } from '@laburnumshift/place-request';
 import type { BackendServer } from '@laburnumshift/types';
 import type { CellOptions } from './cell-options.js';
 import { CELL_TIMES } from './cell-times.js';
@@ -24,8 +25,7 @@
     running: new Map(),
     ownPeak: 0,
     foreign: 0,
-    backlogTokens: 0,
-    backlogAtMs: nowMs,
+    backlog: createPrefillBacklog(),
     prefillRate: server.prefillTokensPerSecond,
     decodeRate: server.decodeTokensPerSecond,
     queueScale: 1,
--- a/packages/manage-cell/src/create-engine-screen.ts
+++ b/packages/manage-cell/src/create-engine-screen.ts
@@ -10,7 +10,7 @@
 export function createEngineScreen(state: CellState, nowMs: number): EngineScreen {
   const shown = [...state.engines.values()].map((record) => ({
     record,
-    engine: buildEngineState(state, record, nowMs),
+    engine: buildEngineState(state, record, nowMs, 'bulk'),
   }));
   const usable = shown.filter(({ engine }) => engine.usable);
   const isSuspect = (request: PlaceRequest): boolean =>
--- a/packages/manage-cell/src/engine-record.ts
+++ b/packages/manage-cell/src/engine-record.ts
@@ -1,3 +1,4 @@
+import type { PrefillBacklog } from '@laburnumshift/place-request';
 import type { BackendServer, EngineClient, EngineLoad } from '@laburnumshift/types';
 import type { RunningRequest } from './running-request.js';
 
@@ -22,9 +23,7 @@
   ownPeak: number;
   /** Requests of others in flight: another home, local decisions. */
   foreign: number;
-  /** Prompt tokens waiting for prefill at `backlogAtMs`. */
-  backlogTokens: number;
-  backlogAtMs: number;
+  readonly backlog: PrefillBacklog;
   prefillRate: number;
   decodeRate: number;
   /** Observed queue time as a multiple of backlog / prefill rate; below 1 when prefills run side by side. */
--- a/packages/manage-cell/src/fail-engine.ts
+++ b/packages/manage-cell/src/fail-engine.ts
@@ -22,7 +22,7 @@
   record.running.clear();
   record.ownPeak = 0;
   record.foreign = 0;
-  record.backlogTokens = 0;
+  record.backlog.clear();
   options.directory.removeEngine(name);
   options.metrics?.addCount('cell_engine_crashes', 1);
   options.logger.warn('engine crashed', { engine: name, inFlight: fingerprints.length });
--- a/packages/manage-cell/src/register-run.ts
+++ b/packages/manage-cell/src/register-run.ts
@@ -3,7 +3,6 @@
 import { addLinkBytes } from './add-link-bytes.js';
 import type { CellState } from './cell-state.js';
 import { CELL_TIMES } from './cell-times.js';
-import { estimateBacklog } from './estimate-backlog.js';
 import type { RunningRequest } from './running-request.js';
 
 const MS_PER_S = 1000;
@@ -31,8 +30,7 @@
   };
   record.running.set(request.requestId, run);
   record.ownPeak = Math.max(record.ownPeak, record.running.size);
-  record.backlogTokens = estimateBacklog(record, nowMs) + decision.computedTokens;
-  record.backlogAtMs = nowMs;
+  record.backlog.addTokens(decision.computedTokens, request.priority, record.prefillRate, nowMs);
   for (const piece of imports) {
     const store = state.stores.get(piece.store);
     if (store !== undefined) addLinkBytes(store, piece.bytes, nowMs);
--- a/packages/measure/src/create-load-view.ts
+++ b/packages/measure/src/create-load-view.ts
@@ -1,19 +1,20 @@
+import { createPrefillBacklog } from '@laburnumshift/place-request';
 import type { LoadView } from './load-view.js';
 import type { SimEngine } from './sim-engine.js';
 
-/** Creates the view of one engine. As in the home of a cell, it does not tell priorities apart. */
+const MS_PER_S = 1000;
+
+/** Creates the view of one engine with the same backlog as in the home of a cell; reports give only the sum. */
 export function createLoadView(engine: SimEngine): LoadView {
-  let backlogMs = 0;
-  let atMs = 0;
-  const estimateMs = (nowMs: number): number => Math.max(0, backlogMs - (nowMs - atMs));
+  const backlog = createPrefillBacklog();
+  const { rate } = engine;
   return {
     takeReport: (nowMs) => {
-      backlogMs = engine.getBacklogMs('bulk');
-      atMs = nowMs;
+      backlog.setTotal((engine.getBacklogMs('bulk') / MS_PER_S) * rate, rate, nowMs);
     },
-    addGrant: (ms) => {
-      backlogMs += ms;
+    addGrant: (tokens, priority, nowMs) => {
+      backlog.addTokens(tokens, priority, rate, nowMs);
     },
-    getQueueMs: (_priority, nowMs) => estimateMs(nowMs),
+    getQueueMs: (priority, nowMs) => (backlog.getTokens(priority, rate, nowMs) / rate) * MS_PER_S,
   };
 }
--- a/packages/measure/src/simulate-cell.ts
+++ b/packages/measure/src/simulate-cell.ts
@@ -99,7 +99,7 @@
         continue;
       }
       const { engine, view } = chosen;
-      view.addGrant(decision.prefillMs, item.request.kind.priority);
+      view.addGrant(decision.computedTokens, item.request.kind.priority, nowMs);
       const run: SimRun = { request: item.request, engine, decision, started: item.started };
       runs.set(item.request.id, run);
       startSimRun(
--- a/packages/place-request/src/index.ts
+++ b/packages/place-request/src/index.ts
@@ -1,5 +1,6 @@
 /** Placement decision and the baselines it is measured against. */
 export { BASELINES } from './baselines.js';
+export { createPrefillBacklog } from './create-prefill-backlog.js';
 export type { EngineState } from './engine-state.js';
 export { isEligible } from './is-eligible.js';
 export type { LinkState } from './link-state.js';
@@ -7,4 +8,5 @@
 export type { PlacementDecision } from './placement-decision.js';
 export type { PlacementInput } from './placement-input.js';
 export type { PlacementPolicy } from './placement-policy.js';
+export type { PrefillBacklog } from './prefill-backlog.js';
 export type { PromptCache } from './prompt-cache.js';
