--- /dev/null
+++ b/packages/call-entry/src/index.ts
@@ -0,0 +1,6 @@
+/** Client of the caller-facing API. */
+export type { CompletionOutput } from './completion-output.js';
+export { createEntryClient } from './create-entry-client.js';
+export type { EntryAnswer } from './entry-answer.js';
+export type { EntryClient } from './entry-client.js';
+export type { EntryError } from './entry-error.js';
--- /dev/null
+++ b/packages/call-entry/src/send-request.ts
@@ -0,0 +1,15 @@
+import http from 'node:http';
+import { once } from 'node:events';
+
+/** Sends one request; rejects when the connection fails. */
+export async function sendRequest(
+  url: URL,
+  options: http.RequestOptions,
+  body: string,
+): Promise<http.IncomingMessage> {
+  const request = http.request(url, options);
+  request.end(body);
+  const [response] = (await once(request, 'response')) as [http.IncomingMessage];
+  request.on('error', (error) => response.destroy(error));
+  return response;
+}
--- a/packages/cli/src/commands/serve-command.ts
+++ b/packages/cli/src/commands/serve-command.ts
@@ -11,6 +11,7 @@
     readonly operatorsUrl: string;
     readonly meshAddress: string;
     readonly stop: () => Promise<void>;
+    readonly stopped: Promise<void>;
   }>;
 }
 
@@ -29,10 +30,10 @@
   static override usage = Command.Usage({
     description: 'Run a node.',
     details: 'SIGTERM or SIGINT begins a graceful shutdown.',
-    examples: [['Run a node', '$0 serve /etc/laburnumshift/node.jsonc']],
+    examples: [['Run a node', '$0 serve --settings /etc/laburnumshift/node.jsonc']],
   });
 
-  settings = Option.String({ name: 'settings' });
+  settings = Option.String('--settings', { required: true, description: 'Settings file, JSON with comments' });
 
   async runCommand(): Promise<CommandResult> {
     const settings = await readSettings(this.settings);
@@ -45,7 +46,8 @@
     const { callersUrl, operatorsUrl, meshAddress } = node;
     const places = { callersUrl, operatorsUrl, meshAddress };
     this.context.stdout.write(`${JSON.stringify(places)}\n`);
-    await waitForSignal();
+    // An operator may drain the node too; the process then ends without a signal.
+    await Promise.race([waitForSignal(), node.stopped]);
     await node.stop();
     return { result: 'ok', text: 'the node has stopped', value: places };
   }
--- /dev/null
+++ b/packages/run-node/src/create-caller-handlers.ts
@@ -0,0 +1,95 @@
+import { readMonotonicMs } from '@laburnumshift/clock';
+import { chooseSystem } from '@laburnumshift/route-cutover';
+import { findOutcome, runCall, type CallDependencies } from '@laburnumshift/run-call';
+import { runCompletion, type CompletionDependencies } from '@laburnumshift/run-completion';
+import type { CallerCompletion, CallerHandlers } from '@laburnumshift/serve-callers';
+import type { CutoverConfig, Result, RunItem, System } from '@laburnumshift/types';
+import type { NodeParts } from './node-parts.js';
+
+/** Connects the caller-facing server with the request path. */
+export function createCallerHandlers(parts: NodeParts, isReady: () => boolean): CallerHandlers {
+  const { configWatch, limiter, peers, placer, registry, servers, traces, metrics } = parts;
+  const takeLimits = (account: string, tokens: number): Result<() => void, number> => {
+    const permit = limiter.admitCall(account, tokens);
+    return permit.kind === 'admitted'
+      ? {
+          ok: true,
+          value: () => {
+            permit.release();
+          },
+        }
+      : { ok: false, error: permit.retryAfterMs };
+  };
+  const shared = {
+    getConfig: configWatch.getConfig,
+    retryBudget: parts.retryBudget,
+    recordTrace: traces.recordStep,
+    takeLimits,
+    getOlder: peers.getOlder,
+    chooseSystem: (account: string, conversation: string, cutover: CutoverConfig): System =>
+      chooseSystem(account, conversation, cutover.olderShare),
+  };
+  const completion: CompletionDependencies = {
+    ...shared,
+    place: placer.place,
+    rankCells: placer.rankCells,
+    getEngine: peers.getEngine,
+    reportRun: placer.reportRun,
+    reportFailure: placer.reportFailure,
+    quarantine: parts.quarantine,
+    bootIds: parts.bootIds,
+  };
+  const call: CallDependencies = {
+    ...shared,
+    getServer: (name, url) => peers.getService({ name, url }),
+    isUsable: servers.isUsable,
+    getQueue: servers.getQueue,
+    reportServer: servers.reportServer,
+    journal: parts.journal,
+    getSelf: parts.membership.getSelf,
+    retentionMs: parts.settings.journal.retentionMs,
+  };
+
+  async function* streamRun(request: CallerCompletion, signal: AbortSignal): AsyncGenerator<RunItem, void> {
+    const labels = { service: request.service };
+    const opening = {
+      account: request.account.name,
+      requestId: request.requestId,
+      named: request.named,
+      bodyHash: request.bodyHash,
+      startOffset: request.startOffset,
+    };
+    const run = registry.attachRun(
+      opening,
+      (emit, stop) => runCompletion(request, completion, emit, stop),
+      signal,
+    );
+    let first = true;
+    for await (const item of run) {
+      if (first && item.kind === 'token') {
+        metrics.recordMs('first_token_ms', readMonotonicMs() - request.acceptedAtMs, labels);
+        first = false;
+      }
+      if (item.kind === 'end') {
+        const result = item.end.kind === 'finished' ? 'finished' : item.end.refusal.code;
+        metrics.countEvent('completions_total', { ...labels, result });
+      }
+      yield item;
+    }
+  }
+
+  return {
+    getConfig: configWatch.getConfig,
+    isReady,
+    runCompletion: streamRun,
+    runCall: async (request, signal) => {
+      const answer = await runCall(request, call, signal);
+      const result = answer.ok ? 'answered' : answer.error.code;
+      const labels = { service: request.service };
+      metrics.countEvent('calls_total', { ...labels, result });
+      metrics.recordMs('call_ms', readMonotonicMs() - request.acceptedAtMs, labels);
+      return answer;
+    },
+    findOutcome: (look) => findOutcome(look, call),
+  };
+}
--- /dev/null
+++ b/packages/run-node/src/create-homes.ts
@@ -0,0 +1,55 @@
+import { createEngineClient } from '@laburnumshift/call-engine';
+import { createStoreClient } from '@laburnumshift/call-store';
+import type { Logger } from '@laburnumshift/logger';
+import { createCacheDirectory } from '@laburnumshift/track-cache';
+import type { Config, Quarantine, RetentionPlanner } from '@laburnumshift/types';
+import type { Metrics } from '@laburnumshift/record-metrics';
+import type { CellHomes } from './cell-homes.js';
+import type { SuspectMemory } from './suspect-memory.js';
+import { createPlainPlanner } from './create-plain-planner.js';
+import { createCellHomes } from './create-cell-homes.js';
+
+
+/** Creates the cells of a node with their clients, directories and planners. */
+export function createHomes(
+  isHome: (pool: string, cell: number) => boolean,
+  quarantine: Quarantine,
+  suspects: SuspectMemory,
+  metrics: Metrics,
+  logger: Logger,
+): CellHomes {
+  const createPlanner = (config: Config, name: string): RetentionPlanner => {
+    const pool = config.pools[name];
+    if (pool === undefined) throw new Error(`no pool ${name}`);
+    return createPlainPlanner(pool);
+  };
+  return createCellHomes(
+    {
+      createEngine: ({ url }) => createEngineClient({ url }),
+      createStore: ({ name, url }) => createStoreClient({ name, url }),
+      createDirectory: () => createCacheDirectory(),
+      createPlanner,
+      isHome,
+      isSuspect: suspects.isSuspect,
+      onCrash: (fingerprints, engine) => {
+        logger.warn('an engine crashed', { engine, requests: fingerprints.length });
+        for (const fingerprint of fingerprints) {
+          suspects.addSuspect(fingerprint);
+          // The entry node may have died with the engine, so this node reports too. Only the entry node knows whether
+          // the request ran isolated, so only it convicts.
+          void quarantine.reportCrash(fingerprint, engine, '', false);
+        }
+      },
+      metrics: {
+        addCount: (name, amount) => {
+          metrics.countEvent(name, {}, amount);
+        },
+        recordValue: (name, value) => {
+          metrics.recordMs(name, value);
+        },
+      },
+      logger,
+    },
+    logger,
+  );
+}
--- /dev/null
+++ b/packages/run-node/src/create-host-watch.ts
@@ -0,0 +1,75 @@
+import { runEvery } from '@laburnumshift/clock';
+import type { Logger } from '@laburnumshift/logger';
+import { rankHomes } from '@laburnumshift/rank-homes';
+import type { HostEntry, Membership, NodeMesh, PlatformClient } from '@laburnumshift/types';
+import type { HostWatch } from './host-watch.js';
+
+/** Pause between two reads of the host list by a watching node; a leaving server is noticed within it. */
+const WATCHER_POLL_MS = 500;
+/** Pause of the other nodes, in case that the watchers of their failure domain are silent. */
+const POLL_MS = 5_000;
+/** Nodes that read the list for their failure domain; the second covers the first's failure. */
+const WATCHERS = 2;
+const RELAY_TIMEOUT_MS = 500;
+
+/**
+ * Follows the platform's list of hosts. Two nodes of each failure domain read it often and relay changes to the other
+ * nodes of the domain, so that the calls grow with domains and not with nodes.
+ */
+export function createHostWatch(
+  platform: PlatformClient,
+  mesh: NodeMesh,
+  getMembership: () => Membership | undefined,
+  logger: Logger,
+): HostWatch {
+  const handlers: ((leaving: ReadonlySet<string>) => void)[] = [];
+  let hosts: readonly HostEntry[] = [];
+  let leaving: ReadonlySet<string> = new Set();
+  let shown = '';
+  let rounds = 0;
+
+  const applyHosts = (next: readonly HostEntry[]): boolean => {
+    const text = JSON.stringify(next);
+    if (text === shown) return false;
+    shown = text;
+    hosts = next;
+    leaving = new Set(next.filter((entry) => entry.state === 'leaving').map((entry) => entry.host));
+    for (const handler of handlers) handler(leaving);
+    return true;
+  };
+  const listPeers = (): { readonly watching: boolean; readonly addresses: readonly string[] } => {
+    const membership = getMembership();
+    if (membership === undefined) return { watching: true, addresses: [] };
+    const self = membership.getSelf();
+    const near = membership.listLive().filter((member) => member.failureDomain === self.failureDomain);
+    const ranked = rankHomes(`hosts/${self.failureDomain}`, near);
+    return {
+      watching: ranked.slice(0, WATCHERS).some((member) => member.host === self.host),
+      addresses: near.filter((member) => member.host !== self.host).map((member) => member.address),
+    };
+  };
+  const pollHosts = async (): Promise<void> => {
+    const { watching, addresses } = listPeers();
+    rounds += 1;
+    if (!watching && rounds % (POLL_MS / WATCHER_POLL_MS) !== 1) return;
+    const list = await platform.listHosts();
+    if (list === undefined || !applyHosts(list) || !watching) return;
+    await Promise.all(addresses.map((address) => mesh.callNode(address, 'hosts', list, RELAY_TIMEOUT_MS)));
+  };
+
+  mesh.handleMessage('hosts', (list) => {
+    applyHosts(list);
+    return Promise.resolve(null);
+  });
+  const stop = runEvery(WATCHER_POLL_MS, pollHosts, (error) => {
+    logger.warn('could not read the host list', { detail: String(error) });
+  });
+  return {
+    listHosts: () => hosts,
+    getLeaving: () => leaving,
+    onChange: (handler) => {
+      handlers.push(handler);
+    },
+    close: stop,
+  };
+}
--- /dev/null
+++ b/packages/run-node/src/create-limiter.ts
@@ -0,0 +1,30 @@
+import { createAccountLimiter, type AccountLimiter } from '@laburnumshift/limit-accounts';
+import type { Logger } from '@laburnumshift/logger';
+import { findHome } from '@laburnumshift/rank-homes';
+import type { AccountLimits, Config, Membership, NodeMesh } from '@laburnumshift/types';
+
+const ASK_TIMEOUT_MS = 500;
+/** Limits of an account that was removed while its last requests run. */
+const NO_LIMITS: AccountLimits = { requestsPerSecond: 0, tokensPerSecond: 0, concurrent: 0 };
+
+/** Creates the account limiter of a node; it asks each account's home for its shares. */
+export function createLimiter(
+  mesh: NodeMesh,
+  membership: Membership,
+  getConfig: () => Config | undefined,
+  logger: Logger,
+): AccountLimiter {
+  return createAccountLimiter({
+    host: membership.getSelf().host,
+    getLimits: (account) => getConfig()?.accounts[account]?.limits ?? NO_LIMITS,
+    countNodes: () => membership.listLive().length,
+    askShare: async (request) => {
+      const home = findHome(`account/${request.account}`, membership.listLive()) ?? membership.getSelf();
+      const answer = await mesh.callNode(home.address, 'share', request, ASK_TIMEOUT_MS);
+      return answer.ok ? answer.value : undefined;
+    },
+    onError: (error) => {
+      logger.warn('could not refresh the account shares', { detail: String(error) });
+    },
+  });
+}
--- /dev/null
+++ b/packages/run-node/src/create-operator-handlers.ts
@@ -0,0 +1,44 @@
+import type { OperatorHandlers } from '@laburnumshift/serve-operators';
+import type { Member, RequestTrace } from '@laburnumshift/types';
+import { buildNodeStatus } from './build-node-status.js';
+import type { NodeParts } from './node-parts.js';
+
+const ASK_TIMEOUT_MS = 1_500;
+
+/** Connects the operator server with the node. Status and traces are collected from all live nodes. */
+export function createOperatorHandlers(
+  parts: NodeParts,
+  isReady: () => boolean,
+  drainNode: () => void,
+): OperatorHandlers {
+  const { membership, mesh, traces, journal, metrics } = parts;
+  const listOthers = (): readonly Member[] => {
+    const { host } = membership.getSelf();
+    return membership.listLive().filter((member) => member.host !== host);
+  };
+  const askStatus = async (member: Member): Promise<unknown> => {
+    const answer = await mesh.callNode(member.address, 'status', null, ASK_TIMEOUT_MS);
+    return answer.ok ? answer.value : { host: member.host, unreachable: answer.error.kind };
+  };
+  const askTraces = async (member: Member, requestId: string): Promise<readonly RequestTrace[]> => {
+    const answer = await mesh.callNode(member.address, 'explain', { requestId }, ASK_TIMEOUT_MS);
+    return answer.ok ? answer.value : [];
+  };
+  return {
+    isHealthy: () => true,
+    isReady,
+    readMetrics: () => metrics.renderMetrics(),
+    readStatus: async () => ({
+      nodes: [buildNodeStatus(parts), ...(await Promise.all(listOthers().map(askStatus)))],
+    }),
+    explainRequest: async (requestId) => [
+      ...traces.findTraces(requestId),
+      ...(await Promise.all(listOthers().map((member) => askTraces(member, requestId)))).flat(),
+    ],
+    readOutcome: async (account, service, key) => {
+      const decision = await journal.findCall({ account, service, key });
+      return decision.kind === 'absent' ? undefined : decision;
+    },
+    drainNode,
+  };
+}
--- /dev/null
+++ b/packages/run-node/src/create-placer.ts
@@ -0,0 +1,81 @@
+import { rankHomes } from '@laburnumshift/rank-homes';
+import { chooseCells, type LocalPlacer } from '@laburnumshift/manage-cell';
+import type {
+  Config,
+  EngineFailure,
+  Membership,
+  NodeMesh,
+  PieceRef,
+  PlaceReply,
+  PlaceRequest,
+  PoolConfig,
+  RunReport,
+} from '@laburnumshift/types';
+import { getCells } from './get-cells.js';
+import type { Placer } from './placer.js';
+
+/** The home is silent when it has not answered this long after `waitMs`. */
+const HOME_GRACE_MS = 30;
+const REPORT_TIMEOUT_MS = 1_000;
+
+/** Creates the entry node's way to placements: the home of the cell first, the local decision when it is silent. */
+export function createPlacer(
+  mesh: NodeMesh,
+  getMembership: () => Membership | undefined,
+  getConfig: () => Config | undefined,
+  local: LocalPlacer,
+  countEvent: (name: string, labels: Readonly<Record<string, string>>) => void,
+): Placer {
+  const findHome = (pool: PoolConfig, cell: number): string => {
+    const live = getMembership()?.listLive() ?? [];
+    const servers = getCells(pool)[cell] ?? [];
+    const domain = findCommonDomain(servers.map((server) => server.failureDomain));
+    const home = rankHomes(`cell/${pool.name}/${String(cell)}`, live, domain)[0];
+    return home?.address ?? mesh.getAddress();
+  };
+  const decideLocally = (request: PlaceRequest, pool: PoolConfig): PlaceReply => {
+    countEvent('placements_total', { by: 'entry' });
+    return local.place(request, pool, getCells(pool)[request.cell] ?? pool.servers);
+  };
+  const sendReport = (pool: string, cell: number, send: (address: string) => Promise<unknown>): void => {
+    const config = getConfig()?.pools[pool];
+    if (config !== undefined) void send(findHome(config, cell));
+  };
+
+  return {
+    findHome,
+    rankCells: (pool: PoolConfig, pieces: readonly PieceRef[]): readonly number[] => {
+      const count = getCells(pool).length;
+      const { first, spill } = chooseCells(pool.name, pieces[0]?.chain ?? '', count);
+      return spill === undefined ? [first] : [first, spill];
+    },
+    place: async (request) => {
+      const pool = getConfig()?.pools[request.pool];
+      if (pool === undefined) return { kind: 'refused', code: 'no_engine', retryAfterMs: 1_000 };
+      const home = findHome(pool, request.cell);
+      const answer = await mesh.callNode(home, 'place', request, request.waitMs + HOME_GRACE_MS);
+      const reply = answer.ok ? answer.value : decideLocally(request, pool);
+      if (answer.ok) countEvent('placements_total', { by: 'home' });
+      if (reply.kind === 'granted') local.registerRun(request.requestId, reply.grant.engine);
+      return reply;
+    },
+    reportRun: (report: RunReport) => {
+      local.releaseRun(report.requestId);
+      if (report.result === 'finished') local.observeVersion(report.engine, report.weightVersion);
+      sendReport(report.pool, report.cell, (address) =>
+        mesh.callNode(address, 'run-finished', report, REPORT_TIMEOUT_MS),
+      );
+    },
+    reportFailure: (failure: EngineFailure) => {
+      local.reportFailure(failure.engine);
+      sendReport(failure.pool, failure.cell, (address) =>
+        mesh.callNode(address, 'engine-failed', failure, REPORT_TIMEOUT_MS),
+      );
+    },
+  };
+}
+
+/** The failure domain of all servers, or `undefined` when they are in several. */
+function findCommonDomain(domains: readonly string[]): string | undefined {
+  return new Set(domains).size === 1 ? domains[0] : undefined;
+}
--- /dev/null
+++ b/packages/run-node/src/run-node.ts
@@ -0,0 +1,161 @@
+import { randomInt } from 'node:crypto';
+import { readFile } from 'node:fs/promises';
+import { createRunRegistry } from '@laburnumshift/attach-runs';
+import { createNodeMesh } from '@laburnumshift/call-node';
+import { createPlatformClient } from '@laburnumshift/call-platform';
+import { readWallMs } from '@laburnumshift/clock';
+import { detectMembers } from '@laburnumshift/detect-members';
+import { createRetryBudget } from '@laburnumshift/limit-retries';
+import { createLogger } from '@laburnumshift/logger';
+import { createLocalPlacer } from '@laburnumshift/manage-cell';
+import { createQuarantine } from '@laburnumshift/quarantine-requests';
+import { createMetrics } from '@laburnumshift/record-metrics';
+import { serveCallers } from '@laburnumshift/serve-callers';
+import { serveOperators } from '@laburnumshift/serve-operators';
+import type { Membership, NodeSettings } from '@laburnumshift/types';
+import { watchConfig } from '@laburnumshift/watch-config';
+import { createCallerHandlers } from './create-caller-handlers.js';
+import { createDirectJournal } from './create-direct-journal.js';
+import { createHomes } from './create-homes.js';
+import { createHostWatch } from './create-host-watch.js';
+import { createLimiter } from './create-limiter.js';
+import { createOperatorHandlers } from './create-operator-handlers.js';
+import { createPeerClients } from './create-peer-clients.js';
+import { createPlacer } from './create-placer.js';
+import { createServerTable } from './create-server-table.js';
+import { createSuspectMemory } from './create-suspect-memory.js';
+import { createTraceStore } from './create-trace-store.js';
+import type { NodeParts } from './node-parts.js';
+import { registerHandlers } from './register-handlers.js';
+import type { RunningNode } from './running-node.js';
+import { setGauges } from './set-gauges.js';
+import { splitAddress } from './split-address.js';
+import { stopNode } from './stop-node.js';
+
+const MAX_SEED = 2 ** 31;
+
+/** Starts one node; resolves when it listens. It is ready as soon as it knows a configuration. */
+export async function runNode(settings: NodeSettings): Promise<RunningNode> {
+  const parts = await createParts(settings);
+  registerHandlers(parts);
+  setGauges(parts);
+  let draining = false;
+  const isReady = (): boolean =>
+    !draining && parts.configWatch.getConfig() !== undefined && !parts.configWatch.isStale();
+
+  const callers = await serveCallers(
+    { ...splitAddress(settings.callers), limits: settings.limits, tls: await readTls(settings) },
+    createCallerHandlers(
+      parts,
+      () => parts.configWatch.getConfig() !== undefined && !parts.configWatch.isStale(),
+    ),
+  );
+  let stopping: Promise<void> | undefined;
+  let reportStopped: () => void = () => undefined;
+  const stopped = new Promise<void>((resolve) => {
+    reportStopped = resolve;
+  });
+  const stop = (): Promise<void> => {
+    draining = true;
+    stopping ??= stopNode(parts, callers, operators).finally(reportStopped);
+    return stopping;
+  };
+  const operators = await serveOperators({
+    listen: settings.operators,
+    token: settings.operatorToken,
+    handlers: createOperatorHandlers(parts, isReady, () => {
+      void stop();
+    }),
+  });
+  const scheme = settings.tls === undefined ? 'http' : 'https';
+  parts.logger.info('listens', { callers: callers.address, operators: operators.url });
+  return {
+    callersUrl: `${scheme}://${callers.address}`,
+    operatorsUrl: operators.url,
+    meshAddress: parts.mesh.getAddress(),
+    stop,
+    stopped,
+  };
+}
+
+async function createParts(settings: NodeSettings): Promise<NodeParts> {
+  const logger = createLogger('node');
+  logger.setLevel(settings.log.level);
+  const metrics = createMetrics();
+  const platform = createPlatformClient({ url: settings.platformUrl, ...settings.platform });
+  const mesh = await createNodeMesh({
+    listen: settings.mesh,
+    secret: settings.meshSecret,
+    tls: settings.tls,
+  });
+  let known: Membership | undefined;
+  const hostWatch = createHostWatch(platform, mesh, () => known, logger);
+  const membership = detectMembers({
+    self: {
+      host: settings.host,
+      incarnation: readWallMs(),
+      failureDomain: settings.failureDomain,
+      address: mesh.getAddress(),
+    },
+    mesh,
+    listHosts: () => Promise.resolve(hostWatch.listHosts()),
+    seeds: settings.seeds,
+    randomSeed: randomInt(MAX_SEED),
+  });
+  known = membership;
+  const configWatch = watchConfig({ platform, mesh, membership, seeds: settings.seeds });
+  const { getConfig } = configWatch;
+  const peers = createPeerClients();
+  const reportError = (error: unknown): void => {
+    logger.error('a background task failed', { detail: String(error) });
+  };
+  const local = createLocalPlacer();
+  const placer = createPlacer(mesh, () => known, getConfig, local, metrics.countEvent);
+  const quarantine = createQuarantine({ mesh, membership, platform });
+  const isHome = (pool: string, cell: number): boolean => {
+    const config = getConfig()?.pools[pool];
+    return config !== undefined && placer.findHome(config, cell) === mesh.getAddress();
+  };
+  const suspects = createSuspectMemory();
+  const homes = createHomes(isHome, quarantine, suspects, metrics, logger);
+  const servers = createServerTable(getConfig, peers.getService, reportError);
+  hostWatch.onChange((leaving) => {
+    homes.setLeaving(leaving);
+    servers.setLeaving(leaving);
+    local.setLeaving(leaving);
+  });
+  configWatch.onConfig((config) => {
+    homes.applyConfig(config);
+    peers.dropUnused(config);
+    logger.info('a configuration is in force', { generation: config.generation });
+  });
+  return {
+    settings,
+    logger,
+    metrics,
+    platform,
+    mesh,
+    membership,
+    configWatch,
+    hostWatch,
+    peers,
+    homes,
+    placer,
+    servers,
+    quarantine,
+    suspects,
+    limiter: createLimiter(mesh, membership, getConfig, logger),
+    journal: createDirectJournal(platform),
+    registry: createRunRegistry({ mesh, membership }),
+    retryBudget: createRetryBudget({ seed: randomInt(MAX_SEED) }),
+    traces: createTraceStore(settings.host),
+    bootIds: new Map(),
+  };
+}
+
+async function readTls(
+  settings: NodeSettings,
+): Promise<{ readonly cert: Buffer; readonly key: Buffer } | undefined> {
+  if (settings.tls === undefined) return undefined;
+  return { cert: await readFile(settings.tls.certFile), key: await readFile(settings.tls.keyFile) };
+}
--- /dev/null
+++ b/packages/run-node/src/set-gauges.ts
@@ -0,0 +1,29 @@
+import type { NodeParts } from './node-parts.js';
+
+const BYTES_PER_MIB = 1024 * 1024;
+
+/** Registers the gauges of a node. */
+export function setGauges(parts: NodeParts): void {
+  const { metrics, configWatch, membership, registry, platform, mesh, limiter, retryBudget } = parts;
+  metrics.setGauge('config_generation', () => configWatch.getConfig()?.generation ?? 0);
+  metrics.setGauge('config_stale', () => Number(configWatch.isStale()));
+  metrics.setGauge('live_members', () => membership.listLive().length);
+  metrics.setGauge('platform_silence_ms', () => platform.getSilenceMs());
+  metrics.setGauge('memory_rss_mib', () => process.memoryUsage.rss() / BYTES_PER_MIB);
+  metrics.setGauge('cpu_seconds_total', () => {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1e6;
+  });
+  const groups: readonly (readonly [string, () => Readonly<Record<string, number>>])[] = [
+    ['runs', registry.getCounts],
+    ['platform_calls', platform.getCounts],
+    ['mesh', mesh.getCounts],
+    ['account_limits', limiter.getCounts],
+    ['retries', retryBudget.getCounts],
+  ];
+  for (const [name, read] of groups) {
+    for (const key of Object.keys(read())) {
+      metrics.setGauge(name, () => read()[key] ?? 0, { kind: key });
+    }
+  }
+}
