Answer at once when a completion is given up

Cause: the final answer waited for the probe of a failed engine, and short unread bodies closed the caller's connection. Change: the probe runs beside the answer or the backoff; the connection is kept for short bodies; the claim waits at most 60 ms for a home that died.

--- a/packages/quarantine-requests/src/create-quarantine.ts
+++ b/packages/quarantine-requests/src/create-quarantine.ts
@@ -17,9 +17,10 @@
 const CONVICTION_MS = 600_000;
 /** Some 4 MB; suspects and convictions are rare. */
 const MAX_ENTRIES = 10_000;
-const CLAIM_TIMEOUT_MS = 100;
+/** Every request waits for this answer, which takes a few milliseconds; a home that died is waited for until it is out. */
+const CLAIM_TIMEOUT_MS = 60;
 /** Half of the claimer's patience, so that a dead successor does not make the home seem dead. */
-const COPY_WAIT_MS = 50;
+const COPY_WAIT_MS = 30;
 const RENEW_MS = 3_000;
 const SWEEP_MS = 30_000;
 /** Wait for the lasting copy before the request may go on; a slow platform must not hold back innocents. */
--- a/packages/run-completion/src/handle-failure.ts
+++ b/packages/run-completion/src/handle-failure.ts
@@ -33,8 +33,17 @@
   if (state.texts.length > 0) state.deadlineMs = failedAtMs + state.service.deadlineMs;
   if (error.kind === 'version-mismatch' || error.kind === 'leaving') return routeAgain(state, grant, error);
   if (isFinal(error)) return createFailure(state, 'backend_failed', 'the engine rejected the request');
-  await checkEngine(state, grant, engine, error, knownBootId);
-  return retryRun(state);
+  const checking = checkEngine(state, grant, engine, error, knownBootId);
+  const pauseMs = planRetry(state);
+  if (typeof pauseMs !== 'number') {
+    // The final answer does not wait for the probe of an engine that may be silent.
+    checking.catch((reason: unknown) => {
+      traceStep(state, 'probe-failed', { reason: String(reason) });
+    });
+    return pauseMs;
+  }
+  await Promise.all([checking, sleep(pauseMs, state.signal)]);
+  return undefined;
 }
 
 function routeAgain(
@@ -86,7 +95,8 @@
   }
 }
 
-async function retryRun(state: RunState): Promise<Refusal | undefined> {
+/** Takes a retry from the budgets and gives the pause before it, milliseconds, or the final refusal. */
+function planRetry(state: RunState): number | Refusal {
   const { service, deps } = state;
   const scope = { service: service.name, account: state.job.account.name, pool: state.pool.name };
   const refuse = (message: string): Refusal =>
@@ -95,6 +105,5 @@
   if (!deps.retryBudget.takeRetry(scope, service.retry)) return refuse('the retry budget is used up');
   const pauseMs = deps.retryBudget.computeBackoff(state.attempts);
   if (readMonotonicMs() + pauseMs >= state.deadlineMs) return refuse('no time is left for another attempt');
-  await sleep(pauseMs, state.signal);
-  return undefined;
+  return pauseMs;
 }
--- a/packages/run-completion/test/run-completion.test.ts
+++ b/packages/run-completion/test/run-completion.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { installClock } from '@laburnumshift/test-utils';
+import type { EngineRequest, OlderSystemClient } from '@laburnumshift/types';
 import { BROKEN, LEAVING, SILENT, simulateCluster, type Step, UNSENT, WHOLE } from './simulate-cluster.js';
 
 // The steps count no real time: retries use the paused clock, which this advances until the run ends.
@@ -135,3 +136,48 @@
   t.deepEqual(cluster.crashes, []);
   t.is(cluster.engines.get('a')?.requests.length, 0);
 });
+
+// Guards against a convicted request reaching an engine.
+test.serial('a convicted request is refused as ran', async (t) => {
+  const cluster = simulateCluster({ a: [] });
+  const untilMs = Date.now() + 60_000;
+  const checkRequest = () => Promise.resolve({ kind: 'convicted' as const, untilMs });
+  const { end } = await cluster.runJob({ quarantine: { ...cluster.deps.quarantine, checkRequest } });
+  t.like(end, { refusal: { code: 'request_crashed_engine', outcome: 'ran' } });
+  t.is(cluster.placed.length, 0);
+});
+
+// Guards against a final answer that waits for the probe of a silent engine, and against retries beyond the budget.
+test.serial('a run that is given up answers without waiting for the engine', async (t) => {
+  const cluster = simulateCluster({ a: [[0, BROKEN]] });
+  const engine = cluster.engines.get('a');
+  if (engine) engine.readLoad = () => new Promise(() => undefined);
+  const retryBudget = { ...cluster.deps.retryBudget, takeRetry: () => false };
+  const { end } = await cluster.runJob({ retryBudget });
+  t.like(end, { refusal: { code: 'backend_failed', outcome: 'ran' } });
+  t.is(cluster.placed.length, 1);
+});
+
+const olderStreams: readonly [string, readonly Step[], object][] = [
+  ['whole', [0, 1, 2, 3, 4, 5], { kind: 'finished', reason: 'stop' }],
+  ['crossed', [0, { offset: 1, id: 'other' }], { refusal: { outcome: 'ran' } }],
+  ['with a gap', [0, 2], { refusal: { outcome: 'ran' } }],
+  ['unreachable', [UNSENT], { refusal: { outcome: 'not run' } }],
+];
+for (const [name, steps, expected] of olderStreams) {
+  // Guards against splitting a run between the two systems and against unchecked tokens of the older one.
+  test.serial(`a run stays on the older system when its stream is ${name}`, async (t) => {
+    const cluster = simulateCluster({ a: [steps] });
+    const engine = cluster.engines.get('a');
+    const streamCompletion = (_body: unknown, id: string) =>
+      engine?.streamCompletion({ request_id: id, weight_version: 'v1', resume_offset: 0 } as EngineRequest);
+    const older = { streamCompletion } as unknown as OlderSystemClient;
+    const { end } = await cluster.runJob(
+      { getOlder: () => older, chooseSystem: () => 'older' },
+      false,
+      'moving',
+    );
+    t.like(end, expected);
+    t.is(cluster.placed.length, 0);
+  });
+}
--- a/packages/run-completion/test/simulate-cluster.ts
+++ b/packages/run-completion/test/simulate-cluster.ts
@@ -86,12 +86,22 @@
   const traces: string[] = [];
   const reports: string[] = [];
   const retry = { ratio: 1, minPerSecond: 10, maxAttempts: 3 };
-  const service = { name: 's', kind: 'model', priority: 'normal', idempotent: true, accounts: ['a'] };
+  const service = { name: 's', kind: 'model', priority: 'normal', idempotent: true, accounts: '*' };
   const weights = { perMs: 1, perKiloTokenRecomputed: 1, perMebibyteMoved: 1 };
   const config = {
-    services: { s: { ...service, model: 'm', deadlineMs: 1_000, weights, retry } },
+    services: {
+      s: { ...service, model: 'm', deadlineMs: 1_000, weights, retry },
+      moving: {
+        ...service,
+        name: 'moving',
+        cutover: { olderUrl: 'o', olderShare: 1 },
+        deadlineMs: 1_000,
+        weights,
+        retry,
+      },
+    },
     pools: { p: { name: 'p', kind: 'model', servers: [], pieceTokens: 2_000, model: 'm' } },
-    routes: [{ name: 'r', order: 0, service: 's', pool: 'p' }],
+    routes: ['s', 'moving'].map((name) => ({ name, order: 0, service: name, pool: 'p' })),
   } as unknown as Config;
   const quarantine: Quarantine = {
     checkRequest: () => Promise.resolve({ kind: crashes.length > 0 ? 'isolate' : 'clean' }),
@@ -139,11 +149,11 @@
     bootIds: new Map(),
     recordTrace: (_request, step) => traces.push(step),
   };
-  const runJob = async (changes: Partial<CompletionDependencies> = {}, aborted = false) => {
+  const runJob = async (changes: Partial<CompletionDependencies> = {}, aborted = false, name = 's') => {
     const texts: string[] = [];
     const limits = { requestsPerSecond: 1, tokensPerSecond: 1, concurrent: 1 };
     const account = { name: 'a', keys: [], weight: 1, limits, storeBytes: 0 };
-    const job = { requestId: 'r1', account, service: 's', prompt: 'hello', maxTokens: MAX_TOKENS };
+    const job = { requestId: 'r1', account, service: name, prompt: 'hello', maxTokens: MAX_TOKENS };
     const end: RunEnd = await runCompletion(
       { ...job, startOffset: 0, acceptedAtMs: performance.now() },
       { ...deps, ...changes },
--- a/packages/serve-callers/src/send-refusal.ts
+++ b/packages/serve-callers/src/send-refusal.ts
@@ -2,6 +2,8 @@
 import type { Refusal } from '@laburnumshift/types';
 import { renderRefusal } from './render-refusal.js';
 
+const SHORT_BODY_BYTES = 65_536;
+
 /** Sends a refusal; when the answer has begun as a stream, as its last event without `[DONE]`. */
 export function sendRefusal(response: ServerResponse, refusal: Refusal, requestId: string): void {
   if (response.writableEnded || response.destroyed) return;
@@ -15,7 +17,8 @@
     headers['retry-after'] = String(Math.ceil(refusal.retryAfterMs / 1_000));
   }
   if (refusal.status === 401) headers['www-authenticate'] = 'Bearer';
-  // The rest of an unread body would otherwise have to be read and thrown away.
-  if (!response.req.complete) headers.connection = 'close';
+  // The rest of an unread body would otherwise have to be read and thrown away; a short one is cheaper than a new connection.
+  const declared = Number(response.req.headers['content-length'] ?? Infinity);
+  if (!response.req.complete && !(declared <= SHORT_BODY_BYTES)) headers.connection = 'close';
   response.writeHead(refusal.status, headers).end(body);
 }
--- a/packages/serve-callers/test/serve-callers.test.ts
+++ b/packages/serve-callers/test/serve-callers.test.ts
@@ -10,54 +10,33 @@
 import { COMPLETION, sendRequest, startServer, TOKENS } from './start-server.js';
 import { TLS_PAIR } from './tls-pair.js';
 
-const refused: readonly [string, string, unknown, http.OutgoingHttpHeaders, number, string][] = [
-  ['no key', '/v1/completions', COMPLETION, { authorization: '' }, 401, 'unauthenticated'],
-  ['a wrong key', '/v1/completions', COMPLETION, { authorization: 'Bearer key-x' }, 401, 'unauthenticated'],
-  [
-    'a key after its period',
-    '/v1/completions',
-    COMPLETION,
-    { authorization: 'Bearer key-old' },
-    401,
-    'unauthenticated',
-  ],
-  [
-    'a key before its period',
-    '/v1/completions',
-    COMPLETION,
-    { authorization: 'Bearer key-next' },
-    401,
-    'unauthenticated',
-  ],
-  ['no JSON', '/v1/completions', '{"service":', {}, 400, 'bad_request'],
-  ['a wrong type', '/v1/completions', { ...COMPLETION, max_tokens: '5' }, {}, 400, 'bad_request'],
-  ['an unknown field', '/v1/completions', { ...COMPLETION, top_k: 1 }, {}, 400, 'bad_request'],
-  ['no UTF-8', '/call/s/x', Buffer.from([0xff, 0xfe]), {}, 400, 'bad_request'],
-  ['a blank in its id', '/call/s/x', '{}', { 'x-request-id': 'a b' }, 400, 'bad_request'],
-  [
-    'a declared large body',
-    '/v1/completions',
-    'x'.repeat(5_000),
-    { 'content-length': 5_000 },
-    413,
-    'body_too_large',
-  ],
-  [
-    'a large chunked body',
-    '/call/s/x',
-    'x'.repeat(5_000),
-    { 'transfer-encoding': 'chunked' },
-    413,
-    'body_too_large',
-  ],
-  ['large headers', '/v1/completions', COMPLETION, { 'x-large': 'x'.repeat(5_000) }, 431, 'bad_request'],
-  ['a wrong offset', '/v1/completions', COMPLETION, { 'x-resume-offset': '-1' }, 400, 'bad_request'],
-  ['a dot segment', '/call/s/a/%2e%2E/b', '{}', {}, 400, 'bad_request'],
-  ['a wrong issue time', '/call/s/a', '{}', { 'idempotency-issued-at': 'now' }, 400, 'bad_request'],
-  ['an unknown path', '/v2/completions', COMPLETION, {}, 404, 'not_found'],
+const PATH = '/v1/completions';
+const LARGE = 'x'.repeat(5_000);
+const unknown = [401, 'unauthenticated'] as const;
+const bad = [400, 'bad_request'] as const;
+const large = [413, 'body_too_large'] as const;
+
+type Refused = readonly [string, readonly [number, string], string, unknown, http.OutgoingHttpHeaders?];
+const refused: readonly Refused[] = [
+  ['no key', unknown, PATH, COMPLETION, { authorization: '' }],
+  ['a wrong key', unknown, PATH, COMPLETION, { authorization: 'Bearer key-x' }],
+  ['a key after its period', unknown, PATH, COMPLETION, { authorization: 'Bearer key-old' }],
+  ['a key before its period', unknown, PATH, COMPLETION, { authorization: 'Bearer key-next' }],
+  ['no JSON', bad, PATH, '{"service":'],
+  ['a wrong type', bad, PATH, { ...COMPLETION, max_tokens: '5' }],
+  ['an unknown field', bad, PATH, { ...COMPLETION, top_k: 1 }],
+  ['no UTF-8', bad, '/call/s/x', Buffer.from([0xff, 0xfe])],
+  ['a blank in its id', bad, '/call/s/x', '{}', { 'x-request-id': 'a b' }],
+  ['a declared large body', large, PATH, LARGE, { 'content-length': 5_000 }],
+  ['a large chunked body', large, '/call/s/x', LARGE, { 'transfer-encoding': 'chunked' }],
+  ['large headers', [431, 'bad_request'], PATH, COMPLETION, { 'x-large': LARGE }],
+  ['a wrong offset', bad, PATH, COMPLETION, { 'x-resume-offset': '-1' }],
+  ['a dot segment', bad, '/call/s/a/%2e%2E/b', '{}'],
+  ['a wrong issue time', bad, '/call/s/a', '{}', { 'idempotency-issued-at': 'now' }],
+  ['an unknown path', [404, 'not_found'], '/v2/completions', COMPLETION],
 ];
 
-for (const [name, path, body, headers, status, code] of refused) {
+for (const [name, [status, code], path, body, headers] of refused) {
   // Guards against work for requests that must not get in, and against errors without their typed body.
   test(`a request with ${name} is refused before any work`, async (t) => {
     const fail = (): never => t.fail();
@@ -78,18 +57,14 @@
       for (const item of TOKENS) yield await Promise.resolve(item);
     },
   });
-  const plain = await sendRequest(server, '/v1/completions', COMPLETION);
+  const plain = await sendRequest(server, PATH, COMPLETION);
   t.like(JSON.parse(plain.body), { text: 'one two', finish_reason: 'stop', output_tokens: 2 });
   const headers = { 'x-request-id': 'r-1', 'x-resume-offset': '3' };
-  const stream = await sendRequest(server, '/v1/completions', { ...COMPLETION, stream: true }, headers);
+  const stream = await sendRequest(server, PATH, { ...COMPLETION, stream: true }, headers);
   const events = stream.body.split('\n\n').filter(Boolean);
   t.is(events.length, 3);
-  t.deepEqual(JSON.parse(events[1]?.slice(6) ?? ''), {
-    id: 'r-1',
-    offset: 1,
-    text: 'two',
-    finish_reason: 'stop',
-  });
+  const last = { id: 'r-1', offset: 1, text: 'two', finish_reason: 'stop' };
+  t.deepEqual(JSON.parse(events[1]?.slice(6) ?? ''), last);
   t.is(events[2], 'data: [DONE]');
   t.like(seen[1], { requestId: 'r-1', named: true, startOffset: 3, maxTokens: 5 });
   t.false(seen[0]?.named);
@@ -107,7 +82,7 @@
         yield await Promise.resolve({ kind: 'end' as const, end: { kind: 'refused' as const, refusal } });
       },
     });
-    const answer = await sendRequest(server, '/v1/completions', { ...COMPLETION, stream: true });
+    const answer = await sendRequest(server, PATH, { ...COMPLETION, stream: true });
     const last = answer.body.split('\n\n').filter(Boolean).at(-1) ?? '';
     t.like(JSON.parse(last.replace('data: ', '')), { error: { outcome: 'not run', retryAfterMs: 1_200 } });
     t.is(answer.status, count === 0 ? 503 : 200);
@@ -248,10 +223,10 @@
       yield* TOKENS.slice(1);
     },
   });
-  const running = sendRequest(server, '/v1/completions', { ...COMPLETION, stream: true }, {}, agent);
+  const running = sendRequest(server, PATH, { ...COMPLETION, stream: true }, {}, agent);
   await waitFor('the run', () => server.getCounts().active === 1);
   const drained = server.drain();
-  const refusedNow = await sendRequest(server, '/v1/completions', COMPLETION);
+  const refusedNow = await sendRequest(server, PATH, COMPLETION);
   t.is(refusedNow.status, 503);
   t.is(refusedNow.headers.connection, 'close');
   t.like(JSON.parse(refusedNow.body), {
