--- a/packages/cli/src/commands/serve-command.ts
+++ b/packages/cli/src/commands/serve-command.ts
@@ -33,7 +33,10 @@
     examples: [['Run a node', '$0 serve --settings /etc/laburnumshift/node.jsonc']],
   });
 
-  settings = Option.String('--settings', { required: true, description: 'Settings file, JSON with comments' });
+  settings = Option.String('--settings', {
+    required: true,
+    description: 'Settings file, JSON with comments',
+  });
 
   async runCommand(): Promise<CommandResult> {
     const settings = await readSettings(this.settings);
--- a/packages/cli/test/run-cli.test.ts
+++ b/packages/cli/test/run-cli.test.ts
@@ -76,7 +76,7 @@
     code: 0,
     value: { accounts: 1 },
   });
-  t.like(await runJson('serve', join(directory, 'desk.laburnum.jsonc')), { code: 1 });
+  t.like(await runJson('serve', '--settings', join(directory, 'desk.laburnum.jsonc')), { code: 1 });
 });
 
 test('guards against a publish that hides the nodes that lack the generation', async (t) => {
--- a/packages/demo/src/fakes-main.ts
+++ b/packages/demo/src/fakes-main.ts
@@ -10,14 +10,14 @@
 
 function buildReport(running: Site): FakesReport {
   const engines = [...running.engines.values()].map((engine) => engine.getCounters());
-  const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+  const computeSum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
   const runs = Object.fromEntries([...running.services.values()].flatMap((s) => [...s.listRuns()]));
   return {
-    computedTokens: sum(engines.map((counters) => counters.promptTokensComputed)),
-    cachedTokens: sum(engines.map((counters) => counters.promptTokensCached)),
-    importedTokens: sum(engines.map((counters) => counters.promptTokensImported)),
-    wrongBlocks: sum(engines.map((counters) => counters.foreignAnswers)),
-    linkBytes: sum([...running.stores.values()].map((store) => store.getCounters().linkBytes)),
+    computedTokens: computeSum(engines.map((counters) => counters.promptTokensComputed)),
+    cachedTokens: computeSum(engines.map((counters) => counters.promptTokensCached)),
+    importedTokens: computeSum(engines.map((counters) => counters.promptTokensImported)),
+    wrongBlocks: computeSum(engines.map((counters) => counters.foreignAnswers)),
+    linkBytes: computeSum([...running.stores.values()].map((store) => store.getCounters().linkBytes)),
     runs,
     platformCalls: running.platform.getCounts(),
   };
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -5,7 +5,7 @@
 import { sleep } from '@laburnumshift/clock';
 import type { DemoContext } from './demo-context.js';
 import type { DemoFigures } from './demo-figures.js';
-import { copyDeclarations } from './copy-declarations.js';
+import { writeDeclarations } from './write-declarations.js';
 import { findBroken } from './find-broken.js';
 import { renderTable } from './render-table.js';
 import { runBookings } from './run-bookings.js';
@@ -34,7 +34,7 @@
     report('Starting the fakes and the daemons.');
     const { platformUrl, addresses } = await fakes.ask({ kind: 'start', directory: EXAMPLES }, 'started');
     const declarations = join(directory, 'declarations');
-    await copyDeclarations(EXAMPLES, declarations, new Map(Object.entries(addresses)));
+    await writeDeclarations(EXAMPLES, declarations, new Map(Object.entries(addresses)));
     for (let i = 0; i < DAEMONS; i += 1) {
       const domain = `domain-${String(i % 3)}`;
       context.daemons.push(await startDaemon(directory, `entry-${String(i + 1)}`, domain, platformUrl));
--- a/packages/demo/src/copy-declarations.ts
+++ b/packages/demo/src/write-declarations.ts
@@ -3,7 +3,7 @@
 import { replaceAddresses } from '@laburnumshift/fakes/site';
 
 /** Copies the example declarations with the addresses of the fakes in place of the declared ones. */
-export async function copyDeclarations(
+export async function writeDeclarations(
   from: string,
   to: string,
   addresses: ReadonlyMap<string, string>,
--- a/packages/fakes/src/site/start-site.ts
+++ b/packages/fakes/src/site/start-site.ts
@@ -51,7 +51,7 @@
       addresses.set(server.url, service.url);
     }
   };
-  const showHosts = (): void => {
+  const updateHosts = (): void => {
     const servers = options.pools.flatMap((pool) =>
       pool.servers.map((server): HostEntry => ({
         host: server.name,
@@ -78,7 +78,7 @@
       addresses.set(host.url, store.url);
     }
   }
-  showHosts();
+  updateHosts();
   return {
     platform,
     older,
@@ -88,12 +88,12 @@
     addresses,
     setNodes: (next) => {
       nodes = next;
-      showHosts();
+      updateHosts();
     },
     setLeaving: (name, isLeaving) => {
       if (isLeaving) leaving.add(name);
       else leaving.delete(name);
-      showHosts();
+      updateHosts();
     },
     close: async () => {
       const parts = [...engines.values(), ...stores.values(), ...services.values(), older];
--- a/packages/run-node/src/create-direct-journal.ts
+++ b/packages/run-node/src/create-direct-journal.ts
@@ -21,7 +21,7 @@
 
 /** Creates a journal that keeps one object for each call. The conditional update decides which attempt may run. */
 export function createDirectJournal(platform: PlatformClient): CallJournal {
-  const nameCall = ({ account, service, key }: JournalLook): string =>
+  const computeName = ({ account, service, key }: JournalLook): string =>
     createHash('sha256')
       .update(JSON.stringify([account, service, key]))
       .digest('hex');
@@ -35,7 +35,7 @@
     look: JournalLook & { readonly attemptId: string },
     change: Partial<CallRecord>,
   ): Promise<boolean> => {
-    const read = await platform.readObject<CallRecord>('call', nameCall(look), 'journal');
+    const read = await platform.readObject<CallRecord>('call', computeName(look), 'journal');
     if (read.kind !== 'found' || read.object.value.attemptId !== look.attemptId) return false;
     const value = { ...read.object.value, ...change };
     const { name, version } = read.object;
@@ -44,7 +44,7 @@
   };
   return {
     beginCall: async (begin) => {
-      const name = nameCall(begin);
+      const name = computeName(begin);
       const read = await platform.readObject<CallRecord>('call', name, 'journal');
       if (read.kind === 'unavailable') return read;
       const known = read.kind === 'found' ? read.object : undefined;
@@ -64,7 +64,7 @@
     finishCall: (finish) => replaceRecord(finish, { answer: finish.answer }),
     abandonCall: (abandon) => replaceRecord(abandon, { abandoned: true }),
     findCall: async (look) => {
-      const read = await platform.readObject<CallRecord>('call', nameCall(look), 'journal');
+      const read = await platform.readObject<CallRecord>('call', computeName(look), 'journal');
       if (read.kind === 'unavailable') return read;
       return read.kind === 'found' ? describeRecord(read.object.value) : { kind: 'absent' };
     },
--- a/packages/run-node/src/create-homes.ts
+++ b/packages/run-node/src/create-homes.ts
@@ -9,7 +9,6 @@
 import { createPlainPlanner } from './create-plain-planner.js';
 import { createCellHomes } from './create-cell-homes.js';
 
-
 /** Creates the cells of a node with their clients, directories and planners. */
 export function createHomes(
   isHome: (pool: string, cell: number) => boolean,
--- a/packages/run-node/src/create-host-watch.ts
+++ b/packages/run-node/src/create-host-watch.ts
@@ -23,7 +23,7 @@
   logger: Logger,
 ): HostWatch {
   const handlers: ((leaving: ReadonlySet<string>) => void)[] = [];
-  let hosts: readonly HostEntry[] = [];
+  let hosts: readonly HostEntry[] | undefined;
   let leaving: ReadonlySet<string> = new Set();
   let shown = '';
   let rounds = 0;
--- a/packages/run-node/src/run-node.ts
+++ b/packages/run-node/src/run-node.ts
@@ -88,8 +88,9 @@
     secret: settings.meshSecret,
     tls: settings.tls,
   });
-  let known: Membership | undefined;
-  const hostWatch = createHostWatch(platform, mesh, () => known, logger);
+  // The host watch and the placer serve membership, which is created after them.
+  const known: { membership?: Membership } = {};
+  const hostWatch = createHostWatch(platform, mesh, () => known.membership, logger);
   const membership = detectMembers({
     self: {
       host: settings.host,
@@ -102,7 +103,7 @@
     seeds: settings.seeds,
     randomSeed: randomInt(MAX_SEED),
   });
-  known = membership;
+  known.membership = membership;
   const configWatch = watchConfig({ platform, mesh, membership, seeds: settings.seeds });
   const { getConfig } = configWatch;
   const peers = createPeerClients();
@@ -110,7 +111,7 @@
     logger.error('a background task failed', { detail: String(error) });
   };
   const local = createLocalPlacer();
-  const placer = createPlacer(mesh, () => known, getConfig, local, metrics.countEvent);
+  const placer = createPlacer(mesh, () => known.membership, getConfig, local, metrics.countEvent);
   const quarantine = createQuarantine({ mesh, membership, platform });
   const isHome = (pool: string, cell: number): boolean => {
     const config = getConfig()?.pools[pool];
