Limit bulk requests to half of an engine's slots

Cause: engines compute urgent and normal prompts first, so admitted bulk requests waited in the engine while they held its slots, and normal requests were refused for want of a slot. Change: computeRoom gives the requests that an engine may have in flight by priority: bulk half of the slots, normal all but the reserved ones, each of the latter with two waiting.

--- a/packages/measure/src/build-sim-input.ts
+++ b/packages/measure/src/build-sim-input.ts
@@ -1,3 +1,4 @@
+import { computeRoom } from '@laburnumshift/place-request';
 import type { PlacementInput } from '@laburnumshift/place-request';
 import type { Deployment } from './deployment.js';
 import type { LinkView } from './link-view.js';
@@ -8,8 +9,6 @@
 
 const MS_PER_S = 1000;
 const VERSION = 'v1';
-/** The same rule as in the home of a cell (manage-cell, has-room). */
-const QUEUE_DEPTH = 2;
 const TIER_INDEX = { memory: 0, disk: 1 } as const;
 
 /** Builds the input of a decision as the home of a cell would. */
@@ -27,7 +26,7 @@
 ): PlacementInput {
   const { nowMs, store } = parts;
   const { priority, weights } = request.kind;
-  const limit = deployment.slots + QUEUE_DEPTH - (priority === 'urgent' ? 0 : deployment.urgentSlots);
+  const limit = computeRoom(deployment.slots, deployment.urgentSlots, priority);
   const scale = parts.link.getRateScale(nowMs);
   const rate = deployment.linkBytesPerSecond * scale;
   const queueMs = (store.getQueuedBytes() / rate) * MS_PER_S;
--- a/packages/measure/src/simulate-cell.ts
+++ b/packages/measure/src/simulate-cell.ts
@@ -1,5 +1,5 @@
 import { createAdmissionQueue } from '@laburnumshift/admit-request';
-import { placeRequest } from '@laburnumshift/place-request';
+import { computeRoom, placeRequest } from '@laburnumshift/place-request';
 import type { PlacementInput } from '@laburnumshift/place-request';
 import { buildSimInput } from './build-sim-input.js';
 import { createEventQueue } from './create-event-queue.js';
@@ -83,7 +83,11 @@
         free: usable.reduce((sum, { engine }) => sum + Math.max(0, deployment.slots - engine.running), 0),
         reserved: usable.length * deployment.urgentSlots,
       };
-      const entry = queue.takeNext(nowMs, slots);
+      const entry = queue.takeNext(nowMs, slots, ({ requestId }) => {
+        const priority = waiting.get(requestId)?.request.kind.priority ?? 'bulk';
+        const limit = computeRoom(deployment.slots, deployment.urgentSlots, priority);
+        return usable.some(({ engine }) => engine.running < limit);
+      });
       const item = waiting.get(entry?.requestId ?? '');
       if (entry === undefined || item === undefined) return;
       waiting.delete(entry.requestId);
--- a/packages/place-request/src/index.ts
+++ b/packages/place-request/src/index.ts
@@ -1,5 +1,6 @@
 /** Placement decision and the baselines it is measured against. */
 export { BASELINES } from './baselines.js';
+export { computeRoom } from './compute-room.js';
 export { createPrefillBacklog } from './create-prefill-backlog.js';
 export type { EngineState } from './engine-state.js';
 export { isEligible } from './is-eligible.js';
--- a/packages/place-request/test/place-request.test.ts
+++ b/packages/place-request/test/place-request.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { BASELINES, placeRequest } from '@laburnumshift/place-request';
+import { BASELINES, computeRoom, createPrefillBacklog, placeRequest } from '@laburnumshift/place-request';
 import type { EngineState, PlacementInput } from '@laburnumshift/place-request';
 
 const makeEngine = (name: string, change: Partial<EngineState> = {}): EngineState => ({
@@ -117,3 +117,21 @@
     { seed: 3 },
   );
 });
+
+// Guards against bulk requests that wait for prefill behind others while they hold every slot.
+test('bulk requests leave slots to the others', (t) => {
+  t.is(computeRoom(8, 1, 'bulk'), 4);
+  t.true(computeRoom(8, 1, 'urgent') > computeRoom(8, 1, 'normal'));
+  t.is(computeRoom(1, 0, 'bulk'), 1);
+});
+
+// Guards against urgent requests that are refused because of bulk work which they overtake.
+test('the backlog of a priority leaves out lower ones', (t) => {
+  const backlog = createPrefillBacklog();
+  backlog.addTokens(8000, 'bulk', 1000, 0);
+  backlog.addTokens(2000, 'urgent', 1000, 0);
+  t.is(backlog.getTokens('normal', 1000, 0), 2000);
+  t.is(backlog.getTokens('bulk', 1000, 3000), 7000);
+  backlog.setTotal(3500, 1000, 3000);
+  t.is(backlog.getTokens('bulk', 1000, 3000), 3500);
+});
