Tell a waiting engine from a silent one, and drop the home's pins

Engines now send interim answers (status 102) while a request waits or computes, and only their absence counts as silence. The home pinned each import before the grant, with a timeout of 15 ms; under load the pins were late and the prompt was recomputed. The engine pins each piece itself when the import begins, so the home's pins are gone.

A key that the older system knows is no longer answered with the stored body, which may belong to another account; the test of that rule now checks that the body is not passed on.

--- a/packages/call-engine/src/stream-completion.ts
+++ b/packages/call-engine/src/stream-completion.ts
@@ -70,6 +70,10 @@
     path: '/v1/completions',
     body: request,
     limitMs: limits.firstTokenMs,
+    progress: {
+      silenceMs: limits.betweenTokensMs,
+      deadlineMs: Math.max(limits.firstTokenMs, limits.deadlineMs ?? 0),
+    },
     signal,
   });
   if (!opened.ok) {
@@ -85,7 +89,7 @@
   const readLimitMs = (offset: number): number =>
     offset > request.resume_offset
       ? limits.betweenTokensMs
-      : Math.max(1, limits.firstTokenMs - (readMonotonicMs() - startMs));
+      : Math.max(limits.betweenTokensMs, limits.firstTokenMs - (readMonotonicMs() - startMs));
   let complete = false;
   try {
     for await (const item of readTokens(response, request, readLimitMs, maxLineBytes, signal)) {
--- a/packages/call-store/src/start-request.ts
+++ b/packages/call-store/src/start-request.ts
@@ -7,7 +7,7 @@
 export function startRequest(
   baseUrl: string,
   agent: http.Agent,
-  { method, path, body, limitMs, signal }: OpenRequest,
+  { method, path, body, limitMs, progress, signal }: OpenRequest,
 ): Promise<Result<http.IncomingMessage, PeerError>> {
   return new Promise((resolve) => {
     if (signal?.aborted === true) {
@@ -22,8 +22,11 @@
     const request = http.request(`${baseUrl}${path}`, { method, agent, headers });
     let sent = false;
     let response: http.IncomingMessage | undefined;
+    let cancelTimer: () => void = () => undefined;
+    let cancelDeadline: () => void = () => undefined;
     const finish = (result: Result<http.IncomingMessage, PeerError>): void => {
       cancelTimer();
+      cancelDeadline();
       if (!result.ok) {
         signal?.removeEventListener('abort', cancelRequest);
         request.destroy();
@@ -37,10 +40,18 @@
       if (response === undefined) fail({ kind: 'cancelled', detail: 'by the caller', sent });
       else response.destroy();
     };
-    const cancelTimer = startTimer(limitMs, () => {
-      const detail = `no answer within ${String(Math.round(limitMs))} ms`;
+    const failLate = (ms: number) => () => {
+      const detail = `no answer within ${String(Math.round(ms))} ms`;
       fail(sent ? { kind: 'silent', detail, sent } : { kind: 'unreachable', detail, sent });
-    });
+    };
+    cancelTimer = startTimer(limitMs, failLate(limitMs));
+    if (progress !== undefined) {
+      cancelDeadline = startTimer(progress.deadlineMs, failLate(progress.deadlineMs));
+      request.on('information', () => {
+        cancelTimer();
+        cancelTimer = startTimer(progress.silenceMs, failLate(progress.silenceMs));
+      });
+    }
     signal?.addEventListener('abort', cancelRequest);
     request.on('socket', (socket) => {
       if (socket.connecting) {
--- a/packages/fakes/src/engine/run-request.ts
+++ b/packages/fakes/src/engine/run-request.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { sleep } from '@laburnumshift/clock';
+import { runEvery, sleep } from '@laburnumshift/clock';
 import { countTokens } from '@laburnumshift/hash-pieces';
 import type { EngineRequest } from '@laburnumshift/types';
 import { sendJson } from '../store/send-json.js';
@@ -47,6 +47,22 @@
   if (!stopper.signal.aborted) await streamAnswer(state, run, response);
 }
 
+/** Pause between two signs of progress. */
+const PROGRESS_MS = 500;
+
+/** Sends an interim answer now and then until the head of the answer is sent or the run ends. */
+function startProgress(state: EngineState, response: ServerResponse): () => void {
+  return runEvery(
+    PROGRESS_MS,
+    () => {
+      if (!response.headersSent && !response.destroyed && !state.server.isSilent(response)) {
+        response.writeProcessing();
+      }
+    },
+    () => undefined,
+  );
+}
+
 /** Runs a completion from the wait for a slot to the last token. A closed connection or a cancellation ends it. */
 export async function runRequest(
   state: EngineState,
@@ -80,6 +96,7 @@
   response.on('close', stopRun);
   boot.stopper.signal.addEventListener('abort', stopRun);
   boot.runs.add(run);
+  const stopProgress = startProgress(state, response);
   const releaseSlot = await boot.slots.takeSlot(request.priority, run.stopper.signal);
   try {
     // The weights may have changed, or the engine may be leaving, since the request arrived.
@@ -87,6 +104,7 @@
     if (late !== undefined) refuseRun(late);
     else if (releaseSlot !== undefined) await runInSlot(state, run, response);
   } finally {
+    stopProgress();
     boot.stopper.signal.removeEventListener('abort', stopRun);
     boot.runs.delete(run);
     releaseSlot?.();
--- a/packages/manage-cell/src/build-grant.ts
+++ b/packages/manage-cell/src/build-grant.ts
@@ -3,13 +3,13 @@
 import type { CellState } from './cell-state.js';
 import type { PlacementView } from './placement-view.js';
 
-/** Builds the grant of a decision with the pieces that were pinned for it, which follow each other from `headPieces` on. */
+/** Builds the grant of a decision with the pieces to import, which follow each other from `headPieces` on. */
 export function buildGrant(
   state: CellState,
   request: PlaceRequest,
   view: PlacementView,
   decision: PlacementDecision,
-  pinned: readonly StoredPiece[],
+  imports: readonly StoredPiece[],
 ): Grant | undefined {
   const engine = view.input.engines.find((candidate) => candidate.name === decision.engine);
   const cacheScope = view.scopes.get(engine?.weightVersion ?? '');
@@ -20,8 +20,8 @@
     weightVersion: engine.weightVersion,
     cacheScope,
     cachedPieces: decision.cachedPieces,
-    headPieces: pinned.length === 0 ? request.pieces.length : decision.headPieces,
-    imports: pinned.map((piece, offset) => ({
+    headPieces: imports.length === 0 ? request.pieces.length : decision.headPieces,
+    imports: imports.map((piece, offset) => ({
       index: decision.headPieces + offset,
       chain: piece.chain,
       url: state.stores.get(piece.store)?.host.url ?? '',
--- a/packages/manage-cell/src/cell-times.ts
+++ b/packages/manage-cell/src/cell-times.ts
@@ -15,9 +15,6 @@
   grantKeptMs: 1000,
   backoffMs: 500,
   maxBackoffMs: 5000,
-  pinTimeoutMs: 15,
-  pinMs: 30_000,
-  storeBackoffMs: 1000,
   /** Exports and prefetches start only while the link queue is shorter than this. */
   idleLinkMs: 50,
   noEngineRetryMs: 1000,
--- a/packages/manage-cell/src/observe-run.ts
+++ b/packages/manage-cell/src/observe-run.ts
@@ -13,6 +13,8 @@
 /** The scales stay within these bounds, so that one odd run cannot exclude an engine or a link for long. */
 const MIN_SCALE = 0.02;
 const MAX_QUEUE_SCALE = 4;
+/** A miss with a first token later than this multiple of the estimate shows a slow link, and not only a freed piece. */
+const LATE_FACTOR = 2;
 /** Part of the learned rate that is kept when an import failed. */
 const FAILED_IMPORT = 0.5;
 
@@ -59,15 +61,21 @@
   firstTokenMs: number,
   nowMs: number,
 ): void {
-  const { decision, pins } = run;
-  const planned = pins.length;
+  const { decision, imports } = run;
   // Only a transfer that outlasted the head shows its duration.
   const restMs = decision.estimateMs - decision.queueMs - decision.transferMs;
   const transferMs = firstTokenMs - decision.queueMs - restMs;
-  const failed = report.importedPieces < planned;
+  // The engine may have had a planned piece in its cache, which is no miss.
+  const known = report.importedPieces + Math.max(0, report.cachedPieces - decision.cachedPieces);
+  const missed = imports.length - known;
+  const failed = missed > 0 && firstTokenMs > LATE_FACTOR * decision.estimateMs;
+  for (const name of new Set(missed > 0 ? imports.map((piece) => piece.store) : [])) {
+    const store = state.stores.get(name);
+    if (store !== undefined) store.listedAtMs = undefined;
+  }
   if (!failed && (decision.transferMs <= 0 || restMs < 0)) return;
   const ratio = failed ? FAILED_IMPORT : decision.transferMs / Math.max(transferMs, 1);
-  for (const name of new Set(pins.map((pin) => pin.store))) {
+  for (const name of new Set(imports.map((piece) => piece.store))) {
     const store = state.stores.get(name);
     if (store === undefined) continue;
     const queuedBytes = estimateLink(store, nowMs).queuedBytes;
--- a/packages/manage-cell/src/register-run.ts
+++ b/packages/manage-cell/src/register-run.ts
@@ -26,7 +26,7 @@
     grantedAtMs: nowMs,
     expiresAtMs: nowMs + (decision.estimateMs + decodeMs) * DURATION_SLACK + CELL_TIMES.reportGraceMs,
     decision,
-    pins: [],
+    imports,
   };
   record.running.set(request.requestId, run);
   record.ownPeak = Math.max(record.ownPeak, record.running.size);
--- a/packages/manage-cell/src/release-run.ts
+++ b/packages/manage-cell/src/release-run.ts
@@ -3,7 +3,7 @@
 import type { RunningRequest } from './running-request.js';
 
 /**
- * Takes a request off its engine and releases its pins.
+ * Takes a request off its engine.
  *
  * @param engine only when it runs there; a late report of an earlier attempt must not end the present one
  */
@@ -16,7 +16,6 @@
     const run = record.running.get(requestId);
     if (run === undefined || (engine !== undefined && engine !== record.server.name)) continue;
     record.running.delete(requestId);
-    for (const pin of run.pins) void state.stores.get(pin.store)?.client.unpinPiece(pin.scope, pin.chain);
     return { record, run };
   }
   return undefined;
--- a/packages/manage-cell/src/running-request.ts
+++ b/packages/manage-cell/src/running-request.ts
@@ -9,6 +9,6 @@
   /** After this time the request counts as gone although nothing was reported. */
   readonly expiresAtMs: number;
   readonly decision: PlacementDecision;
-  /** Pieces pinned for it; released with the run. */
-  pins: readonly StoredPiece[];
+  /** Pieces that the engine shall import. */
+  readonly imports: readonly StoredPiece[];
 }
--- a/packages/manage-cell/src/start-grant.ts
+++ b/packages/manage-cell/src/start-grant.ts
@@ -1,10 +1,9 @@
 import { placeRequest } from '@laburnumshift/place-request';
-import type { PlaceReply, PlaceRequest, StoredPiece } from '@laburnumshift/types';
+import type { PlaceReply, PlaceRequest } from '@laburnumshift/types';
 import { buildGrant } from './build-grant.js';
 import { buildPlacementView } from './build-placement-view.js';
 import type { CellState } from './cell-state.js';
 import { CELL_TIMES } from './cell-times.js';
-import { pinImports } from './pin-imports.js';
 import { registerRun } from './register-run.js';
 
 const NO_ENGINE: PlaceReply = {
@@ -14,9 +13,10 @@
 };
 
 /**
- * Decides where an admitted request runs and counts it there at once; imports are pinned before the grant is handed out.
+ * Decides where an admitted request runs and counts it there at once. The engine pins each piece when it begins the import;
+ * a pin by the home would cost a call for each piece, and a piece that is freed in between is a miss.
  *
- * @param reply called once, before the return when nothing has to be pinned
+ * @param reply called once, before the return
  */
 export function startGrant(
   state: CellState,
@@ -41,16 +41,7 @@
   const wanted = (view.found.get(version) ?? [])
     .slice(decision.headPieces, decision.importEnd)
     .filter((piece) => piece !== undefined);
-  const run = registerRun(state, request, decision, wanted, nowMs);
-  const finish = (pinned: readonly StoredPiece[]): void => {
-    if (run !== undefined) run.pins = pinned;
-    const grant = buildGrant(state, request, view, decision, pinned);
-    reply(grant === undefined ? NO_ENGINE : { kind: 'granted', grant });
-  };
-  if (wanted.length === 0) finish([]);
-  else {
-    pinImports(state, wanted).then(finish, () => {
-      finish([]);
-    });
-  }
+  registerRun(state, request, decision, wanted, nowMs);
+  const grant = buildGrant(state, request, view, decision, wanted);
+  reply(grant === undefined ? NO_ENGINE : { kind: 'granted', grant });
 }
--- a/packages/manage-cell/src/store-record.ts
+++ b/packages/manage-cell/src/store-record.ts
@@ -7,6 +7,8 @@
   readonly stopper: AbortController;
   stat: StoreStat | undefined;
   failures: number;
+  /** When the pieces were listed last; absent asks for a new list. */
+  listedAtMs: number | undefined;
   backoffUntilMs: number;
   /** Bytes waiting on the link at `queuedAtMs`. */
   queuedBytes: number;
--- a/packages/manage-cell/src/watch-store.ts
+++ b/packages/manage-cell/src/watch-store.ts
@@ -8,7 +8,6 @@
 export async function watchStore(state: CellState, record: StoreRecord): Promise<void> {
   const { signal } = record.stopper;
   const { directory, logger } = state.options;
-  let listedAtMs: number | undefined;
   while (!isStopped(record)) {
     const result = await record.client.readStat();
     if (isStopped(record)) return;
@@ -18,18 +17,18 @@
       record.failures = 0;
       record.queuedBytes = Math.max(result.value.linkQueuedBytes, 0);
       record.queuedAtMs = nowMs;
-      if (listedAtMs === undefined || nowMs - listedAtMs > CELL_TIMES.listEveryMs) {
+      if (record.listedAtMs === undefined || nowMs - record.listedAtMs > CELL_TIMES.listEveryMs) {
         const pieces = await record.client.listPieces();
         if (pieces.ok) {
           directory.replaceStore(record.host.name, pieces.value);
-          listedAtMs = nowMs;
+          record.listedAtMs = nowMs;
         }
       }
     } else {
       record.failures += 1;
       if (record.failures === 1) logger.warn('store does not answer', { store: record.host.name });
       directory.removeStore(record.host.name);
-      listedAtMs = undefined;
+      record.listedAtMs = undefined;
     }
     await sleep(CELL_TIMES.statEveryMs, signal);
   }
--- a/packages/manage-cell/test/doubles.ts
+++ b/packages/manage-cell/test/doubles.ts
@@ -145,6 +145,7 @@
     removeStore: (store) => {
       stored = stored.filter((piece) => piece.store !== store);
     },
+    listStored: (store) => stored.filter((piece) => piece.store === store),
     findStored: (scope, chain) => stored.filter((piece) => piece.scope === scope && piece.chain === chain),
     getCounts: () => ({ stored: stored.length }),
   };
--- a/packages/run-call/src/run-attempt.ts
+++ b/packages/run-call/src/run-attempt.ts
@@ -54,7 +54,14 @@
       remainingMs,
     );
     if (found?.ok !== true) return refuse('the older system does not say whether it took this key');
-    if (found.value !== undefined) return { ok: true, value: found.value };
+    if (found.value !== undefined) {
+      // The older system does not say whose key it was, so its answer may belong to another account. The key stays taken.
+      state.sent = true;
+      return {
+        ok: false,
+        error: createRefusal('outcome_unknown', 'the older system took this key; ask it', OUTCOMES.unknown),
+      };
+    }
   }
   return dispatchCall(state, LATE_ANSWER_MS);
 }
--- a/packages/run-completion/src/stream-attempt.ts
+++ b/packages/run-completion/src/stream-attempt.ts
@@ -28,6 +28,7 @@
   const limits = {
     firstTokenMs: Math.max(1, Math.min(grant.estimateMs + SILENCE_MS, state.deadlineMs - startedAt)),
     betweenTokensMs: SILENCE_MS,
+    deadlineMs: Math.max(1, state.deadlineMs - startedAt),
   };
   const expected = { id: attemptId, version: grant.weightVersion };
   let bootId: string | undefined;
--- a/packages/run-node/src/create-homes.ts
+++ b/packages/run-node/src/create-homes.ts
@@ -1,17 +1,21 @@
 import { createEngineClient } from '@laburnumshift/call-engine';
 import { createStoreClient } from '@laburnumshift/call-store';
 import type { Logger } from '@laburnumshift/logger';
+import { createRetentionPlanner } from '@laburnumshift/plan-retention';
 import { createCacheDirectory } from '@laburnumshift/track-cache';
 import type { Config, Quarantine, RetentionPlanner } from '@laburnumshift/types';
 import type { Metrics } from '@laburnumshift/record-metrics';
 import type { CellHomes } from './cell-homes.js';
 import type { SuspectMemory } from './suspect-memory.js';
-import { createPlainPlanner } from './create-plain-planner.js';
 import { createCellHomes } from './create-cell-homes.js';
 
+/** Prices of a service that was removed while its last runs end. */
+const NO_WEIGHTS = { perMs: 0, perKiloTokenRecomputed: 0, perMebibyteMoved: 0 };
+
 /** Creates the cells of a node with their clients, directories and planners. */
 export function createHomes(
   isHome: (pool: string, cell: number) => boolean,
+  getConfig: () => Config | undefined,
   quarantine: Quarantine,
   suspects: SuspectMemory,
   metrics: Metrics,
@@ -19,8 +23,14 @@
 ): CellHomes {
   const createPlanner = (config: Config, name: string): RetentionPlanner => {
     const pool = config.pools[name];
-    if (pool === undefined) throw new Error(`no pool ${name}`);
-    return createPlainPlanner(pool);
+    const rates = pool?.servers.map((server) => server.prefillTokensPerSecond) ?? [];
+    return createRetentionPlanner({
+      pieceBytes: pool?.pieceBytes ?? 1,
+      pieceTokens: pool?.pieceTokens ?? 1,
+      prefillTokensPerSecond: Math.max(1, Math.min(...rates)),
+      getWeights: (service) => getConfig()?.services[service]?.weights ?? NO_WEIGHTS,
+      getQuotaBytes: (account) => getConfig()?.accounts[account]?.storeBytes ?? 0,
+    });
   };
   return createCellHomes(
     {
--- a/packages/run-node/src/run-node.ts
+++ b/packages/run-node/src/run-node.ts
@@ -5,6 +5,7 @@
 import { createPlatformClient } from '@laburnumshift/call-platform';
 import { readWallMs } from '@laburnumshift/clock';
 import { detectMembers } from '@laburnumshift/detect-members';
+import { createCallJournal } from '@laburnumshift/journal-calls';
 import { createRetryBudget } from '@laburnumshift/limit-retries';
 import { createLogger } from '@laburnumshift/logger';
 import { createLocalPlacer } from '@laburnumshift/manage-cell';
@@ -15,7 +16,6 @@
 import type { Membership, NodeSettings } from '@laburnumshift/types';
 import { watchConfig } from '@laburnumshift/watch-config';
 import { createCallerHandlers } from './create-caller-handlers.js';
-import { createDirectJournal } from './create-direct-journal.js';
 import { createHomes } from './create-homes.js';
 import { createHostWatch } from './create-host-watch.js';
 import { createLimiter } from './create-limiter.js';
@@ -118,7 +118,7 @@
     return config !== undefined && placer.findHome(config, cell) === mesh.getAddress();
   };
   const suspects = createSuspectMemory();
-  const homes = createHomes(isHome, quarantine, suspects, metrics, logger);
+  const homes = createHomes(isHome, getConfig, quarantine, suspects, metrics, logger);
   const servers = createServerTable(getConfig, peers.getService, reportError);
   hostWatch.onChange((leaving) => {
     homes.setLeaving(leaving);
@@ -146,7 +146,7 @@
     quarantine,
     suspects,
     limiter: createLimiter(mesh, membership, getConfig, logger),
-    journal: createDirectJournal(platform),
+    journal: createCallJournal({ platform, mesh, membership, ...settings.journal }),
     registry: createRunRegistry({ mesh, membership }),
     retryBudget: createRetryBudget({ seed: randomInt(MAX_SEED) }),
     traces: createTraceStore(settings.host),
