Allow any number of platform calls in flight

Cause: more than ten calls in flight made Node.js warn of a listener leak, because each call listens to the client's stop signal. Change: the signal has no listener limit.

--- a/packages/call-platform/src/create-transport.ts
+++ b/packages/call-platform/src/create-transport.ts
@@ -1,4 +1,5 @@
 import { randomInt } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import { Agent } from 'node:http';
 import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import { uniformFloat32 } from 'pure-rand/distribution/uniformFloat32';
@@ -25,6 +26,8 @@
   const writes = createCallBudget(options.writesPerSecond);
   const agent = new Agent({ keepAlive: true });
   const stopper = new AbortController();
+  // Each call in flight listens to the signal, and there is no bound on calls in flight.
+  setMaxListeners(0, stopper.signal);
   const counts: Record<string, number> = {};
   let succeededAt = readMonotonicMs();
   let failingSince: number | undefined;
