--- a/packages/cli/test/run-cli.test.ts
+++ b/packages/cli/test/run-cli.test.ts
@@ -133,6 +133,8 @@
   t.like(await runJson('history', ...platform), { code: 3 });
   fake.setFaults({ silent: false, loseAnswerBefore: -1 });
   t.like(await runJson('publish', directory, ...platform), { value: { result: 'unavailable' } });
+  fake.setFaults({ lossKind: 'config-head' });
+  t.like(await runJson('publish', directory, ...platform), { code: 4, value: { result: 'unknown' } });
   await operators.close();
   t.like(await runJson('drain', '--node', operators.url), { code: 3 });
 });
