Price recomputation by how busy the pool is

Cause: at twice the load the decision computed heads to save a little transfer time, and the engines' queues grew for all later requests. Change: when more than half of the engines are busy, a recomputed token also costs the waiting that it causes. While half are idle nothing changes.

--- a/packages/place-request/src/place-request.ts
+++ b/packages/place-request/src/place-request.ts
@@ -1,5 +1,6 @@
 import type { CandidateTrace } from '@laburnumshift/types';
 import { buildDecision } from './build-decision.js';
+import { addCongestion } from './add-congestion.js';
 import { buildTransferTable } from './build-transfer-table.js';
 import { isEligible } from './is-eligible.js';
 import type { PlacementDecision } from './placement-decision.js';
@@ -14,7 +15,8 @@
  * @returns `undefined` when no engine may run the request
  */
 export function placeRequest(input: PlacementInput): PlacementDecision | undefined {
-  const { pieces, pieceBytes, weights } = input;
+  const { pieces, pieceBytes } = input;
+  const weights = addCongestion(input);
   const tables = new Map<string, TransferTable>();
   const candidates: CandidateTrace[] = [];
   let best:
--- a/packages/place-request/test/place-request.test.ts
+++ b/packages/place-request/test/place-request.test.ts
@@ -64,6 +64,14 @@
   t.is(plan?.estimateMs, 600);
 });
 
+// Guards against a collapse under load: engines that are all busy recompute what the link could bring a little later.
+test('a busy pool imports rather than computes', (t) => {
+  const caches = makeCache([0, 0, 0, 0, 0, 0, 0, 0], 100_000_000, 500);
+  const engines = [0, 1, 2, 3].map((index) => makeEngine(`e${String(index)}`, { queueMs: 400 }));
+  t.is(placeRequest(makeInput({ engines, caches }))?.headPieces, 0);
+  t.is(placeRequest(makeInput({ engines, caches }))?.importEnd, 8);
+});
+
 // Guards against pieces of another weight version being counted, and against a resumed run changing its version.
 test('uses cached pieces of the same version only', (t) => {
   const engines = [makeEngine('a', { weightVersion: 'v2' }), makeEngine('b', { queueMs: 100 })];
