--- a/packages/manage-cell/src/choose-cells.ts
+++ b/packages/manage-cell/src/choose-cells.ts
@@ -1,4 +1,5 @@
 import { computeWeight } from '@laburnumshift/rank-homes';
+import { computeCellWeight } from './compute-cell-weight.js';
 
 /**
  * Chooses the cell for a prompt by its first piece, so that prompts with the same beginning meet the same caches.
@@ -11,9 +12,17 @@
   key: string,
   count: number,
 ): { readonly first: number; readonly spill: number | undefined } {
-  const ranked = Array.from({ length: count }, (_, index) => ({
-    index,
-    weight: computeWeight(key, `${pool}/${String(index)}`),
-  })).sort((a, b) => b.weight - a.weight);
-  return { first: ranked[0]?.index ?? 0, spill: ranked[1]?.index };
+  const base = computeWeight(key, pool);
+  let first = 0;
+  let spill: number | undefined;
+  let firstWeight = computeCellWeight(base, 0);
+  let spillWeight = -1;
+  for (let cell = 1; cell < count; cell += 1) {
+    const weight = computeCellWeight(base, cell);
+    if (weight > firstWeight) {
+      [spill, spillWeight] = [first, firstWeight];
+      [first, firstWeight] = [cell, weight];
+    } else if (weight > spillWeight) [spill, spillWeight] = [cell, weight];
+  }
+  return { first, spill };
 }
--- a/packages/manage-cell/src/split-pool.ts
+++ b/packages/manage-cell/src/split-pool.ts
@@ -1,5 +1,6 @@
 import { computeWeight } from '@laburnumshift/rank-homes';
 import type { BackendServer } from '@laburnumshift/types';
+import { computeCellWeight } from './compute-cell-weight.js';
 import { MAX_CELL_ENGINES } from './max-cell-engines.js';
 
 /**
@@ -9,14 +10,17 @@
 export function splitPool(pool: string, servers: readonly BackendServer[]): BackendServer[][] {
   const count = Math.max(1, Math.ceil(servers.length / MAX_CELL_ENGINES));
   const cells = Array.from({ length: count }, (): BackendServer[] => []);
-  const order = [...servers].sort(
-    (a, b) => computeWeight(pool, a.name) - computeWeight(pool, b.name) || (a.name < b.name ? -1 : 1),
-  );
-  for (const server of order) {
-    const ranked = cells
-      .map((cell, index) => ({ cell, weight: computeWeight(`${pool}/${String(index)}`, server.name) }))
-      .sort((a, b) => b.weight - a.weight);
-    ranked.find(({ cell }) => cell.length < MAX_CELL_ENGINES)?.cell.push(server);
+  const order = servers
+    .map((server) => ({ server, base: computeWeight(pool, server.name) }))
+    .sort((a, b) => a.base - b.base || (a.server.name < b.server.name ? -1 : 1));
+  for (const { server, base } of order) {
+    let chosen: BackendServer[] | undefined;
+    let highest = -1;
+    for (const [index, cell] of cells.entries()) {
+      const weight = cell.length < MAX_CELL_ENGINES ? computeCellWeight(base, index) : -1;
+      if (weight > highest) [chosen, highest] = [cell, weight];
+    }
+    chosen?.push(server);
   }
   return cells;
 }
--- a/packages/manage-cell/test/cells.test.ts
+++ b/packages/manage-cell/test/cells.test.ts
@@ -26,6 +26,11 @@
   const next = splitPool('p', servers.slice(1));
   const moved = servers.slice(1).filter(({ name }) => findCell(cells, name) !== findCell(next, name));
   t.true(moved.length <= 10);
+  const used = Array.from({ length: 2000 }, (_, index) => chooseCells('p', `chain-${String(index)}`, 5));
+  for (let cell = 0; cell < 5; cell += 1) {
+    t.true(Math.abs(used.filter(({ first }) => first === cell).length - 400) < 80);
+    t.true(Math.abs(used.filter(({ spill }) => spill === cell).length - 400) < 80);
+  }
   t.not(chooseCells('p', 'chain', 5).first, chooseCells('p', 'chain', 5).spill);
   t.is(chooseCells('p', 'chain', 1).spill, undefined);
 });
--- a/packages/measure/src/run-decision-scenario.ts
+++ b/packages/measure/src/run-decision-scenario.ts
@@ -1,99 +1,91 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
+import { chooseCells, MAX_CELL_ENGINES } from '@laburnumshift/manage-cell';
 import { BASELINES, placeRequest } from '@laburnumshift/place-request';
 import type { PlacementInput, PlacementPolicy } from '@laburnumshift/place-request';
-import { createRandom } from './create-random.js';
+import { generateInputs } from './generate-inputs.js';
 
 const PIECES = 128;
 const ROUNDS = 4000;
 const WARMUP_ROUNDS = 1000;
 const US_PER_MS = 1000;
-const FLEETS = [4, 8, 16, 24, 32, 48];
+/** Engines that one decision looks at. */
+const CELLS = [4, 8, 16, 24, 32];
+/** Engines of a pool; a decision looks at one cell of them. */
+const POOLS = [24, 240, 1200, 12_000];
 const LIMIT_US = 200;
+/** A larger ratio would not count as flat. */
+const FLAT_RATIO = 1.25;
 
-/** Measures the time of one decision by fleet size, in microseconds and as a ratio to the smallest fleet. */
+/**
+ * Measures the time of one decision in microseconds: by engines in a cell, and by engines in a pool that is split into cells,
+ * where choosing the cell is part of it. Ratios are to the smallest size of the same run.
+ */
 export function runDecisionScenario(seed: number): unknown {
   const policies: Record<string, PlacementPolicy> = { own: placeRequest, ...BASELINES };
-  const fleets = FLEETS.map((engines) => {
-    const inputs = generateInputs(engines, seed);
-    const times = Object.entries(policies).map(
-      ([name, policy]) => [name, measurePolicy(policy, inputs)] as const,
-    );
-    return { engines, microseconds: Object.fromEntries(times) };
+  const cellRuns = CELLS.flatMap((engines) => {
+    const inputs = generateInputs(engines, PIECES, seed);
+    return Object.entries(policies).map(([name, policy]) => ({ engines, name, policy, inputs }));
   });
-  const smallest = fleets[0]?.microseconds.own?.p50 ?? 1;
-  const at32 = fleets.find(({ engines }) => engines === 32)?.microseconds.own?.p50 ?? Infinity;
+  const cellTimes = measureRuns(cellRuns);
+  const cells = CELLS.map((engines) => ({
+    engines,
+    microseconds: Object.fromEntries(
+      cellTimes.filter(({ run }) => run.engines === engines).map(({ run, times }) => [run.name, times]),
+    ),
+  }));
+  const inputs = generateInputs(MAX_CELL_ENGINES, PIECES, seed);
+  const poolRuns = POOLS.map((engines) => {
+    const count = Math.ceil(engines / MAX_CELL_ENGINES);
+    const placeInPool: PlacementPolicy = (input) => {
+      chooseCells('pool', `prompt-${String(input.turn)}`, count);
+      return placeRequest(input);
+    };
+    return { engines, count, policy: placeInPool, inputs };
+  });
+  const pools = measureRuns(poolRuns).map(({ run, times }) => ({
+    engines: run.engines,
+    cells: run.count,
+    microseconds: times,
+  }));
+  const at32 = cells.find(({ engines }) => engines === 32)?.microseconds.own?.p50 ?? Infinity;
+  const smallest = pools[0]?.microseconds.p50 ?? Infinity;
+  const growth = Math.max(...pools.map(({ microseconds }) => microseconds.p50 / smallest));
   return {
     pieces: PIECES,
-    fleets: fleets.map((fleet) => ({
-      ...fleet,
-      ratioToSmallest: (fleet.microseconds.own?.p50 ?? Infinity) / smallest,
+    cells: cells.map((cell) => ({
+      ...cell,
+      ratioToSmallest: (cell.microseconds.own?.p50 ?? Infinity) / (cells[0]?.microseconds.own?.p50 ?? 1),
     })),
+    pools: pools.map((pool) => ({ ...pool, ratioToSmallest: pool.microseconds.p50 / smallest })),
     targets: [
+      { target: 'median, 32 engines, us', limit: LIMIT_US, measured: at32, met: at32 <= LIMIT_US },
       {
-        target: 'median of a decision, 32 engines, us',
-        limit: LIMIT_US,
-        measured: at32,
-        met: at32 <= LIMIT_US,
+        target: 'median for 12,000 engines over 24',
+        limit: FLAT_RATIO,
+        measured: growth,
+        met: growth <= FLAT_RATIO,
       },
     ],
   };
 }
 
-function measurePolicy(
-  policy: PlacementPolicy,
-  inputs: readonly PlacementInput[],
-): { p50: number; p99: number } {
-  const times: number[] = [];
+/** Times each run's decisions. The runs take turns, so that a busy moment of the machine falls on all of them. */
+function measureRuns<
+  T extends { readonly policy: PlacementPolicy; readonly inputs: readonly PlacementInput[] },
+>(runs: readonly T[]): { readonly run: T; readonly times: { readonly p50: number; readonly p99: number } }[] {
+  const measured = runs.map((run) => ({ run, times: [] as number[] }));
   for (let round = 0; round < ROUNDS; round += 1) {
-    const input = inputs[round % inputs.length];
-    if (input === undefined) break;
-    const beganMs = readMonotonicMs();
-    policy(input);
-    if (round >= WARMUP_ROUNDS) times.push((readMonotonicMs() - beganMs) * US_PER_MS);
+    for (const { run, times } of measured) {
+      const input = run.inputs[round % run.inputs.length];
+      if (input === undefined) continue;
+      const beganMs = readMonotonicMs();
+      run.policy(input);
+      if (round >= WARMUP_ROUNDS) times.push((readMonotonicMs() - beganMs) * US_PER_MS);
+    }
   }
-  times.sort((a, b) => a - b);
-  const pick = (part: number): number => times[Math.floor(times.length * part)] ?? 0;
-  return { p50: pick(0.5), p99: pick(0.99) };
-}
-
-/** Generates prompts of 128 pieces, partly cached on half of the engines and stored on two tiers of two stores. */
-function generateInputs(engines: number, seed: number): PlacementInput[] {
-  const random = createRandom(seed);
-  const pieces = Array.from({ length: PIECES }, (_, index) => ({ chain: `c${String(index)}`, tokens: 2000 }));
-  return Array.from({ length: 64 }, (_, turn) => {
-    const names = Array.from({ length: engines }, (_unused, index) => `e${String(index)}`);
-    const stored = pieces.map((_piece, index) => (index > 100 ? -1 : random.pickInteger(0, 3)));
-    const sources = ['s0', 's1'].flatMap((store) =>
-      (['memory', 'disk'] as const).map((tier) => ({
-        store,
-        tier,
-        queueMs: random.pickInteger(0, 300),
-        bytesPerSecond: tier === 'memory' ? 1.25e9 : 6e8,
-      })),
-    );
-    const prefix = new Map(
-      names.filter(() => random.pickUniform() < 0.5).map((name) => [name, random.pickInteger(1, 100)]),
-    );
-    return {
-      engines: names.map((name) => ({
-        name,
-        url: '',
-        weightVersion: 'v1',
-        usable: true,
-        suspects: 0,
-        running: random.pickInteger(0, 8),
-        slots: 8,
-        queueMs: random.pickInteger(0, 2000),
-        prefillTokensPerSecond: random.pickInteger(7000, 9000),
-      })),
-      pieces,
-      pieceBytes: 64 * 1024 * 1024,
-      caches: new Map([['v1', { prefix, sources, stored }]]),
-      weights: { perMs: 1, perKiloTokenRecomputed: 2, perMebibyteMoved: 0.05 },
-      exclude: [],
-      suspect: false,
-      stickyKey: 'c0',
-      turn,
-    };
+  return measured.map(({ run, times }) => {
+    times.sort((a, b) => a - b);
+    const pick = (part: number): number => times[Math.floor(times.length * part)] ?? 0;
+    return { run, times: { p50: pick(0.5), p99: pick(0.99) } };
   });
 }
