Count pieces found in engine memory when judging imports

Cause: an engine that found a planned piece in its own memory imported fewer pieces, and the home took that for a failed import and halved the link's rate. The correction also started from the rate before its recovery. Change: only pieces that were neither imported nor found count as failed, and the learned rate is corrected from its present value.

--- a/packages/limit-accounts/test/account-limiter.test.ts
+++ b/packages/limit-accounts/test/account-limiter.test.ts
@@ -1,9 +1,18 @@
 import test from 'ava';
+import type { ExecutionContext } from 'ava';
 import fc from 'fast-check';
 import { createAccountLimiter } from '@laburnumshift/limit-accounts';
 import type { AccountLimiter } from '@laburnumshift/limit-accounts';
 import { installClock } from '@laburnumshift/test-utils';
 
+const startClock = (t: ExecutionContext): ReturnType<typeof installClock> => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  return clock;
+};
+
 const LIMIT = { requestsPerSecond: 100, tokensPerSecond: 100_000, concurrent: 40 };
 const NODES = 8;
 
@@ -26,10 +35,7 @@
 
 // Guards against an account being held to limit / nodes when its calls arrive at few nodes.
 test.serial('shares follow demand', async (t) => {
-  const clock = installClock();
-  t.teardown(() => {
-    clock.uninstall();
-  });
+  const clock = startClock(t);
   const nodes = createNodes(() => 0);
   for (let i = 0; i < 200; i += 1) {
     nodes[1]?.admitCall('a', 10);
@@ -44,10 +50,7 @@
 
 // Guards against a node that stops or loses its limits when the home is silent.
 test.serial('a silent home leads to limit / nodes after 6 s', async (t) => {
-  const clock = installClock();
-  t.teardown(() => {
-    clock.uninstall();
-  });
+  const clock = startClock(t);
   let silent = false;
   const nodes = createNodes(() => (silent ? undefined : 0));
   const callBusily = async (rounds: number): Promise<void> => {
@@ -69,10 +72,7 @@
 
 // Guards against a total above the stated bound under silence, changes of home and two homes at once.
 test.serial('the total stays below the stated bound', async (t) => {
-  const clock = installClock();
-  t.teardown(() => {
-    clock.uninstall();
-  });
+  const clock = startClock(t);
   const step = fc.record({
     caller: fc.nat(NODES - 1),
     calls: fc.nat(60),
@@ -112,10 +112,7 @@
 
 // Guards against a retry time at which the call is refused again, and against lost slots.
 test.serial('calls over the limit are told when to retry', async (t) => {
-  const clock = installClock();
-  t.teardown(() => {
-    clock.uninstall();
-  });
+  const clock = startClock(t);
   const [node] = createNodes(() => undefined);
   const permits = Array.from({ length: 5 }, () => node?.admitCall('a', 1));
   for (const permit of permits) if (permit?.kind === 'admitted') permit.release();
--- a/packages/manage-cell/src/observe-run.ts
+++ b/packages/manage-cell/src/observe-run.ts
@@ -64,16 +64,18 @@
   // Only a transfer that outlasted the head shows its duration.
   const restMs = decision.estimateMs - decision.queueMs - decision.transferMs;
   const transferMs = firstTokenMs - decision.queueMs - restMs;
-  const failed = report.importedPieces < planned;
+  // Pieces that the engine found in its own memory need no import.
+  const found = Math.max(0, report.cachedPieces - decision.cachedPieces);
+  const failed = report.importedPieces + found < planned;
   if (!failed && (decision.transferMs <= 0 || restMs < 0)) return;
   const ratio = failed ? FAILED_IMPORT : decision.transferMs / Math.max(transferMs, 1);
   for (const name of new Set(pins.map((pin) => pin.store))) {
     const store = state.stores.get(name);
     if (store === undefined) continue;
-    const queuedBytes = estimateLink(store, nowMs).queuedBytes;
-    const scale = Math.min(Math.max(store.rateScale * ratio, MIN_SCALE), 1);
+    const { queuedBytes, rateScale } = estimateLink(store, nowMs);
+    const scale = Math.min(Math.max(rateScale * ratio, MIN_SCALE), 1);
     // A slow link costs every request that waits for it, so bad news counts at once and good news slowly.
-    store.rateScale = scale < store.rateScale ? scale : store.rateScale + GAIN * (scale - store.rateScale);
+    store.rateScale = scale < rateScale ? scale : rateScale + GAIN * (scale - rateScale);
     store.scaledAtMs = nowMs;
     store.queuedBytes = queuedBytes;
     store.queuedAtMs = nowMs;
--- a/packages/manage-cell/test/manage-cell.test.ts
+++ b/packages/manage-cell/test/manage-cell.test.ts
@@ -170,6 +170,27 @@
   t.deepEqual(store.pinned, []);
 });
 
+// Guards against plans that go on counting on a link whose imports fail or are slow.
+test.serial('failed and slow imports lower the rate of a link', async (t) => {
+  const store = new StoreDouble(['c0', 'c1'].map(createStored));
+  const { cell, ask } = await startCell(t, { engines: createEngines(1), store });
+  const getRate = (): number => cell.getStatus().stores[0]?.bytesPerSecond ?? 0;
+  const stated = getRate();
+  const importOnce = async (change: Partial<ReturnType<typeof createReport>>): Promise<void> => {
+    const request = createRequest();
+    const reply = await ask(request);
+    if (reply.kind !== 'granted') throw new Error(reply.kind);
+    const estimate = reply.grant.estimateMs;
+    cell.reportRun({ ...createReport(request, 'e0'), firstTokenMs: estimate, importedPieces: 2, ...change });
+  };
+  await importOnce({});
+  t.true(getRate() > stated * 0.9);
+  await importOnce({ importedPieces: 1 });
+  t.true(getRate() < stated * 0.6);
+  await importOnce({ firstTokenMs: 5000 });
+  t.true(getRate() < stated * 0.1);
+});
+
 // Guards against plans that wait for a store that died.
 test.serial('a dead store is left out', async (t) => {
   const store = new StoreDouble(['c0', 'c1'].map(createStored));
