--- a/packages/manage-cell/src/observe-run.ts
+++ b/packages/manage-cell/src/observe-run.ts
@@ -78,10 +78,10 @@
   for (const name of new Set(imports.map((piece) => piece.store))) {
     const store = state.stores.get(name);
     if (store === undefined) continue;
-    const queuedBytes = estimateLink(store, nowMs).queuedBytes;
-    const scale = Math.min(Math.max(store.rateScale * ratio, MIN_SCALE), 1);
+    const { queuedBytes, rateScale } = estimateLink(store, nowMs);
+    const scale = Math.min(Math.max(rateScale * ratio, MIN_SCALE), 1);
     // A slow link costs every request that waits for it, so bad news counts at once and good news slowly.
-    store.rateScale = scale < store.rateScale ? scale : store.rateScale + GAIN * (scale - store.rateScale);
+    store.rateScale = scale < rateScale ? scale : rateScale + GAIN * (scale - rateScale);
     store.scaledAtMs = nowMs;
     store.queuedBytes = queuedBytes;
     store.queuedAtMs = nowMs;
