Leave the last attempt of a platform call enough time

The test of a platform that is down failed once in a full run: the last attempt began just before the deadline, timed out and turned a clear refusal into an unknown result. A missed import lowers the rate of its link again and asks for a new list of the store.

--- a/packages/call-platform/src/create-transport.ts
+++ b/packages/call-platform/src/create-transport.ts
@@ -14,6 +14,8 @@
 const DEFAULT_DEADLINE_MS = 3000;
 const FIRST_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 1000;
+/** An attempt needs at least this part of its limit; a shorter one would time out and make a clear refusal ambiguous. */
+const LEAST_ATTEMPT = 0.25;
 /** The platform is alive after these; 429, 503 and other errors say nothing about the data. */
 const SUCCESS_STATUSES = new Set([200, 404, 409, 410, 413]);
 
@@ -21,6 +23,7 @@
 export function createTransport(options: PlatformClientOptions): Transport {
   const attemptLimitMs = options.attemptMs ?? DEFAULT_ATTEMPT_MS;
   const deadlineMs = options.deadlineMs ?? DEFAULT_DEADLINE_MS;
+  const leastMs = attemptLimitMs * LEAST_ATTEMPT;
   const random = xoroshiro128plus(options.seed ?? randomInt(2 ** 31));
   const reads = createCallBudget(options.readsPerSecond);
   const writes = createCallBudget(options.writesPerSecond);
@@ -76,7 +79,7 @@
       // In a long outage each call makes one attempt, so that callers get their answer early.
       const failedLong = failingSince !== undefined && now - failingSince > deadlineMs;
       const pauseMs = computePause(attempt, retryAfterMs);
-      if (failedLong || stopper.signal.aborted || now + pauseMs >= deadlineAt) return false;
+      if (failedLong || stopper.signal.aborted || now + pauseMs + leastMs >= deadlineAt) return false;
       await sleep(pauseMs, stopper.signal);
       return !stopper.signal.aborted;
     },
--- a/packages/manage-cell/src/observe-run.ts
+++ b/packages/manage-cell/src/observe-run.ts
@@ -13,8 +13,6 @@
 /** The scales stay within these bounds, so that one odd run cannot exclude an engine or a link for long. */
 const MIN_SCALE = 0.02;
 const MAX_QUEUE_SCALE = 4;
-/** A miss with a first token later than this multiple of the estimate shows a slow link, and not only a freed piece. */
-const LATE_FACTOR = 2;
 /** Part of the learned rate that is kept when an import failed. */
 const FAILED_IMPORT = 0.5;
 
@@ -68,7 +66,8 @@
   // The engine may have had a planned piece in its cache, which is no miss.
   const known = report.importedPieces + Math.max(0, report.cachedPieces - decision.cachedPieces);
   const missed = imports.length - known;
-  const failed = missed > 0 && firstTokenMs > LATE_FACTOR * decision.estimateMs;
+  const failed = missed > 0;
+  // The missing pieces may have been freed; a new list shows it.
   for (const name of new Set(missed > 0 ? imports.map((piece) => piece.store) : [])) {
     const store = state.stores.get(name);
     if (store !== undefined) store.listedAtMs = undefined;
