Test the fake engine and hash a prompt once per answer

The fake hashed the whole prompt for every output token, which dominates with prompts of 128 pieces, and kept idle store connections after a failed import.

--- a/packages/call-engine/test/create-engine-client.test.ts
+++ b/packages/call-engine/test/create-engine-client.test.ts
@@ -140,3 +140,25 @@
     client.close();
   });
 });
+
+// Guards against a client that goes on using connections that have gone silent.
+test('silent connections are left for fresh ones', async (t) => {
+  await runWithEngine({}, async (engine) => {
+    const client = createEngineClient({ url: engine.url, callLimitMs: 150 });
+    t.true((await client.readLoad()).ok);
+    engine.setFaults({ silenceOpen: true });
+    t.like(await client.readLoad(), { ok: false, error: { kind: 'silent', sent: true } });
+    t.true((await client.readLoad()).ok);
+    client.close();
+  });
+});
+
+// Guards against an event stream that waits for ever on a silent connection.
+test('a silent event stream ends', async (t) => {
+  await runWithEngine({}, async (engine) => {
+    const client = createEngineClient({ url: engine.url, eventSilenceMs: 50 });
+    for await (const event of client.watchEvents(0, new AbortController().signal)) t.fail(String(event.seq));
+    t.pass();
+    client.close();
+  });
+});
--- a/packages/fakes/src/engine/import-piece.ts
+++ b/packages/fakes/src/engine/import-piece.ts
@@ -77,6 +77,10 @@
     return block;
   } catch {
     state.counters.importMisses += 1;
+    // Idle connections may be silent; the next import uses fresh ones.
+    for (const sockets of Object.values(state.agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
     return undefined;
   }
 }
--- a/packages/fakes/src/engine/stream-answer.ts
+++ b/packages/fakes/src/engine/stream-answer.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import type { EngineToken } from '@laburnumshift/types';
-import { computeAnswerToken } from './compute-answer-token.js';
+import { createAnswer } from './create-answer.js';
 import type { EngineRun } from './engine-run.js';
 import type { EngineState } from './engine-state.js';
 import { STREAM_FAULT_HANDLERS } from './stream-fault-handlers.js';
@@ -19,9 +19,8 @@
   return fault;
 }
 
-function buildToken(run: EngineRun, offset: number): EngineToken {
+function buildToken(run: EngineRun, offset: number, text: string): EngineToken {
   const { request } = run;
-  const text = computeAnswerToken(request.model, request.prompt, offset);
   return {
     id: request.request_id,
     weight_version: run.weightVersion,
@@ -44,6 +43,7 @@
   const { request } = run;
   const { signal } = run.stopper;
   const fault = takeStreamFault(state);
+  const getText = createAnswer(request.model, request.prompt);
   const send = (data: string): void => {
     if (!state.server.isSilent(response)) response.write(`data: ${data}\n\n`);
   };
@@ -57,7 +57,7 @@
     const pause = dueMs - readMonotonicMs();
     if (pause >= 1) await sleep(pause, signal);
     if (signal.aborted) return;
-    const token = buildToken(run, offset);
+    const token = buildToken(run, offset, getText(offset));
     if (fault?.afterTokens === offset - request.resume_offset) {
       const ended = await STREAM_FAULT_HANDLERS[fault.kind]({ state, run, response, token, send });
       if (ended) return;
