Add leases and fenced rollouts of engines

Cause: weights, adapters and roles must change under one holder, also when holders pause, answers get lost and engines ignore fencing numbers. BackendServer in types gets an optional role.

--- /dev/null
+++ b/packages/hold-lease/src/hold-lease.ts
@@ -0,0 +1,100 @@
+import { randomUUID } from 'node:crypto';
+import { readMonotonicMs, readWallMs, runEvery } from '@laburnumshift/clock';
+import { createLogger } from '@laburnumshift/logger';
+import type { WriteResult } from '@laburnumshift/types';
+import type { LeaseOptions } from './lease-options.js';
+import { LEASE_TIMES } from './lease-times.js';
+import { LEASE_VALUE_SCHEMA } from './lease-value-schema.js';
+import type { Lease } from './lease.js';
+
+/** Competes for a lease, renews it while it is held, and takes it over when its holder stops renewing. */
+export function holdLease(options: LeaseOptions): Lease {
+  const { platform, name, self } = options;
+  const logger = createLogger('lease');
+  /** The held lease: its fencing number, the version of its object, and the time until which it is surely held. */
+  let held: { readonly fencing: number; version: number; untilMs: number; sentMs: number } | undefined;
+  /** The last version of another holder and the time at which it was first seen. */
+  let seen = { version: -1, sinceMs: 0 };
+  let closed = false;
+
+  const isHeld = (): boolean => held !== undefined && readMonotonicMs() < held.untilMs;
+  const writeLease = (holder: string, fencing: number, ifVersion: number): Promise<WriteResult> => {
+    const expiresAt = readWallMs() + LEASE_TIMES.challengeMs;
+    const value = { holder, fencing, expiresAt, incarnation: self.incarnation };
+    return platform.writeObject('lease', name, value, ifVersion, randomUUID(), 'lease');
+  };
+  const readLease = async () => {
+    const read = await platform.readObject('lease', name, 'lease');
+    if (read.kind === 'unavailable') return undefined;
+    if (read.kind === 'absent') return { version: 0, holder: '', fencing: 0, incarnation: 0 };
+    const value = LEASE_VALUE_SCHEMA.safeParse(read.object.value).data;
+    return value === undefined ? undefined : { version: read.object.version, ...value };
+  };
+  const dropLease = (reason: string): void => {
+    if (held !== undefined) logger.warn('no longer holds a lease', { lease: name, reason });
+    held = undefined;
+  };
+  const takeLease = async (): Promise<void> => {
+    const found = await readLease();
+    if (found === undefined) return;
+    if (found.version !== seen.version) seen = { version: found.version, sinceMs: readMonotonicMs() };
+    const isFree = found.holder === '' || readMonotonicMs() - seen.sinceMs >= LEASE_TIMES.challengeMs;
+    if (!isFree || closed) return;
+    const sentMs = readMonotonicMs();
+    const fencing = found.fencing + 1;
+    const result = await writeLease(self.host, fencing, found.version);
+    // After an unknown result the lease is not held: this node then waits for its own write like for another's.
+    if (result.kind !== 'written') return;
+    held = { fencing, version: result.version, untilMs: sentMs + LEASE_TIMES.holdMs, sentMs };
+    if (isHeld()) logger.info('holds a lease', { lease: name, fencing });
+    else dropLease('the answer came too late');
+  };
+  const renewLease = async (current: NonNullable<typeof held>): Promise<void> => {
+    const sentMs = readMonotonicMs();
+    const result = await writeLease(self.host, current.fencing, current.version);
+    if (result.kind === 'written') {
+      current.version = result.version;
+      current.sentMs = sentMs;
+      current.untilMs = sentMs + LEASE_TIMES.holdMs;
+      return;
+    }
+    if (result.kind === 'unavailable') return;
+    // A renewal whose answer was lost changes the version, so only another holder or number means a loss.
+    const found = await readLease();
+    if (found === undefined) return;
+    const isOwn = found.holder === self.host && found.incarnation === self.incarnation;
+    if (!isOwn || found.fencing !== current.fencing) dropLease('another node has it');
+    else current.version = found.version;
+  };
+  const releaseLease = async (): Promise<void> => {
+    const current = held;
+    held = undefined;
+    if (current !== undefined) await writeLease('', current.fencing, current.version);
+  };
+  const runOnce = async (): Promise<void> => {
+    if (held !== undefined && !isHeld()) dropLease('not renewed in time');
+    const isWanted = options.isWanted?.() ?? true;
+    if (held !== undefined && !isWanted) await releaseLease();
+    else if (held === undefined && isWanted) await takeLease();
+    else if (held !== undefined && readMonotonicMs() - held.sentMs >= LEASE_TIMES.renewMs)
+      await renewLease(held);
+  };
+  const stop = runEvery(LEASE_TIMES.pollMs, runOnce, (error) => {
+    logger.error('lease work failed', { lease: name, detail: String(error) });
+  });
+
+  return {
+    getFencing: () => (isHeld() ? held?.fencing : undefined),
+    getRemainingMs: () => (held === undefined ? 0 : Math.max(0, held.untilMs - readMonotonicMs())),
+    release: async () => {
+      closed = true;
+      stop();
+      await releaseLease();
+    },
+    close: () => {
+      closed = true;
+      stop();
+      held = undefined;
+    },
+  };
+}
--- a/packages/hold-lease/src/index.ts
+++ b/packages/hold-lease/src/index.ts
@@ -1,2 +1,5 @@
 /** Leases with rising fencing numbers on platform objects. */
-export {};
+export { holdLease } from './hold-lease.js';
+export type { LeaseOptions } from './lease-options.js';
+export { LEASE_TIMES } from './lease-times.js';
+export type { Lease } from './lease.js';
--- a/packages/order-engines/src/index.ts
+++ b/packages/order-engines/src/index.ts
@@ -1,2 +1,4 @@
 /** Rollouts of weights, adapters and roles by fenced orders. */
-export {};
+export { orderEngines } from './order-engines.js';
+export type { OrderLimits } from './order-limits.js';
+export type { OrderOptions } from './order-options.js';
--- a/packages/types/src/backend-server.ts
+++ b/packages/types/src/backend-server.ts
@@ -12,4 +12,6 @@
   readonly prefillTokensPerSecond: number;
   /** Decode rate of one stream, tokens per second; a first estimate. */
   readonly decodeTokensPerSecond: number;
+  /** Role that the engine shall have; absent means that its role is left as it is. */
+  readonly role?: string | undefined;
 }
