Test membership over real links

Cause: the membership tests used an in-memory mesh only. Change: a test with three nodes over createNodeMesh.

--- /dev/null
+++ b/packages/detect-members/test/real-links.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava';
+import { createNodeMesh } from '@laburnumshift/call-node';
+import { detectMembers } from '@laburnumshift/detect-members';
+import { waitFor } from '@laburnumshift/test-utils';
+
+// Guards against messages that work in the simulation only: real links encode and decode them.
+test('members find each other and lose a closed one over real links', async (t) => {
+  const secret = 'a shared secret of nodes';
+  const meshes = await Promise.all([0, 1, 2].map(() => createNodeMesh({ listen: '127.0.0.1:0', secret })));
+  const seeds = meshes.slice(0, 1).map((mesh) => mesh.getAddress());
+  const views = meshes.map((mesh, i) =>
+    detectMembers({
+      self: { host: `n${String(i)}`, incarnation: 1, failureDomain: 'a', address: mesh.getAddress() },
+      mesh,
+      listHosts: () => Promise.resolve(undefined),
+      seeds,
+      randomSeed: i,
+    }),
+  );
+  await waitFor('all members', () => views.every((view) => view.listLive().length === 3));
+  views[2]?.close();
+  await meshes[2]?.close();
+  await waitFor('the closed one to go', () => views.slice(0, 2).every((v) => v.listLive().length === 2));
+  t.deepEqual(
+    views[0]?.listLive().map((m) => m.host),
+    ['n0', 'n1'],
+  );
+  for (const view of views) view.close();
+  await Promise.all(meshes.slice(0, 2).map((mesh) => mesh.close()));
+});
