Give pins the time that long prompts need

Cause: a prompt with a hundred imports needs a hundred pins, and 15 ms for them would have marked a healthy store as silent. A grant whose imports were dropped kept the estimate of the import, and an engine that kept ending its event stream was asked for all its pieces four times a second. Change: pins may take 100 ms (the caller is answered queued meanwhile), only a store that answers none of them is left out, pins last twice the estimate and at least 5 s, a dropped import adds its computation to the estimate, and event streams that end early are opened again after up to 5 s.

--- a/packages/manage-cell/src/build-grant.ts
+++ b/packages/manage-cell/src/build-grant.ts
@@ -3,6 +3,8 @@
 import type { CellState } from './cell-state.js';
 import type { PlacementView } from './placement-view.js';
 
+const MS_PER_S = 1000;
+
 /** Builds the grant of a decision with the pieces that were pinned for it, which follow each other from `headPieces` on. */
 export function buildGrant(
   state: CellState,
@@ -14,6 +16,9 @@
   const engine = view.input.engines.find((candidate) => candidate.name === decision.engine);
   const cacheScope = view.scopes.get(engine?.weightVersion ?? '');
   if (engine === undefined || cacheScope === undefined) return undefined;
+  // Planned imports that could not be pinned are computed.
+  const dropped = request.pieces.slice(decision.headPieces + pinned.length, decision.importEnd);
+  const droppedTokens = dropped.reduce((sum, piece) => sum + piece.tokens, 0);
   return {
     engine: engine.name,
     url: engine.url,
@@ -30,7 +35,7 @@
       length: piece.length,
       checksum: piece.checksum,
     })),
-    estimateMs: decision.estimateMs,
+    estimateMs: decision.estimateMs + (droppedTokens / engine.prefillTokensPerSecond) * MS_PER_S,
     candidates: decision.candidates,
   };
 }
--- a/packages/manage-cell/src/cell-times.ts
+++ b/packages/manage-cell/src/cell-times.ts
@@ -15,8 +15,10 @@
   grantKeptMs: 1000,
   backoffMs: 500,
   maxBackoffMs: 5000,
-  pinTimeoutMs: 15,
-  pinMs: 30_000,
+  /** A long prompt needs a hundred pins; when they outlast the caller's wait, it is answered `queued` and asks again. */
+  pinTimeoutMs: 100,
+  /** Pins last at least this long, and twice the estimated time to the first token. */
+  minPinMs: 5000,
   storeBackoffMs: 1000,
   /** Exports and prefetches start only while the link queue is shorter than this. */
   idleLinkMs: 50,
--- a/packages/manage-cell/src/register-run.ts
+++ b/packages/manage-cell/src/register-run.ts
@@ -27,6 +27,7 @@
     expiresAtMs: nowMs + (decision.estimateMs + decodeMs) * DURATION_SLACK + CELL_TIMES.reportGraceMs,
     decision,
     pins: [],
+    pinnedUntilMs: nowMs,
   };
   record.running.set(request.requestId, run);
   record.ownPeak = Math.max(record.ownPeak, record.running.size);
--- a/packages/manage-cell/src/release-run.ts
+++ b/packages/manage-cell/src/release-run.ts
@@ -1,3 +1,4 @@
+import { readMonotonicMs } from '@laburnumshift/clock';
 import type { CellState } from './cell-state.js';
 import type { EngineRecord } from './engine-record.js';
 import type { RunningRequest } from './running-request.js';
@@ -16,7 +17,8 @@
     const run = record.running.get(requestId);
     if (run === undefined || (engine !== undefined && engine !== record.server.name)) continue;
     record.running.delete(requestId);
-    for (const pin of run.pins) void state.stores.get(pin.store)?.client.unpinPiece(pin.scope, pin.chain);
+    const held = run.pinnedUntilMs > readMonotonicMs() ? run.pins : [];
+    for (const pin of held) void state.stores.get(pin.store)?.client.unpinPiece(pin.scope, pin.chain);
     return { record, run };
   }
   return undefined;
--- a/packages/manage-cell/src/running-request.ts
+++ b/packages/manage-cell/src/running-request.ts
@@ -11,4 +11,6 @@
   readonly decision: PlacementDecision;
   /** Pieces pinned for it; released with the run. */
   pins: readonly StoredPiece[];
+  /** Pins end by themselves then. */
+  pinnedUntilMs: number;
 }
--- a/packages/manage-cell/src/start-grant.ts
+++ b/packages/manage-cell/src/start-grant.ts
@@ -49,7 +49,9 @@
   };
   if (wanted.length === 0) finish([]);
   else {
-    pinImports(state, wanted).then(finish, () => {
+    const ttlMs = Math.max(CELL_TIMES.minPinMs, 2 * decision.estimateMs);
+    if (run !== undefined) run.pinnedUntilMs = nowMs + ttlMs;
+    pinImports(state, wanted, ttlMs).then(finish, () => {
       finish([]);
     });
   }
--- a/packages/manage-cell/src/watch-engine.ts
+++ b/packages/manage-cell/src/watch-engine.ts
@@ -47,14 +47,19 @@
 
 async function pollEvents(state: CellState, record: EngineRecord): Promise<void> {
   const { signal } = record.stopper;
+  let pauseMs: number = CELL_TIMES.eventRetryMs;
   while (!isStopped(record)) {
+    const beganMs = readMonotonicMs();
     try {
       const seq = await resyncPieces(state, record);
       if (seq !== undefined) await applyEvents(state, record, seq);
     } catch (error) {
       state.options.logger.debug('cache events ended', { engine: record.server.name, reason: String(error) });
     }
-    await sleep(CELL_TIMES.eventRetryMs, signal);
+    // Each connection lists all pieces, so an engine that keeps ending the stream is asked less and less often.
+    const isStable = readMonotonicMs() - beganMs > CELL_TIMES.maxBackoffMs;
+    pauseMs = isStable ? CELL_TIMES.eventRetryMs : Math.min(pauseMs * 2, CELL_TIMES.maxBackoffMs);
+    await sleep(pauseMs, signal);
   }
 }
 
--- a/packages/manage-cell/test/doubles.ts
+++ b/packages/manage-cell/test/doubles.ts
@@ -77,6 +77,7 @@
   pinned: string[] = [];
   gone = new Set<string>();
   failing = false;
+  silent = false;
   linkQueuedBytes = 0;
   constructor(readonly pieces: StoredPiece[]) {}
 
@@ -91,6 +92,7 @@
       },
       listPieces: () => Promise.resolve({ ok: true, value: this.pieces }),
       pinPiece: (_scope, chain) => {
+        if (this.silent) return new Promise(() => undefined);
         const piece = this.gone.has(chain) ? undefined : this.pieces.find((one) => one.chain === chain);
         if (piece !== undefined) this.pinned.push(chain);
         return Promise.resolve(piece === undefined ? notFound : { ok: true, value: piece });
--- a/packages/manage-cell/test/manage-cell.test.ts
+++ b/packages/manage-cell/test/manage-cell.test.ts
@@ -165,11 +165,23 @@
     ['c0', 'c1'],
   );
   t.like(reply.grant.imports[0], { index: 0, url: 'http://s', key: `${SCOPE}:c0`, generation: 7 });
+  t.true(reply.grant.estimateMs >= 400);
   t.deepEqual(store.pinned, ['c0', 'c1']);
   cell.reportRun(createReport(request, 'e0'));
   t.deepEqual(store.pinned, []);
 });
 
+// Guards against requests that wait for a store which accepts calls and does not answer.
+test.serial('a silent store costs one timeout', async (t) => {
+  const store = new StoreDouble(['c0', 'c1'].map(createStored));
+  const { ask } = await startCell(t, { engines: createEngines(1), store });
+  store.silent = true;
+  const request = createRequest();
+  t.is((await ask(request)).kind, 'queued');
+  t.like(await ask({ ...request, waitMs: 200 }), { kind: 'granted', grant: { imports: [] } });
+  t.like(await ask(createRequest()), { kind: 'granted', grant: { imports: [] } });
+});
+
 // Guards against plans that go on counting on a link whose imports fail or are slow.
 test.serial('failed and slow imports lower the rate of a link', async (t) => {
   const store = new StoreDouble(['c0', 'c1'].map(createStored));
