Measure how much recomputation no store could have saved

Cause: the share recomputed mixes the decision with retention. Change: the placement scenarios also give the share of prompt tokens that were recomputed because no store held them.

--- a/packages/measure/src/build-run-figures.ts
+++ b/packages/measure/src/build-run-figures.ts
@@ -28,6 +28,7 @@
     normal: computeFigures(filterPriority('normal')),
     bulk: computeFigures(filterPriority('bulk')),
     recomputedShare: results.reduce((sum, result) => sum + result.recomputedTokens, 0) / tokens,
+    missedShare: results.reduce((sum, result) => sum + result.missedTokens, 0) / tokens,
     computedShare: results.reduce((sum, result) => sum + result.computedTokens, 0) / tokens,
     linkGibibytes: run.movedBytes / BYTES_PER_GIBIBYTE,
     peakLinkUse: run.peakLinkUse,
--- a/packages/measure/src/request-result.ts
+++ b/packages/measure/src/request-result.ts
@@ -9,4 +9,6 @@
   readonly computedTokens: number;
   /** Computed tokens that had been computed before for an earlier request. */
   readonly recomputedTokens: number;
+  /** The part of the recomputed tokens that no store held when the engine was chosen. */
+  readonly missedTokens: number;
 }
--- a/packages/measure/src/run-figures.ts
+++ b/packages/measure/src/run-figures.ts
@@ -9,6 +9,8 @@
   readonly bulk: ClassFigures;
   /** Share of prompt tokens that were computed although an earlier request had computed them. */
   readonly recomputedShare: number;
+  /** The part of `recomputedShare` that no store held: retention decides it, not placement. */
+  readonly missedShare: number;
   /** Share of prompt tokens that were computed, new ones included. */
   readonly computedShare: number;
   readonly linkGibibytes: number;
--- a/packages/measure/src/simulate-cell.ts
+++ b/packages/measure/src/simulate-cell.ts
@@ -50,7 +50,7 @@
     buildSimInput(deployment, request, { engines, store, link, turn, anyRoom, nowMs: events.getNowMs() });
   const refuse = (request: TraceRequest): void => {
     const ttftMs = request.kind.deadlineMs;
-    results.push({ request, ttftMs, refused: true, computedTokens: 0, recomputedTokens: 0 });
+    results.push({ request, ttftMs, refused: true, computedTokens: 0, recomputedTokens: 0, missedTokens: 0 });
   };
 
   const addRequest = (request: TraceRequest, started: boolean): void => {
--- a/packages/measure/src/start-sim-run.ts
+++ b/packages/measure/src/start-sim-run.ts
@@ -31,6 +31,7 @@
   const computed = pieces.filter((_, index) => index >= decision.cachedPieces && index < decision.headPieces);
   const imported = pieces.slice(decision.headPieces, decision.importEnd);
   computed.push(...pieces.slice(decision.importEnd));
+  const missed = computed.filter(({ chain }) => seen.has(chain) && store.getTier(chain) === undefined);
   const headTokens = pieces
     .slice(decision.cachedPieces, decision.headPieces)
     .reduce((sum, piece) => sum + piece.tokens, 0);
@@ -44,9 +45,17 @@
     engine.addPrefill(tokens - headTokens, kind.priority, () => {
       const old = computed.filter((piece) => seen.has(piece.chain));
       const recomputedTokens = old.reduce((sum, piece) => sum + piece.tokens, 0);
+      const missedTokens = missed.reduce((sum, piece) => sum + piece.tokens, 0);
       const ttftMs = events.getNowMs() - request.atMs;
       if (!run.started) {
-        report.recordFirst({ request, ttftMs, refused: false, computedTokens: tokens, recomputedTokens });
+        report.recordFirst({
+          request,
+          ttftMs,
+          refused: false,
+          computedTokens: tokens,
+          recomputedTokens,
+          missedTokens,
+        });
       }
       run.started = true;
       recordPieces();
