--- a/packages/run-node/src/run-node.ts
+++ b/packages/run-node/src/run-node.ts
@@ -19,6 +19,7 @@
 import { createHomes } from './create-homes.js';
 import { createHostWatch } from './create-host-watch.js';
 import { createLimiter } from './create-limiter.js';
+import { createOrderDuties } from './create-order-duties.js';
 import { createOperatorHandlers } from './create-operator-handlers.js';
 import { createPeerClients } from './create-peer-clients.js';
 import { createPlacer } from './create-placer.js';
@@ -119,6 +120,7 @@
   };
   const suspects = createSuspectMemory();
   const homes = createHomes(isHome, getConfig, quarantine, suspects, metrics, logger);
+  const orders = createOrderDuties(platform, membership, getConfig, peers.getEngine);
   const servers = createServerTable(getConfig, peers.getService, reportError);
   hostWatch.onChange((leaving) => {
     homes.setLeaving(leaving);
@@ -127,6 +129,7 @@
   });
   configWatch.onConfig((config) => {
     homes.applyConfig(config);
+    orders.applyConfig(config);
     peers.dropUnused(config);
     logger.info('a configuration is in force', { generation: config.generation });
   });
@@ -141,6 +144,7 @@
     hostWatch,
     peers,
     homes,
+    orders,
     placer,
     servers,
     quarantine,
