--- a/packages/journal-calls/src/create-shard.ts
+++ b/packages/journal-calls/src/create-shard.ts
@@ -7,6 +7,7 @@
 import { loadShard } from './load-shard.js';
 import { refreshView } from './refresh-view.js';
 import { findOlderCall } from './find-older-call.js';
+import { setEntry } from './set-entry.js';
 import type { ShardIntent } from './shard-intent.js';
 import type { ShardView } from './shard-view.js';
 import type { Shard } from './shard.js';
@@ -51,7 +52,7 @@
   const ensureView = async (isRefresh: boolean): Promise<ShardView | undefined> => {
     if (view !== undefined && readMonotonicMs() - view.confirmedMs > limits.staleMs) view = undefined;
     if (view === undefined) view = await loadShard(platform, index, limits);
-    else if (isRefresh && !(await refreshView(platform, index, view, limits.maxEntries))) view = undefined;
+    else if (isRefresh && !(await refreshView(platform, index, view, limits))) view = undefined;
     lastView = view ?? lastView;
     return view;
   };
@@ -59,7 +60,7 @@
   const ensureEntry = async (known: ShardView, id: string, sinceMs: number): Promise<boolean> => {
     if (known.entries.has(id) || sinceMs > known.missingUntilMs) return true;
     const scanned = await findOlderCall(platform, index, known, id, sinceMs, limits.maxScan);
-    if (scanned?.entry !== undefined) known.entries.set(id, scanned.entry);
+    if (scanned?.entry !== undefined) setEntry(known, id, scanned.entry);
     return scanned !== undefined;
   };
   const failAll = (failure: string): void => {
@@ -113,7 +114,7 @@
     );
     const intents = batch.map((item) => item.intent);
     if (result.kind === 'written' && readMonotonicMs() - known.confirmedMs <= limits.staleMs) {
-      applyToView(known, records.slice(known.records.length), limits.maxEntries);
+      applyToView(known, records.slice(known.records.length), limits);
       known.confirmedMs = readMonotonicMs();
       known.version = sealed ? 0 : result.version;
       known.records = sealed ? [] : records;
@@ -131,7 +132,7 @@
     }
     // A conflict, an unknown result, or a confirmation after a pause: only the newest state decides who may run.
     unsettled = [...intents, ...unsettled];
-    if (result.kind === 'written' || !(await refreshView(platform, index, known, limits.maxEntries))) {
+    if (result.kind === 'written' || !(await refreshView(platform, index, known, limits))) {
       view = undefined;
       return result.kind === 'written';
     }
--- a/packages/journal-calls/src/default-journal-limits.ts
+++ b/packages/journal-calls/src/default-journal-limits.ts
@@ -7,6 +7,7 @@
   maxQueue: 20_000,
   maxAnswerBytes: 4096,
   maxEntries: 20_000,
+  maxViewBytes: 16 * 1024 * 1024,
   maxScan: 400,
   skewMs: 60_000,
   maxAttemptMs: 120_000,
--- a/packages/journal-calls/src/journal-limits.ts
+++ b/packages/journal-calls/src/journal-limits.ts
@@ -10,6 +10,8 @@
   readonly maxAnswerBytes: number;
   /** Entries of one shard in memory; older ones are read from the platform when they are asked for. */
   readonly maxEntries: number;
+  /** Memory of one shard's entries, bytes. */
+  readonly maxViewBytes: number;
   /** Objects read for one call whose entry is not in memory. */
   readonly maxScan: number;
   /** Largest difference between the clocks of callers and nodes, milliseconds. */
--- a/packages/journal-calls/src/load-shard.ts
+++ b/packages/journal-calls/src/load-shard.ts
@@ -46,10 +46,11 @@
     confirmedMs: startMs,
     first: hint.first,
     entries: new Map(),
+    bytes: 0,
     missingUntilMs: Math.min(missingUntilMs, readWallMs() + limits.skewMs),
   };
-  for (const records of older) applyToView(view, records, limits.maxEntries);
-  if (!(await refreshView(platform, shard, view, limits.maxEntries))) return undefined;
+  for (const records of older) applyToView(view, records, limits);
+  if (!(await refreshView(platform, shard, view, limits))) return undefined;
   const isReached = view.seq > hint.last || view.version > 0 || hint.last === 0;
   const isFresh = readMonotonicMs() - startMs < limits.staleMs;
   return isReached && isFresh ? view : undefined;
--- a/packages/journal-calls/src/refresh-view.ts
+++ b/packages/journal-calls/src/refresh-view.ts
@@ -1,6 +1,7 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
 import type { PlatformClient } from '@laburnumshift/types';
 import { applyToView } from './apply-to-view.js';
+import type { JournalLimits } from './journal-limits.js';
 import { readJournalObject } from './read-journal-object.js';
 import type { ShardView } from './shard-view.js';
 
@@ -12,7 +13,7 @@
   platform: PlatformClient,
   shard: number,
   view: ShardView,
-  maxEntries: number,
+  limits: Pick<JournalLimits, 'maxEntries' | 'maxViewBytes'>,
 ): Promise<boolean> {
   for (;;) {
     const object = await readJournalObject(platform, shard, view.seq);
@@ -22,7 +23,7 @@
       return view.version === 0;
     }
     // Objects only grow, so the records that were known are a prefix of the ones read.
-    applyToView(view, object.records.slice(view.records.length), maxEntries);
+    applyToView(view, object.records.slice(view.records.length), limits);
     view.confirmedMs = readMonotonicMs();
     view.records = object.records;
     view.version = object.version;
--- a/packages/journal-calls/src/shard-view.ts
+++ b/packages/journal-calls/src/shard-view.ts
@@ -13,6 +13,8 @@
   readonly first: number;
   /** Calls by id, oldest first. */
   readonly entries: Map<string, CallEntry>;
+  /** Memory of the entries, bytes. */
+  bytes: number;
   /** Records of this wall-clock time or earlier may be missing from `entries`; 0 when none is. */
   missingUntilMs: number;
 }
