--- a/packages/read-settings/src/settings-schema.ts
+++ b/packages/read-settings/src/settings-schema.ts
@@ -11,7 +11,7 @@
 
 /**
  * Settings of a daemon with their defaults. The platform budgets are shares of 400 writes and 2,000 reads a second for 8
- * nodes. Three journal shards with a write every 80 ms make 38 writes a second, within the limit of one write for 20
+ * nodes. Two journal shards with a write every 80 ms make 25 writes a second, and 25 deletions later: one for 20
  * bookings at 1,000 bookings a second.
  */
 export const SETTINGS_SCHEMA: z.ZodType<NodeSettings> = z.strictObject({
@@ -41,7 +41,7 @@
     .prefault({}),
   journal: z
     .strictObject({
-      shards: countSchema.max(1024).default(3),
+      shards: countSchema.max(1024).default(2),
       retentionMs: countSchema.default(7_200_000),
       minWriteIntervalMs: durationSchema.default(80),
     })
