--- a/packages/fakes/src/engine/create-boot.ts
+++ b/packages/fakes/src/engine/create-boot.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import type { EngineBoot } from './engine-boot.js';
 import type { EngineFaults } from './engine-faults.js';
 import type { EngineSettings } from './engine-settings.js';
@@ -13,6 +14,9 @@
     () => settings.eventDelayMs + readFaults().extraEventDelayMs,
     () => readFaults().loseEvery,
   );
+  const stopper = new AbortController();
+  // Each run listens.
+  setMaxListeners(0, stopper.signal);
   return {
     id: randomUUID(),
     events,
@@ -22,6 +26,6 @@
     slots: new SlotQueue(settings.slots),
     prefill: new PrefillQueue(() => settings.prefillTokensPerSecond * (1 - readFaults().otherShare)),
     runs: new Set(),
-    stopper: new AbortController(),
+    stopper,
   };
 }
--- a/packages/fakes/src/engine/create-limit.ts
+++ b/packages/fakes/src/engine/create-limit.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { startTimer } from '@laburnumshift/clock';
 
 /** Creates a signal that aborts after some milliseconds or when another signal aborts; `stop` releases it. */
@@ -6,6 +7,8 @@
   parent?: AbortSignal,
 ): { readonly signal: AbortSignal; readonly stop: () => void } {
   const limit = new AbortController();
+  // Each import of a run listens.
+  setMaxListeners(0, limit.signal);
   const stopNow = (): void => {
     limit.abort();
   };
