Count pieces as used in the simulated store however they were reused

Cause: a stored piece that an engine recomputed or still had in memory kept its old place in the store's order of use, unlike in a real LRU of uses. Change: finishing a prompt refreshes the pieces that the store holds.

--- a/packages/measure/src/sim-store.ts
+++ b/packages/measure/src/sim-store.ts
@@ -69,9 +69,12 @@
     this.runTransfer();
   }
 
-  /** Exports a piece when the link is idle. */
+  /** Exports a piece when the link is idle; a piece that is there counts as used, however the engine came by it. */
   exportPiece(chain: string): void {
-    if (!this.alive || this.getTier(chain) !== undefined || this.exports.size >= MAX_EXPORTS) return;
+    if (!this.alive) return;
+    const tier = this.getTier(chain);
+    if (tier !== undefined) this[tier].add(chain);
+    if (tier !== undefined || this.exports.size >= MAX_EXPORTS) return;
     this.exports.set(chain, true);
     this.runTransfer();
   }
