Run random histories with faults and check I1 to I9

Cause: the invariants of section 1.1 had no check over whole runs. Change: a harness runs three nodes against a site of fakes with callers, racing operators, restarts, leaving servers and a pair of faults out of 45, records every operation, and checks nine pure functions over the history. The fakes keep a record of each run with its time, scope and version. The fakes' group of weight loads halved its remaining time with each step when more than two engines loaded, so that four loads took seconds longer; it now reaches the end, with a test.

--- /dev/null
+++ b/packages/check-histories/src/harness/model.ts
@@ -0,0 +1,2 @@
+/** Model that all engines of the histories run. */
+export const MODEL = 'storyteller';
--- /dev/null
+++ b/packages/check-histories/src/harness/piece-tokens.ts
@@ -0,0 +1,2 @@
+/** Tokens in a piece; small, so that prompts of several pieces stay short. */
+export const PIECE_TOKENS = 50;
--- a/packages/fakes/src/engine/build-prefix.ts
+++ b/packages/fakes/src/engine/build-prefix.ts
@@ -87,11 +87,12 @@
   }
   boot.cache.refreshBlocks(used);
   run.promptTokens = 0;
-  run.foreign = used.some(
-    (block, index) =>
-      block.scope !== request.cache_scope ||
-      block.weightVersion !== run.weightVersion ||
-      block.text !== texts[index],
-  );
+  const foreignBy = used.flatMap((block, index) => [
+    ...(block.scope === request.cache_scope ? [] : (['scope'] as const)),
+    ...(block.weightVersion === run.weightVersion ? [] : (['version'] as const)),
+    ...(block.text === texts[index] ? [] : (['text'] as const)),
+  ]);
+  run.foreign = foreignBy.length > 0;
+  if (run.record !== undefined) run.record.foreignBy = foreignBy;
   if (run.foreign) counters.foreignAnswers += 1;
 }
--- a/packages/fakes/src/engine/engine-run.ts
+++ b/packages/fakes/src/engine/engine-run.ts
@@ -1,4 +1,5 @@
 import type { EngineRequest } from '@laburnumshift/types';
+import type { EngineRunRecord } from './engine-run-record.js';
 
 /** A run of one completion on the fake engine. */
 export interface EngineRun {
@@ -15,4 +16,6 @@
   outputLeft: number;
   /** True when a block of another scope, version or text was used. */
   foreign: boolean;
+  /** Set when the run begins. */
+  record?: EngineRunRecord | undefined;
 }
--- a/packages/fakes/src/engine/engine-state.ts
+++ b/packages/fakes/src/engine/engine-state.ts
@@ -4,6 +4,7 @@
 import type { EngineBoot } from './engine-boot.js';
 import type { EngineCounters } from './engine-counters.js';
 import type { EngineFaults } from './engine-faults.js';
+import type { EngineRunRecord } from './engine-run-record.js';
 import type { EngineSettings } from './engine-settings.js';
 
 /** State of the fake engine that its handlers share. */
@@ -11,6 +12,7 @@
   readonly settings: EngineSettings;
   readonly server: FakeServer;
   readonly counters: EngineCounters;
+  readonly runRecords: EngineRunRecord[];
   /** Connections to stores. */
   readonly agent: Agent;
   /** Order ids that were accepted. */
--- a/packages/fakes/src/engine/index.ts
+++ b/packages/fakes/src/engine/index.ts
@@ -3,6 +3,7 @@
 export { computeAnswerToken } from './compute-answer-token.js';
 export type { EngineCounters } from './engine-counters.js';
 export type { EngineFaults } from './engine-faults.js';
+export type { EngineRunRecord } from './engine-run-record.js';
 export type { FakeEngine } from './fake-engine.js';
 export type { FakeEngineOptions } from './fake-engine-options.js';
 export { LoadGroup } from './load-group.js';
--- a/packages/fakes/src/engine/load-group.ts
+++ b/packages/fakes/src/engine/load-group.ts
@@ -22,9 +22,10 @@
     this.mostActive = Math.max(this.mostActive, this.active);
     let left = ms;
     while (left > 0 && !signal.aborted) {
-      const step = Math.min(left, SLICE_MS);
+      const speed = Math.min(1, FULL_SPEED_LOADS / this.active);
+      const step = Math.min(left / speed, SLICE_MS);
       await sleep(step, signal);
-      left -= step * Math.min(1, FULL_SPEED_LOADS / this.active);
+      left -= step * speed;
     }
     this.active -= 1;
   }
--- a/packages/fakes/src/engine/run-request.ts
+++ b/packages/fakes/src/engine/run-request.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { sleep } from '@laburnumshift/clock';
+import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import { countTokens } from '@laburnumshift/hash-pieces';
 import type { EngineRequest } from '@laburnumshift/types';
 import { sendJson } from '../store/send-json.js';
@@ -25,6 +25,14 @@
 }
 
 function recordRun(state: EngineState, run: EngineRun): void {
+  run.record = {
+    requestId: run.request.request_id,
+    scope: run.request.cache_scope,
+    weightVersion: run.weightVersion,
+    startedAtMs: readMonotonicMs(),
+    foreignBy: [],
+  };
+  state.runRecords.push(run.record);
   const { runs, runsByVersion } = state.counters;
   const id = run.request.request_id;
   runs[id] = (runs[id] ?? 0) + 1;
--- a/packages/fakes/src/older-system/start-fake-older-system.ts
+++ b/packages/fakes/src/older-system/start-fake-older-system.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { sleep } from '@laburnumshift/clock';
+import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import type { FaultServerOptions } from '../service/fault-server-options.js';
+import type { ServiceCallRecord } from '../service/service-call-record.js';
 import { sendJson } from '../service/send-json.js';
 import { startFaultServer } from '../service/start-fault-server.js';
 import { COMPLETION_BODY_SCHEMA } from './completion-body-schema.js';
@@ -12,6 +13,7 @@
 export async function startFakeOlderSystem(options: OlderSystemOptions = {}): Promise<FakeOlderSystem> {
   const runs = options.runs ?? new Map<string, number>();
   const outcomes = new Map<string, { readonly status: number; readonly body: string }>();
+  const calls: ServiceCallRecord[] = [];
   let completions = 0;
 
   const streamTokens = async (
@@ -50,6 +52,7 @@
     if (key !== '' && known !== undefined) return known;
     const count = (runs.get(key) ?? 0) + 1;
     runs.set(key, count);
+    calls.push({ key, ranAtMs: readMonotonicMs() });
     const answer = {
       service: 'older-system',
       method: request.method,
@@ -100,6 +103,7 @@
     url: server.url,
     adminUrl: server.adminUrl,
     countRuns: (key) => runs.get(key) ?? 0,
+    listCalls: () => [...calls],
     countCompletions: () => completions,
     setFaults: server.setFaults,
     close: server.close,
--- a/packages/fakes/src/service/start-fake-service.ts
+++ b/packages/fakes/src/service/start-fake-service.ts
@@ -1,6 +1,7 @@
-import { sleep } from '@laburnumshift/clock';
+import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import type { FakeServiceOptions } from './fake-service-options.js';
 import type { FakeService } from './fake-service.js';
+import type { ServiceCallRecord } from './service-call-record.js';
 import type { FaultServerOptions } from './fault-server-options.js';
 import { sendJson } from './send-json.js';
 import { startFaultServer } from './start-fault-server.js';
@@ -11,6 +12,7 @@
  */
 export async function startFakeService(options: FakeServiceOptions = {}): Promise<FakeService> {
   const runs = options.runs ?? new Map<string, number>();
+  const calls: ServiceCallRecord[] = [];
   let running = 0;
   let peak = 0;
 
@@ -40,6 +42,7 @@
       const key = String(request.headers['idempotency-key'] ?? '');
       const count = (runs.get(key) ?? 0) + 1;
       runs.set(key, count);
+      calls.push({ key, ranAtMs: readMonotonicMs() });
       if (server.takeLost('lostAfterRun')) {
         dropAnswer();
         return;
@@ -57,6 +60,7 @@
     getBootId: server.getBootId,
     countRuns: (key) => runs.get(key) ?? 0,
     listRuns: () => runs,
+    listCalls: () => [...calls],
     getPeak: () => peak,
     setFaults: server.setFaults,
     close: server.close,
