--- a/packages/manage-cell/src/observe-run.ts
+++ b/packages/manage-cell/src/observe-run.ts
@@ -59,21 +59,28 @@
   firstTokenMs: number,
   nowMs: number,
 ): void {
-  const { decision, pins } = run;
-  const planned = pins.length;
+  const { decision, imports } = run;
   // Only a transfer that outlasted the head shows its duration.
   const restMs = decision.estimateMs - decision.queueMs - decision.transferMs;
   const transferMs = firstTokenMs - decision.queueMs - restMs;
-  const failed = report.importedPieces < planned;
+  // The engine may have had a planned piece in its cache, which is no miss.
+  const known = report.importedPieces + Math.max(0, report.cachedPieces - decision.cachedPieces);
+  const missed = imports.length - known;
+  const failed = missed > 0;
+  // The missing pieces may have been freed; a new list shows it.
+  for (const name of new Set(missed > 0 ? imports.map((piece) => piece.store) : [])) {
+    const store = state.stores.get(name);
+    if (store !== undefined) store.listedAtMs = undefined;
+  }
   if (!failed && (decision.transferMs <= 0 || restMs < 0)) return;
   const ratio = failed ? FAILED_IMPORT : decision.transferMs / Math.max(transferMs, 1);
-  for (const name of new Set(pins.map((pin) => pin.store))) {
+  for (const name of new Set(imports.map((piece) => piece.store))) {
     const store = state.stores.get(name);
     if (store === undefined) continue;
-    const queuedBytes = estimateLink(store, nowMs).queuedBytes;
-    const scale = Math.min(Math.max(store.rateScale * ratio, MIN_SCALE), 1);
+    const { queuedBytes, rateScale } = estimateLink(store, nowMs);
+    const scale = Math.min(Math.max(rateScale * ratio, MIN_SCALE), 1);
     // A slow link costs every request that waits for it, so bad news counts at once and good news slowly.
-    store.rateScale = scale < store.rateScale ? scale : store.rateScale + GAIN * (scale - store.rateScale);
+    store.rateScale = scale < rateScale ? scale : rateScale + GAIN * (scale - rateScale);
     store.scaledAtMs = nowMs;
     store.queuedBytes = queuedBytes;
     store.queuedAtMs = nowMs;
