--- a/packages/check-histories/src/harness/create-fleet.ts
+++ b/packages/check-histories/src/harness/create-fleet.ts
@@ -14,6 +14,10 @@
 export async function createFleet(site: Site, count: number, hasChild: boolean): Promise<Fleet> {
   const nodes: FleetNode[] = [];
   const starts = new Map<number, number>();
+  /** Pauses of a node that have not ended; they may overlap. */
+  const halted = new Map<FleetNode, number>();
+  /** Two kills that overlap are followed by one start. */
+  let reviving = Promise.resolve();
   const childIndex = hasChild ? count - 1 : -1;
 
   const findRunning = (index: number): FleetNode | undefined =>
@@ -75,16 +79,22 @@
       }
       return Promise.resolve();
     },
-    reviveChild: async () => {
-      if (findRunning(childIndex) === undefined) await startNode(childIndex);
+    reviveChild: () => {
+      reviving = reviving.then(async () => {
+        if (findRunning(childIndex) === undefined) await startNode(childIndex);
+      });
+      return reviving;
     },
     pauseChild: () => {
       const node = findRunning(childIndex);
       if (node === undefined) return () => undefined;
       const startMs = readMonotonicMs();
       node.process.sendSignal?.('SIGSTOP');
+      halted.set(node, (halted.get(node) ?? 0) + 1);
       return () => {
-        node.process.sendSignal?.('SIGCONT');
+        const left = (halted.get(node) ?? 1) - 1;
+        halted.set(node, left);
+        if (left === 0) node.process.sendSignal?.('SIGCONT');
         node.life.pauses.push({ startMs, endMs: readMonotonicMs() });
       };
     },
