Bound the processor time of retention planning

Planning the changes of a cell's stores took 88 ms for 50,000 stored pieces and ran each second, 9% of a core. The pause is now at least 100 times the last planning time.

--- a/packages/manage-cell/src/manage-cell.ts
+++ b/packages/manage-cell/src/manage-cell.ts
@@ -14,6 +14,9 @@
 import { runChanges } from './run-changes.js';
 import { runExports } from './run-exports.js';
 
+/** Planning of 50,000 stored pieces takes some 90 ms; this pause bounds it to 1% of a core. */
+const PLAN_PAUSE_FACTOR = 100;
+
 /**
  * Runs the home of a cell until it is closed. Two homes for one cell give worse decisions, because each sees the other's
  * grants only in the lagging load reports; nothing else depends on there being one.
@@ -35,9 +38,17 @@
   const reportError = (error: unknown): void => {
     logger.error('cell task failed', { reason: String(error) });
   };
+  let changesPauseMs: number = CELL_TIMES.changesEveryMs;
   const stops = [
     runEvery(CELL_TIMES.sweepEveryMs, desk.expireWaiting, reportError),
-    runEvery(CELL_TIMES.changesEveryMs, () => runChanges(state), reportError),
+    runEvery(
+      () => changesPauseMs,
+      async () => {
+        const planMs = await runChanges(state);
+        changesPauseMs = Math.max(CELL_TIMES.changesEveryMs, planMs * PLAN_PAUSE_FACTOR);
+      },
+      reportError,
+    ),
   ];
 
   const reportRun = (report: RunReport): void => {
--- a/packages/manage-cell/src/run-changes.ts
+++ b/packages/manage-cell/src/run-changes.ts
@@ -6,12 +6,18 @@
 import { estimateLink } from './estimate-link.js';
 import { listStoreViews } from './list-store-views.js';
 
-/** Asks the planner for moves and deletions and carries them out. Moves to memory need an idle link. */
-export async function runChanges(state: CellState): Promise<void> {
+/**
+ * Asks the planner for moves and deletions and carries them out. Moves to memory need an idle link.
+ *
+ * @returns the time that planning took, milliseconds
+ */
+export async function runChanges(state: CellState): Promise<number> {
   const { planner, directory } = state.options;
-  for (const change of planner.planChanges(listStoreViews(state), directory, readMonotonicMs())) {
-    await runChange(state, change);
-  }
+  const startMs = readMonotonicMs();
+  const changes = planner.planChanges(listStoreViews(state), directory, startMs);
+  const planMs = readMonotonicMs() - startMs;
+  for (const change of changes) await runChange(state, change);
+  return planMs;
 }
 
 async function runChange(state: CellState, change: StoreChange): Promise<void> {
