Read waiting requests before a drain closes idle connections

Change: a drain reads for another 100 ms before it closes idle connections; what arrives is answered with `not run`. The histories no longer order weights themselves, because the nodes do so now; a fault swaps the weights of one engine.

--- a/packages/check-histories/src/faults/engine-fault-handlers.ts
+++ b/packages/check-histories/src/faults/engine-fault-handlers.ts
@@ -1,9 +1,12 @@
 import type { EngineFaults, StreamFault } from '@laburnumshift/fakes/engine';
 import type { FaultHandler } from './fault-handler.js';
+import { orderWeights } from './order-weights.js';
 import { pickTarget } from './pick-target.js';
 
 const FAULTY_STREAMS = 2;
 const MAX_GOOD_TOKENS = 6;
+/** Weight versions among which swaps choose; operators publish the same ones. */
+const VERSIONS = 3;
 const SLOW_ANSWER_MS = 400;
 
 /** Sets switches of one engine. */
@@ -43,6 +46,10 @@
   'engine-load-failing': buildHandler({ loadReports: 'failing' }, { loadReports: 'live' }),
   'engine-refused': buildHandler({ refuse: true }, { refuse: false }),
   'engine-slow-answer': buildHandler({ answerDelayMs: SLOW_ANSWER_MS }, { answerDelayMs: 0 }),
+  'engine-swapped': async ({ site, target }) => {
+    await orderWeights(pickTarget(site.engines.values(), target), `v${String((target % VERSIONS) + 1)}`);
+    return () => undefined;
+  },
   'stream-silent': buildStreamHandler('silent'),
   'stream-crossed': buildStreamHandler('crossed'),
   'stream-duplicated': buildStreamHandler('duplicated'),
--- a/packages/check-histories/src/harness/run-operators.ts
+++ b/packages/check-histories/src/harness/run-operators.ts
@@ -1,5 +1,4 @@
 import { createPlatformClient } from '@laburnumshift/call-platform';
-import { hashSegment } from '@laburnumshift/check-declarations';
 import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import { publishConfig, rollbackConfig, type PublishResult } from '@laburnumshift/publish-config';
 import type { PlatformClient } from '@laburnumshift/types';
@@ -7,14 +6,12 @@
 import { buildSegments } from './build-segments.js';
 import type { ConfigValues } from './config-values.js';
 import { FIRST_VALUES } from './first-values.js';
-import { orderWeights } from './order-weights.js';
 import type { RunContext } from './run-context.js';
 
 type Change = Schedule['publications'][number];
 
 /** The first generations, to which operators roll back. */
 const ROLLBACK_GENERATIONS = 3;
-const STORIES_FILE = 'stories/stories.laburnum.jsonc';
 
 /** Folder and values that a change publishes. */
 const CHANGES: Readonly<
@@ -33,7 +30,6 @@
 
 /** Runs the operators of a schedule, each with a platform client of its own, so that they race. */
 export async function runOperators(context: RunContext, schedule: Schedule): Promise<void> {
-  const versions = new Map<string, string>();
   await Promise.all(
     schedule.publications.map(async (step, index) => {
       await sleep(step.atMs);
@@ -44,16 +40,9 @@
         readsPerSecond: 100,
       });
       const startMs = readMonotonicMs();
-      const result = await applyChange(context, platform, step, operator, versions);
+      const result = await applyChange(context, platform, step, operator);
       context.publications.push({ operator, startMs, endMs: readMonotonicMs(), result });
       platform.close();
-      if (result.kind !== 'published') return;
-      const hash = result.head.segments[STORIES_FILE] ?? '';
-      await orderWeights(
-        context.site,
-        versions.get(hash) ?? FIRST_VALUES.weightVersion,
-        result.head.generation,
-      );
     }),
   );
 }
@@ -63,12 +52,10 @@
   platform: PlatformClient,
   { change, target }: Change,
   author: string,
-  versions: Map<string, string>,
 ): Promise<PublishResult> {
   if (change === 'rollback') return rollbackConfig(platform, 1 + (target % ROLLBACK_GENERATIONS), author);
   const { scope, values } = CHANGES[change](target);
   const next = { ...FIRST_VALUES, ...values };
   const segment = buildSegments(next, site.addresses, site.older.url)[scope];
-  versions.set(hashSegment({ ...segment, file: `${scope}/${segment.file}` }), next.weightVersion);
   return publishConfig(platform, { segments: [segment], author, scope });
 }
--- a/packages/serve-callers/src/serve-callers.ts
+++ b/packages/serve-callers/src/serve-callers.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import https from 'node:https';
 import type { AddressInfo, Socket } from 'node:net';
-import { readMonotonicMs, readWallMs, startTimer } from '@laburnumshift/clock';
+import { readMonotonicMs, readWallMs, sleep, startTimer } from '@laburnumshift/clock';
 import { createRefusal } from '@laburnumshift/errors';
 import { createLogger } from '@laburnumshift/logger';
 import { OUTCOMES, type Refusal } from '@laburnumshift/types';
@@ -21,6 +21,11 @@
 const STALL_TIMEOUT_MS = 30_000;
 const TIMEOUT_CHECK_MS = 500;
 const NOT_READY_RETRY_MS = 1_000;
+/**
+ * Time in which requests that arrived while the event loop was busy are still read before idle connections are closed;
+ * closing at once resets their connections without an answer.
+ */
+const DRAIN_READ_MS = 100;
 const REQUEST_ID = /^[\x21-\x7e]{1,128}$/;
 
 const logger = createLogger('callers');
@@ -145,6 +150,7 @@
     address: `${address}:${String(port)}`,
     drain: async () => {
       draining = true;
+      await sleep(DRAIN_READ_MS);
       server.closeIdleConnections();
       if (counts.active > 0) await new Promise<void>((resolve) => waiting.add(resolve));
     },
