Judge leaving servers by arrival and stops by the balancer's delay

With platform-silent, an engine that loads weights keeps accepted requests waiting for a slot; the check counted their start as new work. The first publish is tried again when it is late.

--- a/packages/check-histories/src/checks/check-shutdown.ts
+++ b/packages/check-histories/src/checks/check-shutdown.ts
@@ -1,13 +1,19 @@
 import type { History } from '../history/history.js';
 
-/** I8: no request that began before a graceful stop took effect was cut. */
+/**
+ * I8: no request was cut that began before the end of the delay that a stopping node grants the load balancer. A later one may
+ * meet a connection that the node is closing.
+ */
 export function checkShutdown(history: History): readonly string[] {
   const operations = [...history.completions, ...history.bookings];
-  return history.lives.flatMap(({ node, stopMs, killed }) =>
+  return history.lives.flatMap(({ node, stopMs, drainMs = Infinity, killed }) =>
     stopMs === undefined || killed
       ? []
       : operations
-          .filter((operation) => operation.node === node && operation.endMs >= stopMs)
+          .filter(
+            (operation) =>
+              operation.node === node && operation.endMs >= stopMs && operation.startMs < drainMs,
+          )
           .flatMap(({ key, account, startMs, result }) =>
             result.kind === 'cut'
               ? [
--- a/packages/check-histories/src/harness/create-fleet.ts
+++ b/packages/check-histories/src/harness/create-fleet.ts
@@ -50,6 +50,7 @@
   };
   const stopNode = async (node: FleetNode): Promise<void> => {
     node.life.stopMs = readMonotonicMs();
+    node.life.drainMs = node.life.stopMs + buildSettings(node.index, '', []).shutdown.balancerDelayMs;
     const stopped = node.process.stop();
     await sleep(BALANCER_NOTICE_MS);
     node.inService = false;
--- a/packages/check-histories/src/harness/run-history.ts
+++ b/packages/check-histories/src/harness/run-history.ts
@@ -20,6 +20,7 @@
 const NODES = 3;
 /** Pieces in an engine's prefix cache; prompts have up to 8, so that pieces are evicted and imported again. */
 const ENGINE_PIECES = 12;
+const FIRST_TRIES = 5;
 const START_LIMIT_MS = 20_000;
 /** Longer than the 8 s after which the check of I9 reports a node that is behind. */
 const SETTLE_MS = 10_000;
@@ -74,7 +75,11 @@
     ...segment,
     file: `${folder}/${segment.file}`,
   }));
-  const result = await publishConfig(platform, { segments, author: 'first' });
+  // On a busy machine the answer may come late; no fault is injected yet.
+  let result = await publishConfig(platform, { segments, author: 'first' });
+  for (let tries = 1; tries < FIRST_TRIES && result.kind === 'unavailable'; tries += 1) {
+    result = await publishConfig(platform, { segments, author: 'first' });
+  }
   platform.close();
   if (result.kind !== 'published') throw new Error(`the first publish failed: ${JSON.stringify(result)}`);
   if (!(await waitForGeneration(context, 1, START_LIMIT_MS))) throw new Error('the nodes did not start');
--- a/packages/check-histories/src/history/node-life.ts
+++ b/packages/check-histories/src/history/node-life.ts
@@ -6,6 +6,8 @@
   readonly node: string;
   /** Time of the graceful stop; `endMs` is its completion. */
   readonly stopMs?: number | undefined;
+  /** Until then the load balancer may send: the end of the delay that the node grants it. */
+  readonly drainMs?: number | undefined;
   /** True when the process was killed. */
   readonly killed: boolean;
   /** Times in which the process was paused. */
--- a/packages/check-histories/test/build-history.ts
+++ b/packages/check-histories/test/build-history.ts
@@ -23,6 +23,7 @@
   requestId: 'request-1~a.1',
   scope: 'scope-north-v1',
   weightVersion: 'v1',
+  arrivedAtMs: 140,
   startedAtMs: 150,
   foreignBy: [],
 };
@@ -50,7 +51,7 @@
     leavings: [],
     outages: [],
     engineRuns: { 'engine-1': [RUN] },
-    serviceCalls: { 'desk-1': [{ key: 'booking-1', ranAtMs: 150 }] },
+    serviceCalls: { 'desk-1': [{ key: 'booking-1', arrivedAtMs: 140, ranAtMs: 150 }] },
     ...parts,
   };
 }
--- a/packages/check-histories/test/checks.test.ts
+++ b/packages/check-histories/test/checks.test.ts
@@ -12,6 +12,7 @@
   node: 'entry-1/1',
   startMs: 0,
   stopMs: 150,
+  drainMs: 450,
   endMs: 900,
   killed: false,
   pauses: [],
@@ -106,14 +107,19 @@
     ['I6'],
     {
       serviceCalls: {
-        'desk-1': [{ key: 'booking-1', ranAtMs: 150 }],
-        older: [{ key: 'booking-1', ranAtMs: 160 }],
+        'desk-1': [{ key: 'booking-1', arrivedAtMs: 140, ranAtMs: 150 }],
+        older: [{ key: 'booking-1', arrivedAtMs: 140, ranAtMs: 160 }],
       },
     },
   ],
   [
     'new work 4 s after the mark',
     ['I7'],
+    { leavings: [LEAVING], engineRuns: { 'engine-1': [{ ...RUN, arrivedAtMs: 4_000, startedAtMs: 4_000 }] } },
+  ],
+  [
+    'a run that waited for a slot for 4 s',
+    [],
     { leavings: [LEAVING], engineRuns: { 'engine-1': [{ ...RUN, startedAtMs: 4_000 }] } },
   ],
   [
@@ -122,7 +128,7 @@
     {
       leavings: [LEAVING],
       outages: [{ part: 'hosts', startMs: 500, endMs: 2_500 }],
-      engineRuns: { 'engine-1': [{ ...RUN, startedAtMs: 4_000 }] },
+      engineRuns: { 'engine-1': [{ ...RUN, arrivedAtMs: 4_000, startedAtMs: 4_000 }] },
     },
   ],
   ['a booking cut by a graceful stop', ['I8'], { bookings: [{ ...BOOKING, result: CUT }], lives: [STOPPED] }],
--- a/packages/fakes/src/engine/engine-run.ts
+++ b/packages/fakes/src/engine/engine-run.ts
@@ -6,6 +6,8 @@
   readonly request: EngineRequest;
   /** Cancels the run. */
   readonly stopper: AbortController;
+  /** Monotonic clock, milliseconds. */
+  readonly arrivedAtMs: number;
   /** Weight version that the run keeps to its end. */
   weightVersion: string;
   promptTokens: number;
--- a/packages/fakes/src/engine/run-request.ts
+++ b/packages/fakes/src/engine/run-request.ts
@@ -29,6 +29,7 @@
     requestId: run.request.request_id,
     scope: run.request.cache_scope,
     weightVersion: run.weightVersion,
+    arrivedAtMs: run.arrivedAtMs,
     startedAtMs: readMonotonicMs(),
     foreignBy: [],
   };
@@ -89,6 +90,7 @@
   const run: EngineRun = {
     request,
     stopper: new AbortController(),
+    arrivedAtMs: readMonotonicMs(),
     weightVersion: state.weightVersion,
     promptTokens: request.pieces.reduce((sum, piece) => sum + piece.tokens, 0) || countTokens(request.prompt),
     cachedPieces: 0,
--- a/packages/fakes/src/older-system/start-fake-older-system.ts
+++ b/packages/fakes/src/older-system/start-fake-older-system.ts
@@ -52,7 +52,8 @@
     if (key !== '' && known !== undefined) return known;
     const count = (runs.get(key) ?? 0) + 1;
     runs.set(key, count);
-    calls.push({ key, ranAtMs: readMonotonicMs() });
+    const atMs = readMonotonicMs();
+    calls.push({ key, arrivedAtMs: atMs, ranAtMs: atMs });
     const answer = {
       service: 'older-system',
       method: request.method,
--- a/packages/fakes/src/service/start-fake-service.ts
+++ b/packages/fakes/src/service/start-fake-service.ts
@@ -17,6 +17,7 @@
   let peak = 0;
 
   const handle: FaultServerOptions['handle'] = async (request, response, body, isCurrent) => {
+    const arrivedAtMs = readMonotonicMs();
     const faults = server.getFaults();
     if (request.url === '/load') {
       const report = { running, queued: 0, leaving: faults.leaving, boot_id: server.getBootId() };
@@ -42,7 +43,7 @@
       const key = String(request.headers['idempotency-key'] ?? '');
       const count = (runs.get(key) ?? 0) + 1;
       runs.set(key, count);
-      calls.push({ key, ranAtMs: readMonotonicMs() });
+      calls.push({ key, arrivedAtMs, ranAtMs: readMonotonicMs() });
       if (server.takeLost('lostAfterRun')) {
         dropAnswer();
         return;
