Spread link use over the minutes of a transfer

Cause: a transfer counted in the minute of its start, so the peak use could exceed the whole minute. Change: its time is spread over the minutes that it covers.

--- a/packages/measure/src/sim-store.ts
+++ b/packages/measure/src/sim-store.ts
@@ -3,6 +3,7 @@
 import { PieceCache } from './piece-cache.js';
 
 const MS_PER_S = 1000;
+const MINUTE_MS = 60_000;
 /** Time after which a call to a dead store fails. */
 const REFUSED_MS = 50;
 /** Exports that wait for the link; beyond it new ones are dropped. */
@@ -110,8 +111,12 @@
     this.busy = true;
     this.busyUntilMs = nowMs + ms;
     this.movedBytes += bytes;
-    const minute = Math.floor(nowMs / 60_000);
-    this.busyByMinute.set(minute, (this.busyByMinute.get(minute) ?? 0) + ms);
+    for (let atMs = nowMs; atMs < nowMs + ms;) {
+      const minute = Math.floor(atMs / MINUTE_MS);
+      const untilMs = Math.min(nowMs + ms, (minute + 1) * MINUTE_MS);
+      this.busyByMinute.set(minute, (this.busyByMinute.get(minute) ?? 0) + untilMs - atMs);
+      atMs = untilMs;
+    }
     this.events.schedule(ms, () => {
       this.busy = false;
       finish(this.alive);
--- a/packages/measure/test/simulation.test.ts
+++ b/packages/measure/test/simulation.test.ts
@@ -52,7 +52,8 @@
 
 // Guards against a fault that the simulation ignores.
 test('faults have an effect', (t) => {
-  const moved = run().movedBytes;
+  const { movedBytes: moved, peakLinkUse } = run();
+  t.true(peakLinkUse > 0 && peakLinkUse <= 1.000001);
   t.true(run({ fault: 'store-dead' }).movedBytes < moved);
   t.notDeepEqual(run({ fault: 'half-restarted' }).results, run().results);
 });
