--- a/packages/manage-cell/test/manage-cell.test.ts
+++ b/packages/manage-cell/test/manage-cell.test.ts
@@ -1,38 +1,6 @@
 import test from 'ava';
-import type { ExecutionContext } from 'ava';
-import { computeScope } from '@laburnumshift/hash-pieces';
-import type { CellHome } from '@laburnumshift/manage-cell';
-import { installClock } from '@laburnumshift/test-utils';
-import type { PlaceReply, PlaceRequest, StoredPiece } from '@laburnumshift/types';
-import { createCell, createReport, createRequest, EngineDouble, StoreDouble } from './doubles.js';
-
-const SCOPE = computeScope('a', 'm', undefined, 'v1');
-
-const startCell = async (t: ExecutionContext, change: Parameters<typeof createCell>[0]) => {
-  const clock = installClock();
-  const cell = createCell(change);
-  t.teardown(() => {
-    cell.close();
-    clock.uninstall();
-  });
-  await clock.tickAsync(10);
-  const ask = async (request: PlaceRequest, home: CellHome = cell): Promise<PlaceReply> => {
-    const reply = home.place(request);
-    await clock.tickAsync(request.waitMs);
-    return reply;
-  };
-  const askEngine = async (request: PlaceRequest, home?: CellHome): Promise<string> => {
-    const reply = await ask(request, home);
-    return reply.kind === 'granted' ? reply.grant.engine : reply.kind;
-  };
-  return { cell, clock, ask, askEngine };
-};
-const createEngines = (count: number): EngineDouble[] =>
-  Array.from({ length: count }, () => new EngineDouble(2));
-const createStored = (chain: string): StoredPiece => {
-  const base = { scope: SCOPE, store: 's', tier: 'memory' as const, generation: 7 };
-  return { ...base, chain, length: 10, checksum: 'sum', bytes: 1e6 };
-};
+import { createCell, createReport, createRequest } from './doubles.js';
+import { createEngines, SCOPE, startCell } from './start-cell.js';
 
 // Guards against a herd: the load reports stay empty, so only the home's own grants tell the engines apart.
 test.serial('grants correct the lagging load', async (t) => {
@@ -152,80 +120,6 @@
   t.like(await ask(createRequest()), { grant: { cachedPieces: 1 } });
 });
 
-// Guards against imports that are freed before the engine reads them, and against pins that are never released.
-test.serial('imports are pinned before the grant', async (t) => {
-  const store = new StoreDouble(['c0', 'c1', 'c2', 'c3'].map(createStored));
-  const { cell, ask } = await startCell(t, { engines: createEngines(1), store });
-  store.gone.add('c2');
-  const request = createRequest();
-  const reply = await ask(request);
-  if (reply.kind !== 'granted') throw new Error('not granted');
-  t.deepEqual(
-    reply.grant.imports.map((one) => one.chain),
-    ['c0', 'c1'],
-  );
-  t.like(reply.grant.imports[0], { index: 0, url: 'http://s', key: `${SCOPE}:c0`, generation: 7 });
-  t.true(reply.grant.estimateMs >= 400);
-  t.deepEqual(store.pinned, ['c0', 'c1']);
-  cell.reportRun(createReport(request, 'e0'));
-  t.deepEqual(store.pinned, []);
-});
-
-// Guards against requests that wait for a store which accepts calls and does not answer.
-test.serial('a silent store costs one timeout', async (t) => {
-  const store = new StoreDouble(['c0', 'c1'].map(createStored));
-  const { ask } = await startCell(t, { engines: createEngines(1), store });
-  store.silent = true;
-  const request = createRequest();
-  t.is((await ask(request)).kind, 'queued');
-  t.like(await ask({ ...request, waitMs: 200 }), { kind: 'granted', grant: { imports: [] } });
-  t.like(await ask(createRequest()), { kind: 'granted', grant: { imports: [] } });
-});
-
-// Guards against plans that go on counting on a link whose imports fail or are slow.
-test.serial('failed and slow imports lower the rate of a link', async (t) => {
-  const store = new StoreDouble(['c0', 'c1'].map(createStored));
-  const { cell, ask } = await startCell(t, { engines: createEngines(1), store });
-  const getRate = (): number => cell.getStatus().stores[0]?.bytesPerSecond ?? 0;
-  const stated = getRate();
-  const importOnce = async (change: Partial<ReturnType<typeof createReport>>): Promise<void> => {
-    const request = createRequest();
-    const reply = await ask(request);
-    if (reply.kind !== 'granted') throw new Error(reply.kind);
-    const estimate = reply.grant.estimateMs;
-    cell.reportRun({ ...createReport(request, 'e0'), firstTokenMs: estimate, importedPieces: 2, ...change });
-  };
-  await importOnce({});
-  t.true(getRate() > stated * 0.9);
-  await importOnce({ importedPieces: 1 });
-  t.true(getRate() < stated * 0.6);
-  await importOnce({ firstTokenMs: 5000 });
-  t.true(getRate() < stated * 0.1);
-});
-
-// Guards against plans that wait for a store that died.
-test.serial('a dead store is left out', async (t) => {
-  const store = new StoreDouble(['c0', 'c1'].map(createStored));
-  const { clock, ask } = await startCell(t, { engines: createEngines(1), store });
-  store.failing = true;
-  await clock.tickAsync(600);
-  t.like(await ask(createRequest()), { kind: 'granted', grant: { imports: [] } });
-});
-
-// Guards against exports that delay imports on a busy link.
-test.serial('exports wait for an idle link', async (t) => {
-  const store = new StoreDouble([]);
-  store.linkQueuedBytes = 1e9;
-  const engines = createEngines(1);
-  const { cell, clock } = await startCell(t, { engines, store });
-  cell.reportRun(createReport(createRequest(), 'e0'));
-  await clock.tickAsync(2000);
-  t.is(engines[0]?.exported.length, 0);
-  store.linkQueuedBytes = 0;
-  await clock.tickAsync(2000);
-  t.deepEqual(engines[0]?.exported, ['c0', 'c1', 'c2', 'c3']);
-});
-
 // Guards against a decision that counts on the whole engine while the older system uses a part of it.
 test.serial('the share of the older system counts as load', async (t) => {
   const engines = createEngines(2);
--- /dev/null
+++ b/packages/manage-cell/test/start-cell.ts
@@ -0,0 +1,38 @@
+import type { ExecutionContext } from 'ava';
+import { computeScope } from '@laburnumshift/hash-pieces';
+import type { CellHome } from '@laburnumshift/manage-cell';
+import { installClock } from '@laburnumshift/test-utils';
+import type { PlaceReply, PlaceRequest, StoredPiece } from '@laburnumshift/types';
+import { createCell, EngineDouble } from './doubles.js';
+
+/** Scope of the requests of `createRequest` on weight version `v1`. */
+export const SCOPE = computeScope('a', 'm', undefined, 'v1');
+
+/** Starts a cell on the paused clock; both end with the test. */
+export const startCell = async (t: ExecutionContext, change: Parameters<typeof createCell>[0]) => {
+  const clock = installClock();
+  const cell = createCell(change);
+  t.teardown(() => {
+    cell.close();
+    clock.uninstall();
+  });
+  await clock.tickAsync(10);
+  const ask = async (request: PlaceRequest, home: CellHome = cell): Promise<PlaceReply> => {
+    const reply = home.place(request);
+    await clock.tickAsync(request.waitMs);
+    return reply;
+  };
+  const askEngine = async (request: PlaceRequest, home?: CellHome): Promise<string> => {
+    const reply = await ask(request, home);
+    return reply.kind === 'granted' ? reply.grant.engine : reply.kind;
+  };
+  return { cell, clock, ask, askEngine };
+};
+/** Creates engines of two slots. */
+export const createEngines = (count: number): EngineDouble[] =>
+  Array.from({ length: count }, () => new EngineDouble(2));
+/** Creates a piece in the memory tier of the store `s`. */
+export const createStored = (chain: string): StoredPiece => {
+  const base = { scope: SCOPE, store: 's', tier: 'memory' as const, generation: 7 };
+  return { ...base, chain, length: 10, checksum: 'sum', bytes: 1e6 };
+};
--- /dev/null
+++ b/packages/manage-cell/test/stores.test.ts
@@ -0,0 +1,77 @@
+import test from 'ava';
+import { createReport, createRequest, StoreDouble } from './doubles.js';
+import { createEngines, createStored, SCOPE, startCell } from './start-cell.js';
+
+// Guards against imports that are freed before the engine reads them, and against pins that are never released.
+test.serial('imports are pinned before the grant', async (t) => {
+  const store = new StoreDouble(['c0', 'c1', 'c2', 'c3'].map(createStored));
+  const { cell, ask } = await startCell(t, { engines: createEngines(1), store });
+  store.gone.add('c2');
+  const request = createRequest();
+  const reply = await ask(request);
+  if (reply.kind !== 'granted') throw new Error('not granted');
+  t.deepEqual(
+    reply.grant.imports.map((one) => one.chain),
+    ['c0', 'c1'],
+  );
+  t.like(reply.grant.imports[0], { index: 0, url: 'http://s', key: `${SCOPE}:c0`, generation: 7 });
+  t.true(reply.grant.estimateMs >= 400);
+  t.deepEqual(store.pinned, ['c0', 'c1']);
+  cell.reportRun(createReport(request, 'e0'));
+  t.deepEqual(store.pinned, []);
+});
+
+// Guards against requests that wait for a store which accepts calls and does not answer.
+test.serial('a silent store costs one timeout', async (t) => {
+  const store = new StoreDouble(['c0', 'c1'].map(createStored));
+  const { ask } = await startCell(t, { engines: createEngines(1), store });
+  store.silent = true;
+  const request = createRequest();
+  t.is((await ask(request)).kind, 'queued');
+  t.like(await ask({ ...request, waitMs: 200 }), { kind: 'granted', grant: { imports: [] } });
+  t.like(await ask(createRequest()), { kind: 'granted', grant: { imports: [] } });
+});
+
+// Guards against plans that go on counting on a link whose imports fail or are slow.
+test.serial('failed and slow imports lower the rate of a link', async (t) => {
+  const store = new StoreDouble(['c0', 'c1'].map(createStored));
+  const { cell, ask } = await startCell(t, { engines: createEngines(1), store });
+  const getRate = (): number => cell.getStatus().stores[0]?.bytesPerSecond ?? 0;
+  const stated = getRate();
+  const importOnce = async (change: Partial<ReturnType<typeof createReport>>): Promise<void> => {
+    const request = createRequest();
+    const reply = await ask(request);
+    if (reply.kind !== 'granted') throw new Error(reply.kind);
+    const estimate = reply.grant.estimateMs;
+    cell.reportRun({ ...createReport(request, 'e0'), firstTokenMs: estimate, importedPieces: 2, ...change });
+  };
+  await importOnce({});
+  t.true(getRate() > stated * 0.9);
+  await importOnce({ importedPieces: 1 });
+  t.true(getRate() < stated * 0.6);
+  await importOnce({ firstTokenMs: 5000 });
+  t.true(getRate() < stated * 0.1);
+});
+
+// Guards against plans that wait for a store that died.
+test.serial('a dead store is left out', async (t) => {
+  const store = new StoreDouble(['c0', 'c1'].map(createStored));
+  const { clock, ask } = await startCell(t, { engines: createEngines(1), store });
+  store.failing = true;
+  await clock.tickAsync(600);
+  t.like(await ask(createRequest()), { kind: 'granted', grant: { imports: [] } });
+});
+
+// Guards against exports that delay imports on a busy link.
+test.serial('exports wait for an idle link', async (t) => {
+  const store = new StoreDouble([]);
+  store.linkQueuedBytes = 1e9;
+  const engines = createEngines(1);
+  const { cell, clock } = await startCell(t, { engines, store });
+  cell.reportRun(createReport(createRequest(), 'e0'));
+  await clock.tickAsync(2000);
+  t.is(engines[0]?.exported.length, 0);
+  store.linkQueuedBytes = 0;
+  await clock.tickAsync(2000);
+  t.deepEqual(engines[0]?.exported, ['c0', 'c1', 'c2', 'c3']);
+});
