--- a/packages/manage-cell/src/build-grant.ts
+++ b/packages/manage-cell/src/build-grant.ts
@@ -3,30 +3,25 @@
 import type { CellState } from './cell-state.js';
 import type { PlacementView } from './placement-view.js';
 
-const MS_PER_S = 1000;
-
-/** Builds the grant of a decision with the pieces that were pinned for it, which follow each other from `headPieces` on. */
+/** Builds the grant of a decision with the pieces to import, which follow each other from `headPieces` on. */
 export function buildGrant(
   state: CellState,
   request: PlaceRequest,
   view: PlacementView,
   decision: PlacementDecision,
-  pinned: readonly StoredPiece[],
+  imports: readonly StoredPiece[],
 ): Grant | undefined {
   const engine = view.input.engines.find((candidate) => candidate.name === decision.engine);
   const cacheScope = view.scopes.get(engine?.weightVersion ?? '');
   if (engine === undefined || cacheScope === undefined) return undefined;
-  // Planned imports that could not be pinned are computed.
-  const dropped = request.pieces.slice(decision.headPieces + pinned.length, decision.importEnd);
-  const droppedTokens = dropped.reduce((sum, piece) => sum + piece.tokens, 0);
   return {
     engine: engine.name,
     url: engine.url,
     weightVersion: engine.weightVersion,
     cacheScope,
     cachedPieces: decision.cachedPieces,
-    headPieces: pinned.length === 0 ? request.pieces.length : decision.headPieces,
-    imports: pinned.map((piece, offset) => ({
+    headPieces: imports.length === 0 ? request.pieces.length : decision.headPieces,
+    imports: imports.map((piece, offset) => ({
       index: decision.headPieces + offset,
       chain: piece.chain,
       url: state.stores.get(piece.store)?.host.url ?? '',
@@ -35,7 +30,7 @@
       length: piece.length,
       checksum: piece.checksum,
     })),
-    estimateMs: decision.estimateMs + (droppedTokens / engine.prefillTokensPerSecond) * MS_PER_S,
+    estimateMs: decision.estimateMs,
     candidates: decision.candidates,
   };
 }
--- a/packages/manage-cell/src/observe-run.ts
+++ b/packages/manage-cell/src/observe-run.ts
@@ -59,17 +59,22 @@
   firstTokenMs: number,
   nowMs: number,
 ): void {
-  const { decision, pins } = run;
-  const planned = pins.length;
+  const { decision, imports } = run;
   // Only a transfer that outlasted the head shows its duration.
   const restMs = decision.estimateMs - decision.queueMs - decision.transferMs;
   const transferMs = firstTokenMs - decision.queueMs - restMs;
-  // Pieces that the engine found in its own memory need no import.
-  const found = Math.max(0, report.cachedPieces - decision.cachedPieces);
-  const failed = report.importedPieces + found < planned;
+  // The engine may have had a planned piece in its cache, which is no miss.
+  const known = report.importedPieces + Math.max(0, report.cachedPieces - decision.cachedPieces);
+  const missed = imports.length - known;
+  const failed = missed > 0;
+  // The missing pieces may have been freed; a new list shows it.
+  for (const name of new Set(missed > 0 ? imports.map((piece) => piece.store) : [])) {
+    const store = state.stores.get(name);
+    if (store !== undefined) store.listedAtMs = undefined;
+  }
   if (!failed && (decision.transferMs <= 0 || restMs < 0)) return;
   const ratio = failed ? FAILED_IMPORT : decision.transferMs / Math.max(transferMs, 1);
-  for (const name of new Set(pins.map((pin) => pin.store))) {
+  for (const name of new Set(imports.map((piece) => piece.store))) {
     const store = state.stores.get(name);
     if (store === undefined) continue;
     const { queuedBytes, rateScale } = estimateLink(store, nowMs);
--- a/packages/manage-cell/src/register-run.ts
+++ b/packages/manage-cell/src/register-run.ts
@@ -26,8 +26,7 @@
     grantedAtMs: nowMs,
     expiresAtMs: nowMs + (decision.estimateMs + decodeMs) * DURATION_SLACK + CELL_TIMES.reportGraceMs,
     decision,
-    pins: [],
-    pinnedUntilMs: nowMs,
+    imports,
   };
   record.running.set(request.requestId, run);
   record.ownPeak = Math.max(record.ownPeak, record.running.size);
--- /dev/null
+++ b/packages/publish-config/test/publish-config.test.ts
@@ -0,0 +1,107 @@
+import { listChanges } from '@laburnumshift/audit-changes';
+import { hashSegment } from '@laburnumshift/check-declarations';
+import {
+  diffConfig,
+  listHistory,
+  publishConfig,
+  rollbackConfig,
+  type PublishResult,
+} from '@laburnumshift/publish-config';
+import test from 'ava';
+import { makeSegment, publish, start } from './helpers.js';
+
+test('guards against a new generation without a change, and a rollback that lowers the generation', async (t) => {
+  const { client } = await start(t);
+  const one = [makeSegment('a', 1), makeSegment('b', 1)];
+  t.like(await publish(client, one), { kind: 'published', head: { generation: 1 }, files: { length: 2 } });
+  t.deepEqual(await publish(client, one), { kind: 'unchanged', generation: 1 });
+  const two = [makeSegment('a', 2)];
+  t.like(await diffConfig(client, two), {
+    generation: 1,
+    changes: [{ change: 'changed', paths: ['accounts[0].weight'] }, { change: 'removed' }],
+  });
+  t.like(await publish(client, two), { kind: 'published', head: { generation: 2 } });
+  t.like(await rollbackConfig(client, 1, 'bob'), { kind: 'published', head: { generation: 3 } });
+  t.like(await rollbackConfig(client, 9, 'bob'), { kind: 'refused' });
+  const history = (await listHistory(client)) ?? [];
+  t.deepEqual(
+    history.map(({ generation }) => generation),
+    [3, 2, 1],
+  );
+  t.deepEqual(history[0]?.segments, history[2]?.segments);
+  t.deepEqual(
+    (await listChanges(client))?.map(({ author, toGeneration }) => `${author} ${String(toGeneration)}`),
+    ['bob 3', 'ann 2', 'ann 1'],
+  );
+});
+
+test('guards against a stale directory that overwrites another change, and against a clash shown from one side', async (t) => {
+  const { client } = await start(t);
+  await publish(client, [makeSegment('a', 1), makeSegment('b', 1)]);
+  await publish(client, [makeSegment('a', 2), makeSegment('b', 1)]);
+  const rebased = await publish(client, [makeSegment('a', 1), makeSegment('b', 3)], 1);
+  t.like(rebased, { kind: 'published', head: { generation: 3 }, files: { length: 1 } });
+  const clash = await publish(client, [makeSegment('a', 5), makeSegment('b', 1)], 1);
+  t.is(clash.kind, 'refused');
+  if (clash.kind === 'refused') {
+    t.deepEqual(
+      clash.findings.map(({ file, path }) => `${file} ${path}`),
+      ['a.laburnum.jsonc accounts[0].weight', 'generation 3:a.laburnum.jsonc accounts[0].weight'],
+    );
+  }
+  const [refused] = (await listChanges(client)) ?? [];
+  t.like(refused, { result: 'refused', fromGeneration: 3 });
+});
+
+test('guards against disjoint changes that are right alone and wrong together', async (t) => {
+  const { client } = await start(t);
+  await publish(client, [makeSegment('a', 1)]);
+  await publish(client, [makeSegment('a', 1), makeSegment('b', 1, 'f'.repeat(64))]);
+  const result = await publish(client, [makeSegment('a', 1), makeSegment('c', 1, 'f'.repeat(64))], 1);
+  t.is(result.kind, 'refused');
+  t.like(await publish(client, [makeSegment('d', 1)], 7), { kind: 'refused' });
+});
+
+test('guards against a folder that is published over its neighbours', async (t) => {
+  const { client } = await start(t);
+  const publishBelow = (scope: string, name: string): Promise<PublishResult> =>
+    publishConfig(client, { segments: [makeSegment(name, 1)], author: 'ann', scope });
+  await publishBelow('one', 'a');
+  t.like(await publishBelow('two', 'b'), {
+    kind: 'published',
+    head: {
+      segments: {
+        'one/a.laburnum.jsonc': hashSegment({ ...makeSegment('a', 1), file: 'one/a.laburnum.jsonc' }),
+      },
+    },
+  });
+});
+
+test('guards against a lost answer of the head that is reported as a failure, or leads to a second generation', async (t) => {
+  const { platform, client } = await start(t);
+  await publish(client, [makeSegment('a', 1)]);
+  platform.setFaults({ lossKind: 'config-head', loseAnswerAfter: -1 });
+  t.like(await publish(client, [makeSegment('a', 2)]), { kind: 'published', head: { generation: 2 } });
+  platform.setFaults({ loseAnswerAfter: 0, loseAnswerBefore: -1 });
+  t.is((await publish(client, [makeSegment('a', 3)])).kind, 'unknown');
+  platform.setFaults({ loseAnswerBefore: 0 });
+  t.like(await publish(client, [makeSegment('a', 3)]), { kind: 'published', head: { generation: 3 } });
+  t.deepEqual(
+    (await listChanges(client))?.map(({ result }) => result),
+    ['accepted', 'unknown', 'accepted', 'accepted'],
+  );
+});
+
+test('guards against a publisher that dies before its audit record and leaves the change unrecorded', async (t) => {
+  const { platform, client } = await start(t);
+  platform.setFaults({ lossKind: 'audit', loseAnswerBefore: -1 });
+  t.like(await publish(client, [makeSegment('a', 1)]), { kind: 'published' });
+  t.deepEqual(await listChanges(client), []);
+  platform.setFaults({ loseAnswerBefore: 0 });
+  await publish(client, [makeSegment('a', 2)]);
+  const records = (await listChanges(client)) ?? [];
+  t.deepEqual(
+    records.map(({ toGeneration, author }) => `${author} ${String(toGeneration)}`),
+    ['ann 2', 'ann 1'],
+  );
+});
