Resume idle event streams instead of listing all pieces

An event stream without events is opened again after 10 s, and each time the home listed all pieces of the engine: at 24 engines with 2,000 pieces of about 70 bytes that is some 340 KB/s, over the control budget of 27 KB/s. The stream now goes on from the last event while the boot id is the same; a full list remains after a gap, a new boot id, an error and every 5 minutes. The new test counts the lists; it fails without the change.

--- a/packages/manage-cell/src/cell-times.ts
+++ b/packages/manage-cell/src/cell-times.ts
@@ -6,6 +6,8 @@
   /** Without a load report for this long an engine counts as silent. */
   silentMs: 1500,
   eventRetryMs: 250,
+  /** A full list of an engine's pieces now and then repairs what events cannot show. */
+  relistMs: 300_000,
   statEveryMs: 500,
   /** Repairs directory entries that were lost or became stale. */
   listEveryMs: 30_000,
--- a/packages/manage-cell/src/watch-engine.ts
+++ b/packages/manage-cell/src/watch-engine.ts
@@ -48,12 +48,19 @@
 async function pollEvents(state: CellState, record: EngineRecord): Promise<void> {
   const { signal } = record.stopper;
   let pauseMs: number = CELL_TIMES.eventRetryMs;
+  let known: { readonly seq: number; readonly bootId: string; readonly listedAtMs: number } | undefined;
   while (!isStopped(record)) {
     const beganMs = readMonotonicMs();
     try {
-      const seq = await resyncPieces(state, record);
-      if (seq !== undefined) await applyEvents(state, record, seq);
+      const bootId = record.load?.boot_id ?? '';
+      // A list of all pieces is large, so a stream that was idle or cut goes on from the last event of the same process.
+      if (known?.bootId !== bootId || beganMs - known.listedAtMs > CELL_TIMES.relistMs) {
+        const seq = await resyncPieces(state, record);
+        known = seq === undefined ? undefined : { seq, bootId, listedAtMs: beganMs };
+      }
+      if (known !== undefined) known = { ...known, seq: await applyEvents(state, record, known.seq, bootId) };
     } catch (error) {
+      known = undefined;
       state.options.logger.debug('cache events ended', { engine: record.server.name, reason: String(error) });
     }
     // Each connection lists all pieces, so an engine that keeps ending the stream is asked less and less often.
@@ -63,16 +70,32 @@
   }
 }
 
-/** Applies events until the stream ends; a gap is repaired by listing the pieces. */
-async function applyEvents(state: CellState, record: EngineRecord, since: number): Promise<void> {
+/**
+ * Applies events until the stream ends; a gap is repaired by listing the pieces.
+ *
+ * @returns the last sequence number that the directory covers
+ */
+async function applyEvents(
+  state: CellState,
+  record: EngineRecord,
+  since: number,
+  bootId: string,
+): Promise<number> {
   const { signal } = record.stopper;
+  let last = since;
   for await (const event of record.client.watchEvents(since, signal)) {
-    if (isStopped(record)) return;
+    // The numbers of a new process begin anew, so its pieces have to be listed.
+    const isNewBoot = bootId !== '' && record.load !== undefined && record.load.boot_id !== bootId;
+    if (isStopped(record) || isNewBoot) return last;
+    last = Math.max(last, event.seq);
     if (state.options.directory.applyEvent(record.server.name, event) === 'gap') {
       state.options.metrics?.addCount('cell_event_gaps', 1);
-      if ((await resyncPieces(state, record)) === undefined) return;
+      const seq = await resyncPieces(state, record);
+      if (seq === undefined) throw new Error('the pieces could not be listed after a gap');
+      last = Math.max(last, seq);
     }
   }
+  return last;
 }
 
 async function resyncPieces(state: CellState, record: EngineRecord): Promise<number | undefined> {
--- a/packages/manage-cell/test/doubles.ts
+++ b/packages/manage-cell/test/doubles.ts
@@ -22,7 +22,7 @@
   pieces: { scope: string; chain: string }[] = [];
   lists = 0;
   exported: string[] = [];
-  private readonly waiting: ((event: CacheEvent) => void)[] = [];
+  private readonly waiting: ((event: CacheEvent | undefined) => void)[] = [];
 
   constructor(slots: number) {
     this.load = {
@@ -42,6 +42,11 @@
     };
   }
 
+  /** Ends the event streams, as a client does after a silence. */
+  endEvents(): void {
+    for (const resolve of this.waiting.splice(0)) resolve(undefined);
+  }
+
   pushEvent(event: CacheEvent): void {
     for (const resolve of this.waiting.splice(0)) resolve(event);
   }
@@ -54,7 +59,11 @@
       },
       cancelRun: () => Promise.resolve(),
       watchEvents: async function* () {
-        for (;;) yield await new Promise<CacheEvent>((resolve) => waiting.push(resolve));
+        for (;;) {
+          const event = await new Promise<CacheEvent | undefined>((resolve) => waiting.push(resolve));
+          if (event === undefined) return;
+          yield event;
+        }
       },
       listPieces: () => {
         this.lists += 1;
--- a/packages/manage-cell/test/manage-cell.test.ts
+++ b/packages/manage-cell/test/manage-cell.test.ts
@@ -168,3 +168,18 @@
   t.is(running, 6);
   other.close();
 });
+
+// Guards against a full list of all pieces each time that an idle event stream is opened again.
+test.serial('an idle event stream goes on without a new list', async (t) => {
+  const engines = createEngines(1);
+  const [engine] = engines;
+  if (engine === undefined) throw new Error('no engine');
+  const { clock } = await startCell(t, { engines });
+  await clock.tickAsync(2_000);
+  const { lists } = engine;
+  engine.endEvents();
+  await clock.tickAsync(2_000);
+  engine.endEvents();
+  await clock.tickAsync(2_000);
+  t.is(engine.lists, lists);
+});
