Name the client account to plain services

Two accounts may use the same idempotency key, and a service that keeps its own keys could not tell them apart. Calls now carry x-client-account with the authenticated account; what a caller sends under that name is replaced. The test fails when the header of the caller is passed on.

--- a/packages/serve-callers/src/serve-call.ts
+++ b/packages/serve-callers/src/serve-call.ts
@@ -29,7 +29,12 @@
     sendRefusal(response, createRefusal('bad_request', message, OUTCOMES.notRun), requestId);
     return;
   }
-  const headers = { ...filterHeaders(request.headers), 'x-request-id': requestId };
+  // Services separate their customers by this header, so a caller must not be able to set it.
+  const headers = {
+    ...filterHeaders(request.headers),
+    'x-request-id': requestId,
+    'x-client-account': exchange.account.name,
+  };
   const answer = await exchange.handlers.runCall(
     {
       requestId,
--- a/packages/serve-callers/test/serve-callers.test.ts
+++ b/packages/serve-callers/test/serve-callers.test.ts
@@ -92,7 +92,7 @@
   }
 });
 
-// Guards against leaking the account key to a service and against lost idempotency headers.
+// Guards against leaking the account key to a service, lost idempotency headers, and a caller that names another account.
 test('plain calls pass on path, query and allowed headers', async (t) => {
   const seen: CallerCall[] = [];
   const server = await startServer({
@@ -101,11 +101,18 @@
       return Promise.resolve({ ok: true, value: { status: 201, headers: { connection: 'x' }, body: 'ok' } });
     },
   });
-  const headers = { 'idempotency-key': 'k', 'idempotency-issued-at': '17', connection: 'x-b', 'x-b': '1' };
+  const headers = {
+    'idempotency-key': 'k',
+    'idempotency-issued-at': '17',
+    connection: 'x-b',
+    'x-b': '1',
+    'x-client-account': 'another',
+  };
   const answer = await sendRequest(server, '/call/seats/a/b?c=d', '{}', headers);
   t.is(answer.status, 201);
   t.like(seen[0], { service: 'seats', idempotencyKey: 'k', issuedAtMs: 17 });
   t.like(seen[0]?.call, { method: 'POST', path: '/a/b?c=d', body: '{}' });
+  t.is(seen[0]?.call.headers['x-client-account'], seen[0]?.account.name);
   const passed = Object.keys(seen[0]?.call.headers ?? {});
   t.false(passed.some((name) => ['authorization', 'host', 'connection', 'x-b'].includes(name)));
   await server.close();
