--- a/packages/journal-calls/src/create-call-journal.ts
+++ b/packages/journal-calls/src/create-call-journal.ts
@@ -37,6 +37,7 @@
   mesh.handleMessage('journal-begin', async (body) => local.beginCall(BEGIN_SCHEMA.parse(body)));
   mesh.handleMessage('journal-finish', async (body) => ({ recorded: await local.finishCall(body) }));
   mesh.handleMessage('journal-abandon', async (body) => ({ recorded: await local.abandonCall(body) }));
+  mesh.handleMessage('journal-unknown', async (body) => ({ recorded: await local.markUnknown(body) }));
   mesh.handleMessage('journal-look', (body) => local.findCall(body));
 
   const abandonCall: CallJournal['abandonCall'] = async (abandon) => {
@@ -106,6 +107,14 @@
       return local.finishCall(finish);
     },
     abandonCall,
+    markUnknown: async (attempt) => {
+      const home = getCallHome(attempt);
+      if (!isSelf(home.host)) {
+        const reply = await mesh.callNode(home.address, 'journal-unknown', attempt, limits.confirmMs);
+        if (reply.ok && reply.value.recorded) return true;
+      }
+      return local.markUnknown(attempt);
+    },
     findCall: async (look) => {
       const home = getCallHome(look);
       if (isSelf(home.host)) return local.findCall(look);
--- a/packages/journal-calls/src/create-local-journal.ts
+++ b/packages/journal-calls/src/create-local-journal.ts
@@ -164,6 +164,16 @@
       );
       return result !== undefined && result.entry?.attemptId !== attemptId;
     },
+    markUnknown: async (attempt) => {
+      const id = computeCallId(attempt);
+      const { attemptId } = attempt;
+      const result = await appendUntilConfirmed(id, (entry) =>
+        entry?.attemptId === attemptId && entry.state === 'started'
+          ? { type: 'unknown', id, attemptId, at: readWallMs() }
+          : undefined,
+      );
+      return result?.entry?.attemptId === attemptId && result.entry.state !== 'started';
+    },
     findCall: async (look) => {
       const id = computeCallId(look);
       const found = await getShard(id).findFresh(id, 0);
--- a/packages/journal-calls/test/create-call-journal.test.ts
+++ b/packages/journal-calls/test/create-call-journal.test.ts
@@ -28,6 +28,7 @@
   'finish',
   'abandon',
   'no-result',
+  'mark-unknown',
   'crash-before',
   'crash-after',
   'crash-finishing',
@@ -81,7 +82,7 @@
   },
 );
 
-// Guards against a second run of a key, a false `absent`, an answer of another run, and a lost answer.
+// Guards against a second run of a key, a false `absent`, an answer of another run, a lost answer, and a lost mark.
 test.serial('a call runs at most once in random histories', async (t) => {
   const counts: Record<string, number> = {};
   const runHistory = async (steps: Step[], seed: number): Promise<void> => {
@@ -117,6 +118,9 @@
         const isKept = Date.now() < (sim.issued.get(known) ?? 0) + settings.retentionMs;
         const isAnswered = !isConfirmed || decision.kind === 'finished';
         if (isKept && !isAnswered) sim.problems.push(`${known}: confirmed answer lost: ${decision.kind}`);
+        if (isKept && sim.marked.has(known) && decision.kind !== 'unknown') {
+          sim.problems.push(`${known}: marked as unknown but answered ${decision.kind}`);
+        }
         if (decision.kind === 'unavailable' || look?.kind === 'unavailable') {
           sim.problems.push(`${known}: unavailable without faults`);
         }
--- a/packages/journal-calls/test/journal-decisions.test.ts
+++ b/packages/journal-calls/test/journal-decisions.test.ts
@@ -93,3 +93,30 @@
     t.like(await begin(1, { ...changes, attemptId: `c${String(index)}` }), { kind: 'run' }, kind);
   }
 });
+
+// Guards against a resend that is told `in-progress` for 120 s although the answer is known to be lost.
+test.serial(
+  'a resend after a lost answer gets unknown at once, and a late answer still counts',
+  async (t) => {
+    const { clock, sim, call, begin } = startSimulation();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const attempt = { ...call, attemptId: 'a1' };
+    await begin(0);
+    t.like(await begin(1, { attemptId: 'a2' }), { kind: 'in-progress' });
+    const other = sim.nodes[2]?.journal.markUnknown({ ...attempt, attemptId: 'a2' });
+    const marking = sim.nodes[0]?.journal.markUnknown(attempt);
+    await clock.tickAsync(1000);
+    t.false(await other, 'an attempt without permission');
+    t.true(await marking);
+    t.like(await begin(1, { attemptId: 'a3', waitMs: 5000 }, 1000), { kind: 'unknown' });
+    const answer = { status: 200, headers: {}, body: 'booked' };
+    const finish = sim.nodes[0]?.journal.finishCall({ ...attempt, answer });
+    await clock.tickAsync(1000);
+    t.true(await finish);
+    const late = sim.nodes[0]?.journal.markUnknown(attempt);
+    t.deepEqual(await begin(2, { attemptId: 'a4' }), { kind: 'finished', answer, system: 'own' });
+    t.true(await late, 'the answer is recorded');
+  },
+);
--- a/packages/journal-calls/test/simulate-journal.ts
+++ b/packages/journal-calls/test/simulate-journal.ts
@@ -7,7 +7,8 @@
 type Handler = (body: unknown) => Promise<unknown>;
 
 /** What the entry node does with permission to run. */
-export type Ending = 'finish' | 'abandon' | 'no-result' | 'crash-before' | 'crash-after' | 'crash-finishing';
+export type Ending =
+  'finish' | 'abandon' | 'no-result' | 'mark-unknown' | 'crash-before' | 'crash-after' | 'crash-finishing';
 
 interface SimulatedNode {
   member: Member;
@@ -33,6 +34,8 @@
   const nodes: SimulatedNode[] = [];
   const runs = new Map<string, string[]>();
   const confirmed = new Set<string>();
+  /** Keys whose attempt was confirmed as unknown and has no answer. */
+  const marked = new Set<string>();
   const issued = new Map<string, number>();
   const problems: string[] = [];
   let attempts = 0;
@@ -124,6 +127,10 @@
       runs.set(key, [...(runs.get(key) ?? []), body]);
       await sleep(20);
       if (ending === 'no-result' || isDead(node)) return decision;
+      if (ending === 'mark-unknown') {
+        if ((await node.journal.markUnknown({ ...call, attemptId })) && !isDead(node)) marked.add(key);
+        return decision;
+      }
       if (ending === 'crash-after') {
         killNode(index);
         return decision;
@@ -152,5 +159,5 @@
     return decision;
   };
   for (let i = 0; i < 3; i += 1) startNode(i, 1);
-  return { state, nodes, runs, confirmed, problems, platform, issued, runCall, findCall, killNode };
+  return { state, nodes, runs, confirmed, marked, problems, platform, issued, runCall, findCall, killNode };
 }
--- a/packages/run-call/src/run-attempt.ts
+++ b/packages/run-call/src/run-attempt.ts
@@ -13,7 +13,7 @@
 const RECORD_WAIT_MS = 250;
 const RETRY_AFTER_MS = 1_000;
 
-/** Dispatches the permitted attempt and settles its record: finished, abandoned, or left open when the answer was lost. */
+/** Dispatches the permitted attempt and settles its record: finished, abandoned, or unknown when the answer was lost. */
 export async function runAttempt(
   state: CallState,
   attempt: JournalAbandon,
@@ -27,8 +27,12 @@
     if (recorded !== true) traceCall(state, 'answer sent before its record', { recorded });
     return result;
   }
-  if (state.sent) await journal.markUnknown?.(attempt).catch(() => false);
-  else await journal.abandonCall(attempt).catch(() => false);
+  // The record is tried again in the background; the refusal is final and does not wait for a platform that is down.
+  const settling = state.sent ? journal.markUnknown(attempt) : journal.abandonCall(attempt);
+  await waitAtMost(
+    settling.catch(() => false),
+    RECORD_WAIT_MS,
+  );
   return result;
 }
 
--- a/packages/run-call/test/run-call.test.ts
+++ b/packages/run-call/test/run-call.test.ts
@@ -4,7 +4,7 @@
 import { checkKey, findOutcome } from '@laburnumshift/run-call';
 import { installClock } from '@laburnumshift/test-utils';
 import type { JournalDecision } from '@laburnumshift/types';
-import { type Behaviour, KEY, KEY_TIME_MS, simulateService } from './simulate-service.js';
+import { type Behaviour, DEADLINE_MS, KEY, KEY_TIME_MS, simulateService } from './simulate-service.js';
 
 async function runPaused<T>(start: () => Promise<T>): Promise<T> {
   const clock = installClock(KEY_TIME_MS);
@@ -66,6 +66,24 @@
   t.like(answer, { ok: true, value: { body: 'run 1' } });
 });
 
+for (const [name, behaviours, outcome] of [
+  ['unknown', ['lost'], 'unknown'],
+  ['abandoned', ['unsent', 'unsent', 'unsent'], 'not run'],
+] as const) {
+  // Guards against a final refusal that waits until the deadline for a journal that is down.
+  test.serial(`a refusal does not wait until the attempt is recorded as ${name}`, async (t) => {
+    const service = simulateService([...behaviours], false);
+    const waitForever = (): Promise<boolean> => new Promise(() => undefined);
+    Object.assign(service.journal, { markUnknown: waitForever, abandonCall: waitForever });
+    const [answer, tookMs] = await runPaused(async () => {
+      const startMs = performance.now();
+      return [await service.runJob(), performance.now() - startMs] as const;
+    });
+    t.like(answer, { ok: false, error: { outcome } });
+    t.true(tookMs < DEADLINE_MS / 2, String(tookMs));
+  });
+}
+
 const decisions: readonly [JournalDecision, string, string][] = [
   [{ kind: 'in-progress', retryAfterMs: 70 }, 'in_progress', 'unknown'],
   [{ kind: 'unknown', detail: '' }, 'outcome_unknown', 'unknown'],
--- a/packages/types/src/call-journal.ts
+++ b/packages/types/src/call-journal.ts
@@ -10,7 +10,7 @@
   readonly finishCall: (finish: JournalFinish) => Promise<boolean>;
   readonly abandonCall: (abandon: JournalAbandon) => Promise<boolean>;
   /** Records that the answer of a dispatched attempt was lost, so that a resend learns `unknown` without waiting. */
-  readonly markUnknown?: ((attempt: JournalAbandon) => Promise<boolean>) | undefined;
+  readonly markUnknown: (attempt: JournalAbandon) => Promise<boolean>;
   readonly findCall: (look: JournalLook) => Promise<JournalDecision>;
   readonly close: () => Promise<void>;
 }
--- a/packages/types/src/journal-abandon.ts
+++ b/packages/types/src/journal-abandon.ts
@@ -1,4 +1,4 @@
-/** Takes back an attempt that was surely not dispatched. */
+/** Names an attempt whose end is recorded without an answer: not dispatched, or dispatched with its answer lost. */
 export interface JournalAbandon {
   readonly account: string;
   readonly service: string;
--- a/packages/types/src/node-messages.ts
+++ b/packages/types/src/node-messages.ts
@@ -33,6 +33,7 @@
   readonly 'journal-begin': { body: JournalBegin; reply: JournalDecision };
   readonly 'journal-finish': { body: JournalFinish; reply: { readonly recorded: boolean } };
   readonly 'journal-abandon': { body: JournalAbandon; reply: { readonly recorded: boolean } };
+  readonly 'journal-unknown': { body: JournalAbandon; reply: { readonly recorded: boolean } };
   readonly 'journal-look': { body: JournalLook; reply: JournalDecision };
   readonly 'config-head': { body: ConfigHead; reply: { readonly generation: number } };
   readonly 'config-get': {
