Answer outcome lookups of undated and old keys as unknown

A key without a date, or older than the retention, gets outcome unknown with idempotency_key_undated or idempotency_key_expired. The search stops at the key's date. answerStored is false when only the status was kept.

Result: lookups of undated, future and expired keys are refused with outcome unknown in the tests.

--- a/packages/journal-calls/src/create-local-journal.ts
+++ b/packages/journal-calls/src/create-local-journal.ts
@@ -142,7 +142,7 @@
         const restMs = untilMs - readMonotonicMs();
         if (decision.kind !== 'in-progress' || restMs <= 0) return decision;
         await getShard(id).waitChange(Math.min(restMs, POLL_MS));
-        await getShard(id).findFresh(id, POLL_MS / 2);
+        await getShard(id).findFresh(id, begin.issuedAtMs - limits.skewMs, POLL_MS / 2);
       }
     },
     finishCall: async (finish) => {
@@ -178,7 +178,7 @@
     },
     findCall: async (look) => {
       const id = computeCallId(look);
-      const found = await getShard(id).findFresh(id, 0);
+      const found = await getShard(id).findFresh(id, (look.issuedAtMs ?? 0) - limits.skewMs, 0);
       const entry = found === undefined ? getShard(id).getEntry(id) : found.entry;
       if (entry !== undefined) return describeEntry(entry);
       if (found === undefined)
--- a/packages/journal-calls/src/create-shard.ts
+++ b/packages/journal-calls/src/create-shard.ts
@@ -173,11 +173,11 @@
     },
     getEntry: (id) => (view ?? lastView)?.entries.get(id),
     isCut: (sinceMs) => sinceMs <= ((view ?? lastView)?.missingUntilMs ?? 0),
-    findFresh: (id, maxAgeMs) =>
+    findFresh: (id, sinceMs, maxAgeMs) =>
       runAlone(async () => {
         const ageMs = view === undefined ? Infinity : readMonotonicMs() - view.confirmedMs;
         const known = await ensureView(ageMs >= maxAgeMs);
-        if (known === undefined || !(await ensureEntry(known, id, 0))) return undefined;
+        if (known === undefined || !(await ensureEntry(known, id, sinceMs))) return undefined;
         return { entry: known.entries.get(id) };
       }),
     waitChange: async (ms) => {
--- a/packages/journal-calls/src/shard.ts
+++ b/packages/journal-calls/src/shard.ts
@@ -10,10 +10,11 @@
   readonly isCut: (sinceMs: number) => boolean;
   /**
    * Finds the call after reading the tail again, unless it was read within `maxAgeMs`; `undefined` when the platform
-   * cannot be read.
+   * cannot be read. Records before `sinceMs`, wall-clock milliseconds, are not searched.
    */
   readonly findFresh: (
     id: string,
+    sinceMs: number,
     maxAgeMs: number,
   ) => Promise<{ readonly entry: CallEntry | undefined } | undefined>;
   /** Resolves at the next change of the view, or after the time. */
--- a/packages/run-call/test/run-call.test.ts
+++ b/packages/run-call/test/run-call.test.ts
@@ -157,6 +157,25 @@
   t.deepEqual([other.counts.older, other.counts.dispatched.length], [1, 0]);
 });
 
+const lookups: readonly [string, string, number | undefined, string][] = [
+  ['undated', 'k', undefined, 'idempotency_key_undated'],
+  ['from the future', 'k', KEY_TIME_MS + 3_600_000, 'idempotency_key_undated'],
+  ['older than the retention', 'k', KEY_TIME_MS - RETENTION_MS, 'idempotency_key_expired'],
+];
+for (const [name, key, issuedAtMs, code] of lookups) {
+  // Guards against an absent record that is taken for a call that did not run, although its record may be deleted.
+  test.serial(`the outcome of a key that is ${name} is unknown`, async (t) => {
+    const service = simulateService([], false);
+    const look = { account: 'a', service: 's', key, issuedAtMs };
+    const found = await runPaused(() => findOutcome(look, service.deps));
+    t.like(found, { ok: false, error: { code, outcome: 'unknown' } });
+    const dated = await runPaused(() =>
+      findOutcome({ ...look, issuedAtMs: KEY_TIME_MS - 60_000 }, service.deps),
+    );
+    t.deepEqual(dated, { ok: true, value: { kind: 'absent' } });
+  });
+}
+
 // Guards against work sent to a server that the node knows to be leaving or dead.
 test.serial('unusable servers are skipped', async (t) => {
   for (const kind of [true, false]) {
@@ -178,7 +197,8 @@
 test.serial('keys of two accounts do not meet', async (t) => {
   const service = simulateService([], false);
   t.like(await runPaused(() => service.runJob()), { value: { body: 'run 1' } });
-  t.deepEqual(await findOutcome({ account: 'b', service: 's', key: KEY }, service.deps), { kind: 'absent' });
+  const found = await runPaused(() => findOutcome({ account: 'b', service: 's', key: KEY }, service.deps));
+  t.deepEqual(found, { ok: true, value: { kind: 'absent' } });
   t.like(await runPaused(() => service.runJob({}, 'b')), { value: { body: 'run 2' } });
 });
 
--- a/packages/serve-callers/src/caller-handlers.ts
+++ b/packages/serve-callers/src/caller-handlers.ts
@@ -17,5 +17,5 @@
   /** Follows a new or an existing run; the signal aborts when the caller goes away. */
   readonly runCompletion: (request: CallerCompletion, signal: AbortSignal) => AsyncIterable<RunItem>;
   readonly runCall: (request: CallerCall, signal: AbortSignal) => Promise<Result<CallAnswer, Refusal>>;
-  readonly findOutcome: (look: JournalLook) => Promise<JournalDecision>;
+  readonly findOutcome: (look: JournalLook) => Promise<Result<JournalDecision, Refusal>>;
 }
--- a/packages/serve-callers/src/serve-outcome.ts
+++ b/packages/serve-callers/src/serve-outcome.ts
@@ -5,11 +5,15 @@
 import { sendRefusal } from './send-refusal.js';
 
 const PLATFORM_RETRY_MS = 1_000;
+/** Set to `false` by the journal on an answer that was too large to keep. */
+const STORED_HEADER = 'x-answer-stored';
 
-/** Answers `GET /outcome/SERVICE/KEY` with the state of the account's own call under this key. */
+/**
+ * Answers `GET /outcome/SERVICE/KEY` with the state of the account's own call under this key. `answerStored` is false when
+ * only the status of a large answer was kept.
+ */
 export async function serveOutcome(exchange: Exchange, service: string, key: string): Promise<void> {
   const { response, requestId, account, handlers } = exchange;
-  const decision = await handlers.findOutcome({ account: account.name, service, key });
   const sendState = (state: Readonly<Record<string, unknown>>): void => {
     response
       .writeHead(200, { 'content-type': 'application/json', 'x-request-id': requestId })
@@ -18,9 +22,23 @@
   const refuse = (...refusal: Parameters<typeof createRefusal>): void => {
     sendRefusal(response, createRefusal(...refusal), requestId);
   };
-  match<JournalDecision>(decision)
+  const date = exchange.request.headers['idempotency-issued-at'];
+  const isDated = date !== undefined;
+  if (isDated && !/^\d{1,16}$/.test(String(date))) {
+    refuse('bad_request', 'idempotency-issued-at is not a time in milliseconds', OUTCOMES.unknown);
+    return;
+  }
+  const issuedAtMs = isDated ? Number(date) : undefined;
+  const decision = await handlers.findOutcome({ account: account.name, service, key, issuedAtMs });
+  if (!decision.ok) {
+    sendRefusal(response, decision.error, requestId);
+    return;
+  }
+  match<JournalDecision>(decision.value)
     .with({ kind: 'finished' }, ({ answer }) => {
-      sendState({ state: 'finished', outcome: OUTCOMES.ran, status: answer.status, body: answer.body });
+      const stored = answer.headers[STORED_HEADER] !== 'false';
+      const { status, body } = answer;
+      sendState({ state: 'finished', outcome: OUTCOMES.ran, status, answerStored: stored, body });
     })
     .with({ kind: 'in-progress' }, ({ retryAfterMs }) => {
       sendState({ state: 'in progress', outcome: OUTCOMES.unknown, retryAfterMs });
--- a/packages/serve-callers/test/serve-callers.test.ts
+++ b/packages/serve-callers/test/serve-callers.test.ts
@@ -119,7 +119,9 @@
       looks.push(look);
       const answer = { status: 200, headers: {}, body: 'booked' };
       return Promise.resolve(
-        look.account === 'a' ? { kind: 'finished', answer, system: 'own' } : { kind: 'absent' },
+        look.account === 'a'
+          ? { ok: true, value: { kind: 'finished', answer, system: 'own' } }
+          : { ok: true, value: { kind: 'absent' } },
       );
     },
   });
--- a/packages/serve-callers/test/start-server.ts
+++ b/packages/serve-callers/test/start-server.ts
@@ -43,7 +43,7 @@
       },
       runCall: () =>
         Promise.resolve({ ok: true, value: { status: 201, headers: { 'x-a': '1' }, body: '{"done":true}' } }),
-      findOutcome: () => Promise.resolve({ kind: 'absent' }),
+      findOutcome: () => Promise.resolve({ ok: true, value: { kind: 'absent' } }),
       ...handlers,
     },
   );
--- a/packages/types/src/journal-look.ts
+++ b/packages/types/src/journal-look.ts
@@ -3,4 +3,6 @@
   readonly account: string;
   readonly service: string;
   readonly key: string;
+  /** Date of the key when known, milliseconds since the epoch; older records are not searched. */
+  readonly issuedAtMs?: number | undefined;
 }
