--- a/packages/journal-calls/src/journal-options.ts
+++ b/packages/journal-calls/src/journal-options.ts
@@ -6,7 +6,7 @@
   readonly platform: PlatformClient;
   readonly mesh: Pick<NodeMesh, 'callNode' | 'handleMessage'>;
   readonly membership: Pick<Membership, 'getSelf' | 'listLive'>;
-  /** Number of shards. It is part of the stored layout, so all nodes must use the same number at all times. */
+  /** Number of shards that the first node stores; a stored number goes before it. */
   readonly shards: number;
   /** How long after its date a key is accepted, milliseconds. */
   readonly retentionMs: number;
--- /dev/null
+++ b/packages/journal-calls/src/layout-schema.ts
@@ -0,0 +1,4 @@
+import { z } from 'zod';
+
+/** Value of the object `journal-layout/main`. It never changes once it exists. */
+export const LAYOUT_SCHEMA = z.object({ shards: z.number().int().min(1) });
--- a/packages/journal-calls/test/booking-writes.test.ts
+++ b/packages/journal-calls/test/booking-writes.test.ts
@@ -12,7 +12,12 @@
     t.teardown(() => {
       clock.uninstall();
     });
-    const settings = { shards, retentionMs: 7_200_000, minWriteIntervalMs: 80, limits: {} };
+    const settings = {
+      shards: [shards, shards, shards],
+      retentionMs: 7_200_000,
+      minWriteIntervalMs: 80,
+      limits: {},
+    };
     const sim = simulateJournal(() => 'none', getHalf, settings);
     const waits: number[] = [];
     for (let i = 0; i < SECONDS * 1000; i += 1) {
--- a/packages/journal-calls/test/create-call-journal.test.ts
+++ b/packages/journal-calls/test/create-call-journal.test.ts
@@ -16,7 +16,7 @@
   maxAttemptMs: 20_000,
   keepTryingMs: 10_000,
 };
-const settings = { shards: 1, retentionMs: 15_000, minWriteIntervalMs: 80, limits };
+const settings = { shards: [1, 2, 1], retentionMs: 15_000, minWriteIntervalMs: 80, limits };
 const createRandom = (seed: number) => {
   const generator = xoroshiro128plus(seed);
   return (): number => uniformInt(generator, 0, 999_999) / 1_000_000;
--- a/packages/journal-calls/test/journal-decisions.test.ts
+++ b/packages/journal-calls/test/journal-decisions.test.ts
@@ -4,7 +4,12 @@
 import type { Fault } from './fake-platform.js';
 import { simulateJournal } from './simulate-journal.js';
 
-const settings = { shards: 3, retentionMs: 60_000, minWriteIntervalMs: 80, limits: { maxAnswerBytes: 100 } };
+const settings = {
+  shards: [3, 3, 3],
+  retentionMs: 60_000,
+  minWriteIntervalMs: 80,
+  limits: { maxAnswerBytes: 100 },
+};
 
 function startSimulation() {
   const clock = installClock();
--- a/packages/journal-calls/test/simulate-journal.ts
+++ b/packages/journal-calls/test/simulate-journal.ts
@@ -23,7 +23,8 @@
   pickFault: () => Fault,
   random: () => number,
   settings: {
-    shards: number;
+    /** Setting of each node, by index. */
+    shards: readonly number[];
     retentionMs: number;
     minWriteIntervalMs: number;
     limits: Partial<JournalLimits>;
@@ -82,7 +83,13 @@
       getSelf: () => member,
       listLive: () => nodes.filter((n) => n.isAlive && (!state.split || n === node)).map((n) => n.member),
     };
-    node.journal = createCallJournal({ platform: client, mesh, membership, ...settings });
+    node.journal = createCallJournal({
+      platform: client,
+      mesh,
+      membership,
+      ...settings,
+      shards: settings.shards[index] ?? 1,
+    });
     nodes[index] = node;
   };
   const killNode = (index: number): void => {
