--- a/packages/run-call/test/run-call.test.ts
+++ b/packages/run-call/test/run-call.test.ts
@@ -4,7 +4,7 @@
 import { checkKey, findOutcome } from '@laburnumshift/run-call';
 import { installClock } from '@laburnumshift/test-utils';
 import type { JournalDecision } from '@laburnumshift/types';
-import { type Behaviour, KEY, KEY_TIME_MS, simulateService } from './simulate-service.js';
+import { type Behaviour, DEADLINE_MS, KEY, KEY_TIME_MS, simulateService } from './simulate-service.js';
 
 async function runPaused<T>(start: () => Promise<T>): Promise<T> {
   const clock = installClock(KEY_TIME_MS);
@@ -66,26 +66,57 @@
   t.like(answer, { ok: true, value: { body: 'run 1' } });
 });
 
+for (const [name, behaviours, outcome] of [
+  ['unknown', ['lost'], 'unknown'],
+  ['abandoned', ['unsent', 'unsent', 'unsent'], 'not run'],
+] as const) {
+  // Guards against a final refusal that waits until the deadline for a journal that is down.
+  test.serial(`a refusal does not wait until the attempt is recorded as ${name}`, async (t) => {
+    const service = simulateService([...behaviours], false);
+    const waitForever = (): Promise<boolean> => new Promise(() => undefined);
+    Object.assign(service.journal, { markUnknown: waitForever, abandonCall: waitForever });
+    const [answer, tookMs] = await runPaused(async () => {
+      const startMs = performance.now();
+      return [await service.runJob(), performance.now() - startMs] as const;
+    });
+    t.like(answer, { ok: false, error: { outcome } });
+    t.true(tookMs < DEADLINE_MS / 2, String(tookMs));
+  });
+}
+
 const decisions: readonly [JournalDecision, string, string][] = [
   [{ kind: 'in-progress', retryAfterMs: 70 }, 'in_progress', 'unknown'],
   [{ kind: 'unknown', detail: '' }, 'outcome_unknown', 'unknown'],
   [{ kind: 'body-differs' }, 'idempotency_key_reused', 'not run'],
   [{ kind: 'expired' }, 'idempotency_key_expired', 'unknown'],
-  [{ kind: 'unavailable', detail: '' }, 'platform_unavailable', 'not run'],
+  [{ kind: 'unavailable', detail: '', seen: false }, 'platform_unavailable', 'not run'],
+  [{ kind: 'unavailable', detail: '', seen: true }, 'platform_unavailable', 'unknown'],
   [{ kind: 'run', attemptId: 'of another', system: 'own' }, 'in_progress', 'unknown'],
 ];
 for (const [decision, code, outcome] of decisions) {
   // Guards against a dispatch without the journal's permission.
-  test.serial(`the journal's answer ${decision.kind} dispatches nothing`, async (t) => {
+  test.serial(`the journal's answer ${JSON.stringify(decision)} dispatches nothing`, async (t) => {
     const service = simulateService([], false);
     Object.assign(service.journal, { beginCall: () => Promise.resolve(decision) });
     const answer = await runPaused(() => service.runJob());
     t.like(answer, { ok: false, error: { code, outcome } });
+    if (decision.kind === 'unavailable') t.like(answer, { error: { retryAfterMs: 1_000 } });
     if (decision.kind === 'in-progress') t.like(answer, { error: { retryAfterMs: 70 } });
     t.is(service.counts.dispatched.length, 0);
   });
 }
 
+// Guards against `not run` for a key that may have been sent before, through nodes that have died since.
+test.serial('an old key is not said to be not run while the journal is down', async (t) => {
+  const service = simulateService([], false);
+  service.journal.fault = 'begin';
+  const sendAged = (ageMs: number) =>
+    runPaused(() => service.runJob({ idempotencyKey: 'k', issuedAtMs: KEY_TIME_MS - ageMs }));
+  t.like(await sendAged(29_900), { error: { code: 'platform_unavailable', outcome: 'not run' } });
+  t.like(await sendAged(30_000), { error: { code: 'platform_unavailable', outcome: 'unknown' } });
+  t.is(service.counts.dispatched.length, 0);
+});
+
 const RETENTION_MS = 7_200_000;
 const keys: readonly [string, string | undefined, number | undefined, string | undefined][] = [
   ['UUID version 7', KEY, undefined, undefined],
@@ -126,6 +157,25 @@
   t.deepEqual([other.counts.older, other.counts.dispatched.length], [1, 0]);
 });
 
+const lookups: readonly [string, string, number | undefined, string][] = [
+  ['undated', 'k', undefined, 'idempotency_key_undated'],
+  ['from the future', 'k', KEY_TIME_MS + 3_600_000, 'idempotency_key_undated'],
+  ['older than the retention', 'k', KEY_TIME_MS - RETENTION_MS, 'idempotency_key_expired'],
+];
+for (const [name, key, issuedAtMs, code] of lookups) {
+  // Guards against an absent record that is taken for a call that did not run, although its record may be deleted.
+  test.serial(`the outcome of a key that is ${name} is unknown`, async (t) => {
+    const service = simulateService([], false);
+    const look = { account: 'a', service: 's', key, issuedAtMs };
+    const found = await runPaused(() => findOutcome(look, service.deps));
+    t.like(found, { ok: false, error: { code, outcome: 'unknown' } });
+    const dated = await runPaused(() =>
+      findOutcome({ ...look, issuedAtMs: KEY_TIME_MS - 60_000 }, service.deps),
+    );
+    t.deepEqual(dated, { ok: true, value: { kind: 'absent' } });
+  });
+}
+
 // Guards against work sent to a server that the node knows to be leaving or dead.
 test.serial('unusable servers are skipped', async (t) => {
   for (const kind of [true, false]) {
@@ -147,7 +197,8 @@
 test.serial('keys of two accounts do not meet', async (t) => {
   const service = simulateService([], false);
   t.like(await runPaused(() => service.runJob()), { value: { body: 'run 1' } });
-  t.deepEqual(await findOutcome({ account: 'b', service: 's', key: KEY }, service.deps), { kind: 'absent' });
+  const found = await runPaused(() => findOutcome({ account: 'b', service: 's', key: KEY }, service.deps));
+  t.deepEqual(found, { ok: true, value: { kind: 'absent' } });
   t.like(await runPaused(() => service.runJob({}, 'b')), { value: { body: 'run 2' } });
 });
 
@@ -163,9 +214,8 @@
       await runPaused(async () => {
         for (const next of faults) {
           service.journal.fault = next;
-          const before = service.counts.ran;
           const answer = await service.runJob();
-          if (!answer.ok && answer.error.outcome === 'not run') t.is(service.counts.ran, before);
+          if (!answer.ok && answer.error.outcome === 'not run') t.is(service.counts.ran, 0);
           service.unusable.clear();
         }
       });
