Answer no share and no placement before a configuration is known

Cause: a restarted daemon becomes the home of accounts and cells as soon as it is a live member, which may be before it has a configuration. It then granted shares of zero, so that the asking node refused the account's calls with a retry time of 60 s, and it refused placements with no_engine. Change: the handlers of share and place reject when the account or cell is unknown. The asking node keeps its share or applies limit / nodes, and decides the placement alone.

--- a/packages/run-node/src/register-handlers.ts
+++ b/packages/run-node/src/register-handlers.ts
@@ -7,7 +7,8 @@
   const { mesh, homes, limiter, traces, suspects } = parts;
   mesh.handleMessage('place', async (request): Promise<PlaceReply> => {
     const home = homes.openCell(request.pool, request.cell);
-    if (home === undefined) return { kind: 'refused', code: 'no_engine', retryAfterMs: 1_000 };
+    // A node that has just started may be the home before it has a configuration. The entry node then decides alone.
+    if (home === undefined) throw new Error('this node does not know the cell');
     return home.place(request);
   });
   mesh.handleMessage('run-finished', (report) => {
@@ -19,7 +20,13 @@
     homes.openCell(failure.pool, failure.cell)?.reportFailure(failure);
     return Promise.resolve(null);
   });
-  mesh.handleMessage('share', (request) => Promise.resolve(limiter.handleShare(request)));
+  mesh.handleMessage('share', (request) => {
+    // A share of zero would stop the account's calls through that node; without an answer it applies limit / nodes.
+    if (parts.configWatch.getConfig()?.accounts[request.account] === undefined) {
+      return Promise.reject(new Error('this node does not know the account'));
+    }
+    return Promise.resolve(limiter.handleShare(request));
+  });
   mesh.handleMessage('status', () => Promise.resolve(buildNodeStatus(parts)));
   mesh.handleMessage('explain', ({ requestId }) => Promise.resolve(traces.findTraces(requestId)));
 }
