Add measurements over real daemons on loopback

Cause: the measurements so far run the decision code alone on a simulated clock. Change: the package measure-daemons holds a load tool (seeded open-loop workload of both deployments, a stand-in for the load balancer, resends) and scenarios that start the fakes and six daemons as processes. runNode takes an optional second argument with a placement policy and a retention planner, so that baselines run behind the same interface.

--- /dev/null
+++ b/packages/measure-daemons/src/candidates.ts
@@ -0,0 +1,17 @@
+import { BASELINES } from '@laburnumshift/place-request';
+import { createKeepAllPlanner, createKeepNonePlanner } from '@laburnumshift/plan-retention';
+import type { NodeOptions } from '@laburnumshift/run-node';
+
+/**
+ * What is compared, by name; `own` is the product. Placement baselines keep everything, as systems with these policies do;
+ * retention baselines use the product's placement.
+ */
+export const CANDIDATES: Readonly<Record<string, NodeOptions>> = {
+  own: {},
+  'round-robin': { policy: BASELINES['round-robin'], createPlanner: createKeepAllPlanner },
+  'least-loaded': { policy: BASELINES['least-loaded'], createPlanner: createKeepAllPlanner },
+  sticky: { policy: BASELINES.sticky, createPlanner: createKeepAllPlanner },
+  'prefix-aware': { policy: BASELINES['prefix-aware'], createPlanner: createKeepAllPlanner },
+  'keep-none': { createPlanner: createKeepNonePlanner },
+  'keep-all-lru': { createPlanner: createKeepAllPlanner },
+};
--- /dev/null
+++ b/packages/measure-daemons/src/daemon-scenario.ts
@@ -0,0 +1,5 @@
+/** A measurement over real daemons that can be run by name. */
+export interface DaemonScenario {
+  readonly description: string;
+  readonly run: (seed: number) => Promise<unknown>;
+}
--- /dev/null
+++ b/packages/measure-daemons/src/index.ts
@@ -0,0 +1,3 @@
+/** Load tool and measurements over real daemons on loopback. */
+export type { DaemonScenario } from './daemon-scenario.js';
+export { DAEMON_SCENARIOS } from './daemon-scenarios.js';
--- /dev/null
+++ b/packages/measure-daemons/src/measure-daemons-command.ts
@@ -0,0 +1,42 @@
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { dirname } from 'node:path';
+import { Command, Option, UsageError } from 'clipanion';
+import { DAEMON_SCENARIOS } from './daemon-scenarios.js';
+import { readCommit } from './read-commit.js';
+
+/** Lists the scenarios or runs one of them. */
+export class MeasureDaemonsCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: 'Run a measurement over real daemons and write its figures as JSON.',
+  });
+
+  list = Option.Boolean('--list', false, { description: 'list the scenarios' });
+  seed = Option.String('--seed', '1', { description: 'seed of the random numbers' });
+  out = Option.String('--out', { description: 'file for the result; standard output by default' });
+  scenario = Option.String({ required: false, name: 'NAME' });
+
+  async execute(): Promise<number> {
+    if (this.list || this.scenario === undefined) {
+      const lines = Object.entries(DAEMON_SCENARIOS).map(
+        ([name, { description }]) => `${name}: ${description}\n`,
+      );
+      this.context.stdout.write(lines.join(''));
+      return 0;
+    }
+    const seed = Number(this.seed);
+    if (!Number.isSafeInteger(seed)) throw new UsageError('--seed must be an integer');
+    const scenario = DAEMON_SCENARIOS[this.scenario];
+    if (scenario === undefined) throw new UsageError(`unknown scenario ${this.scenario}`);
+    const commit = readCommit();
+    const figures = await scenario.run(seed);
+    const command = `npm run measure-daemons -- ${this.scenario} --seed ${String(seed)}`;
+    const text = `${JSON.stringify({ command, scenario: this.scenario, seed, commit, figures }, undefined, 2)}\n`;
+    if (this.out === undefined) this.context.stdout.write(text);
+    else {
+      mkdirSync(dirname(this.out), { recursive: true });
+      writeFileSync(this.out, text);
+    }
+    return 0;
+  }
+}
--- a/packages/run-node/src/create-homes.ts
+++ b/packages/run-node/src/create-homes.ts
@@ -6,6 +6,7 @@
 import type { Config, Quarantine, RetentionPlanner } from '@laburnumshift/types';
 import type { Metrics } from '@laburnumshift/record-metrics';
 import type { CellHomes } from './cell-homes.js';
+import type { NodeOptions } from './node-options.js';
 import type { SuspectMemory } from './suspect-memory.js';
 import { createCellHomes } from './create-cell-homes.js';
 
@@ -20,11 +21,12 @@
   suspects: SuspectMemory,
   metrics: Metrics,
   logger: Logger,
+  { policy, createPlanner = createRetentionPlanner }: NodeOptions,
 ): CellHomes {
-  const createPlanner = (config: Config, name: string): RetentionPlanner => {
+  const createPoolPlanner = (config: Config, name: string): RetentionPlanner => {
     const pool = config.pools[name];
     const rates = pool?.servers.map((server) => server.prefillTokensPerSecond) ?? [];
-    return createRetentionPlanner({
+    return createPlanner({
       pieceBytes: pool?.pieceBytes ?? 1,
       pieceTokens: pool?.pieceTokens ?? 1,
       prefillTokensPerSecond: Math.max(1, Math.min(...rates)),
@@ -37,7 +39,8 @@
       createEngine: ({ url }) => createEngineClient({ url }),
       createStore: ({ name, url }) => createStoreClient({ name, url }),
       createDirectory: () => createCacheDirectory(),
-      createPlanner,
+      createPlanner: createPoolPlanner,
+      policy,
       isHome,
       isSuspect: suspects.isSuspect,
       onCrash: (fingerprints, engine) => {
--- a/packages/run-node/src/run-node.ts
+++ b/packages/run-node/src/run-node.ts
@@ -26,6 +26,7 @@
 import { createServerTable } from './create-server-table.js';
 import { createSuspectMemory } from './create-suspect-memory.js';
 import { createTraceStore } from './create-trace-store.js';
+import type { NodeOptions } from './node-options.js';
 import type { NodeParts } from './node-parts.js';
 import { registerHandlers } from './register-handlers.js';
 import type { RunningNode } from './running-node.js';
@@ -35,9 +36,13 @@
 
 const MAX_SEED = 2 ** 31;
 
-/** Starts one node; resolves when it listens. It is ready as soon as it knows a configuration. */
-export async function runNode(settings: NodeSettings): Promise<RunningNode> {
-  const parts = await createParts(settings);
+/**
+ * Starts one node; resolves when it listens. It is ready as soon as it knows a configuration.
+ *
+ * @param options replacements of the decision code, for measurements only
+ */
+export async function runNode(settings: NodeSettings, options: NodeOptions = {}): Promise<RunningNode> {
+  const parts = await createParts(settings, options);
   registerHandlers(parts);
   setGauges(parts);
   let draining = false;
@@ -79,7 +84,7 @@
   };
 }
 
-async function createParts(settings: NodeSettings): Promise<NodeParts> {
+async function createParts(settings: NodeSettings, options: NodeOptions): Promise<NodeParts> {
   const logger = createLogger('node');
   logger.setLevel(settings.log.level);
   const metrics = createMetrics();
@@ -119,7 +124,7 @@
     return config !== undefined && placer.findHome(config, cell) === mesh.getAddress();
   };
   const suspects = createSuspectMemory();
-  const homes = createHomes(isHome, getConfig, quarantine, suspects, metrics, logger);
+  const homes = createHomes(isHome, getConfig, quarantine, suspects, metrics, logger, options);
   const orders = createOrderDuties(platform, membership, getConfig, peers.getEngine);
   const servers = createServerTable(getConfig, peers.getService, reportError);
   hostWatch.onChange((leaving) => {
