Print status, explain, outcome, history and audit for people

Cause: these commands printed JSON or unaligned columns, so that an operator had to search several hundred lines for a late node or an unusable engine. Nodes report the cells whose home they are.

--- a/packages/cli/src/cli-command.ts
+++ b/packages/cli/src/cli-command.ts
@@ -3,6 +3,9 @@
 import type { CommandResult } from './command-result.js';
 import { EXIT_CODES } from './exit-codes.js';
 
+/** Names and error texts of peers may hold control characters, which could hide or forge lines of a terminal. */
+const CONTROL = /(?!\n)\p{Cc}/gu;
+
 const describeFailure = (error: unknown): CommandResult => {
   if (error instanceof FindingsError) {
     const text = error.findings.map(renderFinding).join('\n');
@@ -23,7 +26,8 @@
   async execute(): Promise<number> {
     const { result, text, value } = await this.runCommand().catch(describeFailure);
     if (this.json) this.context.stdout.write(`${JSON.stringify({ result, ...value })}\n`);
-    else (result === 'ok' ? this.context.stdout : this.context.stderr).write(`${text}\n`);
+    else
+      (result === 'ok' ? this.context.stdout : this.context.stderr).write(`${text.replace(CONTROL, ' ')}\n`);
     return EXIT_CODES[result];
   }
 }
--- a/packages/cli/src/commands/audit-command.ts
+++ b/packages/cli/src/commands/audit-command.ts
@@ -6,12 +6,23 @@
 import type { CommandResult } from '../command-result.js';
 import { OPTIONS } from '../options.js';
 import { parseCount } from '../parse-count.js';
+import { renderColumns } from '../render-columns.js';
+
+/** More files than this are counted, so that one line fits a terminal; --json lists all. */
+const MAX_FILES = 3;
+
+const describeFiles = (files: readonly { readonly file: string; readonly change: string }[]): string => {
+  const named = files.slice(0, MAX_FILES).map(({ file, change }) => `${change} ${file}`);
+  const rest = files.length - named.length;
+  return [...named, ...(rest > 0 ? [`and ${String(rest)} more`] : [])].join(', ');
+};
 
 /** `audit`: lists accepted and refused changes. */
 export class AuditCommand extends CliCommand {
   static override paths = [['audit']];
   static override usage = Command.Usage({
     description: 'List accepted and refused changes, the newest first.',
+    details: 'At most three files of a change are named; --json lists all.',
     examples: [['Show the last five', '$0 audit --limit 5 --platform http://10.0.0.2:8600']],
   });
 
@@ -22,17 +33,19 @@
     const limit = parseCount('--limit', this.limit);
     const records = await callWithPlatform(this.platform, (platform) => listChanges(platform, limit));
     if (records === undefined) return buildUnavailable('platform', 'the audit trail cannot be read');
-    const lines = records.map(({ atMs, author, action, result, toGeneration, files, detail }) =>
-      [
+    const rows = records.map(
+      ({ atMs, author, action, result, fromGeneration, toGeneration, files, detail }) => [
         new Date(atMs).toISOString(),
         author,
         action,
         result,
-        toGeneration === undefined ? '-' : String(toGeneration),
-        files.map(({ file, change }) => `${change} ${file}`).join(', '),
+        `${String(fromGeneration)} -> ${toGeneration === undefined ? '-' : String(toGeneration)}`,
+        describeFiles(files),
         detail,
-      ].join('  '),
+      ],
     );
-    return { result: 'ok', text: lines.join('\n') || 'nothing was changed yet', value: { records } };
+    const heading = ['TIME', 'AUTHOR', 'ACTION', 'RESULT', 'GENERATION', 'FILES', 'DETAIL'];
+    const text = rows.length === 0 ? 'nothing was changed yet' : renderColumns([heading, ...rows]).join('\n');
+    return { result: 'ok', text, value: { records } };
   }
 }
--- a/packages/cli/src/commands/drain-command.ts
+++ b/packages/cli/src/commands/drain-command.ts
@@ -4,6 +4,9 @@
 import { OPTIONS } from '../options.js';
 import { runNodeCall } from '../run-node-call.js';
 
+const renderBody = (): string =>
+  'the node drains: it is not ready, finishes what it has and exits; status on another node shows when it is gone';
+
 /** `drain`: begins the graceful shutdown of a node. */
 export class DrainCommand extends CliCommand {
   static override paths = [['drain']];
@@ -16,6 +19,6 @@
   token = OPTIONS.token();
 
   runCommand(): Promise<CommandResult> {
-    return runNodeCall(this.node, this.token, 'POST', '/drain');
+    return runNodeCall(renderBody, this.node, this.token, 'POST', '/drain');
   }
 }
--- a/packages/cli/src/commands/explain-command.ts
+++ b/packages/cli/src/commands/explain-command.ts
@@ -2,13 +2,24 @@
 import { CliCommand } from '../cli-command.js';
 import type { CommandResult } from '../command-result.js';
 import { OPTIONS } from '../options.js';
+import { renderTraces } from '../explain/render-traces.js';
+import { TRACE_SCHEMA } from '../explain/trace-schema.js';
+import { renderAnswer } from '../render-answer.js';
 import { runNodeCall } from '../run-node-call.js';
 
+const renderBody = (body: unknown): string => {
+  const parsed = TRACE_SCHEMA.safeParse(body);
+  return parsed.success ? renderTraces(parsed.data) : renderAnswer(body);
+};
+
 /** `explain`: shows what happened to a request. */
 export class ExplainCommand extends CliCommand {
   static override paths = [['explain']];
   static override usage = Command.Usage({
     description: 'Show the steps of a request on all nodes.',
+    details:
+      'Prints the candidates with their estimates, where the request went and what happened then. A node keeps the ' +
+      'steps of its last 2,000 requests; the caller finds the id in x-request-id of the answer.',
     examples: [['Explain a request', '$0 explain 0198c5a2-7d11 --node http://10.0.0.5:8081']],
   });
 
@@ -17,6 +28,12 @@
   token = OPTIONS.token();
 
   runCommand(): Promise<CommandResult> {
-    return runNodeCall(this.node, this.token, 'GET', `/explain/${encodeURIComponent(this.request)}`);
+    return runNodeCall(
+      renderBody,
+      this.node,
+      this.token,
+      'GET',
+      `/explain/${encodeURIComponent(this.request)}`,
+    );
   }
 }
--- a/packages/cli/src/commands/history-command.ts
+++ b/packages/cli/src/commands/history-command.ts
@@ -6,6 +6,7 @@
 import type { CommandResult } from '../command-result.js';
 import { OPTIONS } from '../options.js';
 import { parseCount } from '../parse-count.js';
+import { renderColumns } from '../render-columns.js';
 
 /** `history`: lists generations. */
 export class HistoryCommand extends CliCommand {
@@ -22,10 +23,15 @@
     const limit = parseCount('--limit', this.limit);
     const heads = await callWithPlatform(this.platform, (platform) => listHistory(platform, limit));
     if (heads === undefined) return buildUnavailable('platform', 'the history cannot be read');
-    const lines = heads.map(
-      ({ generation, publishedAtMs, author, changeId }) =>
-        `${String(generation)}  ${new Date(publishedAtMs).toISOString()}  ${author}  ${changeId}`,
-    );
-    return { result: 'ok', text: lines.join('\n') || 'nothing was published yet', value: { heads } };
+    const rows = heads.map(({ generation, publishedAtMs, author, changeId, segments }) => [
+      String(generation),
+      new Date(publishedAtMs).toISOString(),
+      author,
+      String(Object.keys(segments).length),
+      changeId,
+    ]);
+    const table = renderColumns([['GENERATION', 'PUBLISHED', 'AUTHOR', 'FILES', 'CHANGE'], ...rows]);
+    const text = rows.length === 0 ? 'nothing was published yet' : table.join('\n');
+    return { result: 'ok', text, value: { heads } };
   }
 }
--- a/packages/cli/src/commands/outcome-command.ts
+++ b/packages/cli/src/commands/outcome-command.ts
@@ -1,6 +1,7 @@
 import { Command, Option } from 'clipanion';
 import { CliCommand } from '../cli-command.js';
 import type { CommandResult } from '../command-result.js';
+import { describeOutcome } from '../describe-outcome.js';
 import { OPTIONS } from '../options.js';
 import { runNodeCall } from '../run-node-call.js';
 
@@ -9,6 +10,7 @@
   static override paths = [['outcome']];
   static override usage = Command.Usage({
     description: 'Show whether a non-idempotent call ran.',
+    details: 'The body of a stored answer is printed with --json only.',
     examples: [
       [
         'Look up a booking',
@@ -26,6 +28,6 @@
   runCommand(): Promise<CommandResult> {
     const path = `/outcome/${encodeURIComponent(this.service)}/${encodeURIComponent(this.key)}`;
     const query = new URLSearchParams({ account: this.account }).toString();
-    return runNodeCall(this.node, this.token, 'GET', `${path}?${query}`);
+    return runNodeCall(describeOutcome, this.node, this.token, 'GET', `${path}?${query}`);
   }
 }
--- a/packages/cli/src/describe-bad-usage.ts
+++ b/packages/cli/src/describe-bad-usage.ts
@@ -1,11 +1,12 @@
-import type { CommandClass } from 'clipanion';
+import type { Cli, CommandClass } from 'clipanion';
 import { computeDistance } from './compute-distance.js';
+import { describeOptions } from './describe-options.js';
 
 /** Describes what is wrong with a command line and what to type instead: an example of the nearest command. */
 export function describeBadUsage(
   args: readonly string[],
   commands: readonly CommandClass[],
-  binaryName: string,
+  cli: Cli,
   error: unknown,
 ): string {
   const word = args[0] ?? '';
@@ -15,12 +16,15 @@
   });
   const [nearest] = named.sort((a, b) => computeDistance(word, a.name) - computeDistance(word, b.name));
   const names = named.map(({ name }) => name).sort();
+  const definition = cli.definitions().find(({ path }) => path === `${cli.binaryName} ${word}`);
+  const [message] = (error instanceof Error ? error.message : String(error)).split('\n');
   const problem =
     word === ''
       ? 'no command is given'
-      : names.includes(word)
-        ? (error instanceof Error ? error.message : String(error)).split('\n')[0]
-        : `there is no command '${word}'`;
-  const example = (word === '' ? '$0 --help' : (nearest?.example ?? '$0 --help')).replace('$0', binaryName);
-  return `${problem ?? ''}\nType for example: ${example}\nCommands: ${names.join(', ')}`;
+      : definition === undefined
+        ? `there is no command '${word}'`
+        : (describeOptions(args, definition) ?? message ?? '');
+  const isWord = word !== '' && !word.startsWith('-');
+  const example = (isWord ? (nearest?.example ?? '$0 --help') : '$0 --help').replace('$0', cli.binaryName);
+  return `${problem}\nType for example: ${example}\nCommands: ${names.join(', ')}`;
 }
--- a/packages/cli/src/run-cli.ts
+++ b/packages/cli/src/run-cli.ts
@@ -21,7 +21,7 @@
     const command = cli.process([...args], fullContext);
     return await cli.run(command, fullContext);
   } catch (error) {
-    const text = describeBadUsage(args, commands, BINARY_NAME, error);
+    const text = describeBadUsage(args, commands, cli, error);
     const output = args.includes('--json') ? JSON.stringify({ result: 'usage', message: text }) : text;
     (args.includes('--json') ? fullContext.stdout : fullContext.stderr).write(`${output}\n`);
     return EXIT_CODES.usage;
--- a/packages/cli/src/run-node-call.ts
+++ b/packages/cli/src/run-node-call.ts
@@ -9,12 +9,19 @@
   return typeof message === 'string' ? message : `the node answered with status ${String(status)}`;
 };
 
-/** Calls an operator endpoint and turns the answer into the result of a command; 5xx counts as unavailable. */
-export async function runNodeCall(...call: Parameters<typeof askNode>): Promise<CommandResult> {
+/**
+ * Calls an operator endpoint and turns the answer into the result of a command; 5xx counts as unavailable.
+ *
+ * @param render makes the text for people from the body of the answer
+ */
+export async function runNodeCall(
+  render: (body: unknown) => string,
+  ...call: Parameters<typeof askNode>
+): Promise<CommandResult> {
   const answer = await askNode(...call);
   if (answer.kind === 'unreachable') return buildUnavailable('node', answer.detail);
   const { status, body } = answer;
-  if (status < 300) return { result: 'ok', text: JSON.stringify(body, null, 2), value: { answer: body } };
+  if (status < 300) return { result: 'ok', text: render(body), value: { answer: body } };
   const text = describeRefusal(status, body);
   return status >= 500
     ? buildUnavailable('node', text)
--- a/packages/cli/test/run-cli.test.ts
+++ b/packages/cli/test/run-cli.test.ts
@@ -51,11 +51,19 @@
     [[], /no command is given\nType for example: laburnumshift --help/],
     [['publsh', '.'], /no command 'publsh'\nType for example: laburnumshift publish/],
     [['check'], /Type for example: laburnumshift check/],
-    [['diff', '.', '--plattform', 'x'], /Type for example: laburnumshift diff/],
+    [
+      ['diff', '.', '--plattform', 'x'],
+      /no option --plattform; the nearest is --platform\nType for example: laburnumshift diff/,
+    ],
+    [['--version'], /no command '--version'\nType for example: laburnumshift --help/],
+    [['serve'], /--settings is missing\nType for example: laburnumshift serve/],
     [['history', '--limit', 'many'], /--limit must be a whole number/],
     [['history'], /--platform is missing. Type for example: --platform http/],
     [['status', '--node', 'here'], /--node must be a URL/],
-    [['outcome', 'booking', 'k1', '--node', 'http://127.0.0.1:1'], /Type for example: laburnumshift outcome/],
+    [
+      ['outcome', 'booking', 'k1', '--node', 'http://127.0.0.1:1'],
+      /--account is missing\nType for example: laburnumshift outcome/,
+    ],
   ];
   for (const [args, pattern] of cases) {
     const { code, err } = await runCommand(...args);
--- a/packages/run-node/src/build-node-status.ts
+++ b/packages/run-node/src/build-node-status.ts
@@ -1,5 +1,14 @@
 import type { NodeParts } from './node-parts.js';
 
+/** Lists the cells for which this node is first in rendezvous order; it may keep others that it was asked for. */
+function listCellHomes({ homes, placer, configWatch, mesh }: NodeParts): readonly string[] {
+  return homes.listStatus().flatMap(({ pool, cell }) => {
+    const config = configWatch.getConfig()?.pools[pool];
+    const isHome = config !== undefined && placer.findHome(config, cell) === mesh.getAddress();
+    return isHome ? [`${pool}/${String(cell)}`] : [];
+  });
+}
+
 /** Builds what this node tells operators about itself. Holds no account names and no prompt text. */
 export function buildNodeStatus(parts: NodeParts): Readonly<Record<string, unknown>> {
   const { membership, configWatch, homes, hostWatch, servers, platform, registry, mesh } = parts;
@@ -17,6 +26,7 @@
     mesh: mesh.getCounts(),
     runs: registry.getCounts(),
     cells: homes.listStatus(),
+    cellHomes: listCellHomes(parts),
     leases: parts.orders.listHeld(),
     services: servers.listStatus(),
     leaving: [...hostWatch.getLeaving()],
