--- /dev/null
+++ b/packages/measure-capacity/src/node-process-main.ts
@@ -0,0 +1,24 @@
+import { runNode } from '@laburnumshift/run-node';
+import type { NodeSettings } from '@laburnumshift/types';
+
+// One node in a process of its own; any message asks for its memory and processor time.
+process.once('message', (settings: NodeSettings) => {
+  runNode(settings).then(
+    ({ meshAddress, operatorsUrl }) => {
+      process.on('message', () => {
+        globalThis.gc?.();
+        const { rss, heapUsed, external } = process.memoryUsage();
+        const { user, system } = process.cpuUsage();
+        process.send?.({ rss, held: heapUsed + external, us: user + system });
+      });
+      process.send?.({ meshAddress, operatorsUrl });
+    },
+    (error: unknown) => {
+      process.stderr.write(`node: ${String(error)}\n`);
+      process.exit(1);
+    },
+  );
+});
+process.on('disconnect', () => {
+  process.exit();
+});
--- /dev/null
+++ b/packages/measure-capacity/src/point.ts
@@ -0,0 +1,5 @@
+/** One measured size. */
+export interface Point {
+  readonly x: number;
+  readonly y: number;
+}
