--- a/packages/measure-capacity/src/measure-idle.ts
+++ b/packages/measure-capacity/src/measure-idle.ts
@@ -27,9 +27,7 @@
   for (const size of SIZES) {
     const platform = await startFakePlatform();
     const client = createPlatformClient({ url: platform.url, writesPerSecond: 400, readsPerSecond: 2000 });
-    const segments = [...buildSegments(10, 0).segments.values()]
-      .filter(({ pools }) => pools.length === 0)
-      .map((segment) => ({ ...segment, routes: [] }));
+    const segments = [...buildSegments(10, 0).segments.values()];
     const published = await publishConfig(client, { segments, author: 'operator' });
     if (published.kind !== 'published') throw new Error(JSON.stringify(published).slice(0, 300));
     const nodes = await Promise.all(
--- a/packages/measure-capacity/src/measure-process.ts
+++ b/packages/measure-capacity/src/measure-process.ts
@@ -28,10 +28,8 @@
   for (const x of ACCOUNTS) {
     const platform = await startFakePlatform({ readsPerSecond: 1e6, writesPerSecond: 1e6 });
     const client = createPlatformClient({ url: platform.url, writesPerSecond: 1e6, readsPerSecond: 1e6 });
-    // Engines that do not exist would cost the nodes connections, so the pools and the routes to them are left out.
-    const segments = [...buildSegments(x, 0).segments.values()]
-      .filter(({ pools }) => pools.length === 0)
-      .map((segment) => ({ ...segment, routes: [] }));
+    // Engines that do not exist would cost the nodes connections, so the pools are empty.
+    const segments = [...buildSegments(x, 0).segments.values()];
     const published = await publishConfig(client, { segments, author: 'operator' });
     if (published.kind !== 'published') throw new Error(JSON.stringify(published).slice(0, 300));
     const first = await startNodeProcess(buildSettings(0, 1, platform.url));
