--- a/packages/measure/src/sim-store.ts
+++ b/packages/measure/src/sim-store.ts
@@ -3,6 +3,7 @@
 import { PieceCache } from './piece-cache.js';
 
 const MS_PER_S = 1000;
+const MINUTE_MS = 60_000;
 /** Time after which a call to a dead store fails. */
 const REFUSED_MS = 50;
 /** Exports that wait for the link; beyond it new ones are dropped. */
@@ -69,9 +70,12 @@
     this.runTransfer();
   }
 
-  /** Exports a piece when the link is idle. */
+  /** Exports a piece when the link is idle; a piece that is there counts as used, however the engine came by it. */
   exportPiece(chain: string): void {
-    if (!this.alive || this.getTier(chain) !== undefined || this.exports.size >= MAX_EXPORTS) return;
+    if (!this.alive) return;
+    const tier = this.getTier(chain);
+    if (tier !== undefined) this[tier].add(chain);
+    if (tier !== undefined || this.exports.size >= MAX_EXPORTS) return;
     this.exports.set(chain, true);
     this.runTransfer();
   }
@@ -107,8 +111,12 @@
     this.busy = true;
     this.busyUntilMs = nowMs + ms;
     this.movedBytes += bytes;
-    const minute = Math.floor(nowMs / 60_000);
-    this.busyByMinute.set(minute, (this.busyByMinute.get(minute) ?? 0) + ms);
+    for (let atMs = nowMs; atMs < nowMs + ms;) {
+      const minute = Math.floor(atMs / MINUTE_MS);
+      const untilMs = Math.min(nowMs + ms, (minute + 1) * MINUTE_MS);
+      this.busyByMinute.set(minute, (this.busyByMinute.get(minute) ?? 0) + untilMs - atMs);
+      atMs = untilMs;
+    }
     this.events.schedule(ms, () => {
       this.busy = false;
       finish(this.alive);
--- a/packages/run-node/src/build-node-status.ts
+++ b/packages/run-node/src/build-node-status.ts
@@ -17,6 +17,7 @@
     mesh: mesh.getCounts(),
     runs: registry.getCounts(),
     cells: homes.listStatus(),
+    leases: parts.orders.listHeld(),
     services: servers.listStatus(),
     leaving: [...hostWatch.getLeaving()],
   };
--- a/packages/run-node/src/node-parts.ts
+++ b/packages/run-node/src/node-parts.ts
@@ -14,6 +14,7 @@
 import type { ConfigWatch } from '@laburnumshift/watch-config';
 import type { CellHomes } from './cell-homes.js';
 import type { HostWatch } from './host-watch.js';
+import type { OrderDuties } from './order-duties.js';
 import type { PeerClients } from './peer-clients.js';
 import type { Placer } from './placer.js';
 import type { ServerTable } from './server-table.js';
@@ -32,6 +33,7 @@
   readonly hostWatch: HostWatch;
   readonly peers: PeerClients;
   readonly homes: CellHomes;
+  readonly orders: OrderDuties;
   readonly placer: Placer;
   readonly servers: ServerTable;
   readonly limiter: AccountLimiter;
--- a/packages/run-node/src/stop-node.ts
+++ b/packages/run-node/src/stop-node.ts
@@ -20,6 +20,7 @@
   await parts.membership.leave();
   const finished = await waitAtMost(drained, settings.shutdown.drainMs);
   if (finished === undefined) logger.warn('requests are cut because the drain time is over');
+  await parts.orders.release();
   await parts.journal.close();
   await callers.close();
   await operators.close();
