--- a/packages/measure-capacity/src/build-cell.ts
+++ b/packages/measure-capacity/src/build-cell.ts
@@ -2,7 +2,13 @@
 import { manageCell, type CellHome } from '@laburnumshift/manage-cell';
 import { createRetentionPlanner } from '@laburnumshift/plan-retention';
 import { createCacheDirectory } from '@laburnumshift/track-cache';
-import type { BackendServer, CacheDirectory, EngineClient, EngineLoad, PoolConfig } from '@laburnumshift/types';
+import type {
+  BackendServer,
+  CacheDirectory,
+  EngineClient,
+  EngineLoad,
+  PoolConfig,
+} from '@laburnumshift/types';
 
 /** Builds a cell's home over engines that answer at once, so that only the home's own work is measured. */
 export function buildCell(engines: number): {
--- a/packages/measure-capacity/src/capacity-command.ts
+++ b/packages/measure-capacity/src/capacity-command.ts
@@ -28,7 +28,9 @@
         ([name, { description }]) => `${name}: ${description}\n`,
       );
       this.context.stdout.write(lines.join(''));
-      this.context.stdout.write('sums: what the slopes give at the target and today; needs the other results\n');
+      this.context.stdout.write(
+        'sums: what the slopes give at the target and today; needs the other results\n',
+      );
       return 0;
     }
     if (this.measurement === 'sums') return this.writeSums();
--- a/packages/measure-capacity/src/compute-control.ts
+++ b/packages/measure-capacity/src/compute-control.ts
@@ -10,7 +10,8 @@
 const BEAT_BYTES = 8;
 
 const cost = (core: number, bytes: number, memory = 0): Cost => ({ core, bytes, memory });
-const scale = (one: Cost, times: number): Cost => cost(one.core * times, one.bytes * times, one.memory * times);
+const scale = (one: Cost, times: number): Cost =>
+  cost(one.core * times, one.bytes * times, one.memory * times);
 const add = (a: Cost, b: Cost): Cost => cost(a.core + b.core, a.bytes + b.bytes, a.memory + b.memory);
 
 /** Computes the duties that go on whether or not requests come. */
@@ -39,7 +40,8 @@
     get('membership', 'steady: time of a node', s.nodes) / US,
     get('membership', 'steady: bytes sent by a node', s.nodes),
   );
-  const linkTime = get('links', 'idle links, both ends', 1 + others) - get('links', 'idle links, both ends', 1);
+  const linkTime =
+    get('links', 'idle links, both ends', 1 + others) - get('links', 'idle links, both ends', 1);
   const links = cost(
     linkTime / US,
     others * m.heartbeatsPerSecond * BEAT_BYTES,
@@ -57,8 +59,15 @@
   const encode = get('config', 'encode a head', s.accounts);
   const apply = get('config', 'compile a configuration', s.accounts) + 2 * checkHead + encode;
   const atNode = cost((changes * apply) / US, changes * fetched);
-  const atWatcher = add(atNode, cost((changes * relays * encode) / US, changes * (relays * frame + headBytes)));
-  const state = cost(0, 0, get('config', 'memory of accounts', s.accounts) + get('config', 'memory of engines', s.engines));
+  const atWatcher = add(
+    atNode,
+    cost((changes * relays * encode) / US, changes * (relays * frame + headBytes)),
+  );
+  const state = cost(
+    0,
+    0,
+    get('config', 'memory of accounts', s.accounts) + get('config', 'memory of engines', s.engines),
+  );
 
   const listed = s.nodes + s.engines + s.stores + s.plainServers;
   const listCost = cost(
@@ -78,28 +87,30 @@
   const storeList = cost(
     0,
     ((stored / s.stores) * storesOfCell * get('retention', 'size of a listed piece')) / m.storeListS,
-    storedOfCell * get('retention', 'memory of stored pieces with their uses', 2) / 2,
+    (storedOfCell * get('retention', 'memory of stored pieces with their uses', 2)) / 2,
   );
-  const plan = cost(get('retention', 'plan changes', storedOfCell) / m.planS / US, 0);
+  const planUs = get('retention', 'plan changes', storedOfCell);
+  const plan = cost(planUs / US / Math.max(m.planS, (m.planPauseFactor * planUs) / US), 0);
   const perCell = (one: Cost): [Cost, Cost] => [scale(one, cells / s.nodes), scale(one, most(cells))];
 
   const rate = s.requests / s.nodes / s.accounts;
   const inUse = s.accounts * (1 - Math.exp(-rate * m.shareIdleS));
-  const asks = m.shareByUse
-    ? s.accounts / (m.shareRefreshS + 1 / rate)
-    : inUse / m.shareRefreshS;
+  const asks = m.shareByUse ? s.accounts / (m.shareRefreshS + 1 / rate) : inUse / m.shareRefreshS;
   const askers = (inUse / s.accounts) * s.nodes;
   const call = get('links', 'one call, both ends', 0);
   const askCost = cost(
     (asks * (call + get('limits', 'answer a share request', askers))) / US,
     asks * (get('messages', 'share') + get('messages', 'share reply')),
-    inUse * get('limits', 'memory of accounts in use', 1e4) / 1e4 +
+    (inUse * get('limits', 'memory of accounts in use', 1e4)) / 1e4 +
       ((s.accounts * askers) / s.nodes) * (get('limits', 'memory of askers at the home', 1e4) / 1e4),
   );
   const lookups = cells * get('homes', m.homeLookup, s.nodes);
   const perPool = s.engines / s.pools;
   const orderReads = Math.min(perPool / m.orderPeriodS, m.orderReadsPerSecond);
-  const orders = add(poll('engine load', orderReads), cost(get('orders', 'time without the reads', perPool) / US, 0));
+  const orders = add(
+    poll('engine load', orderReads),
+    cost(get('orders', 'time without the reads', perPool) / US, 0),
+  );
   const polled = Math.min(s.plainServers, m.serversPolled);
 
   return [
@@ -107,21 +118,36 @@
     control('mesh links', `heartbeats of ${String(others)} links each way`, links),
     control('configuration', 'state on every node', state),
     control('configuration', 'poll of the head', headPoll, headPoll, { reads: s.nodes / m.configPollS }),
-    control('configuration', 'changes, relayed by watchers', spreadOver(atWatcher, watchers, atNode), atWatcher, {
-      reads: changes * watchers * 2 + watchers / m.watchWaitS,
-      writes: changes * 4,
-      waiting: watchers,
-    }),
+    control(
+      'configuration',
+      'changes, relayed by watchers',
+      spreadOver(atWatcher, watchers, atNode),
+      atWatcher,
+      {
+        reads: changes * watchers * 2 + watchers / m.watchWaitS,
+        writes: changes * 4,
+        waiting: watchers,
+      },
+    ),
     control('host list', 'polls', spreadOver(hostWatcher, watchers, hostOther), hostWatcher, {
       reads: watchers / m.hostWatcherPollS + (s.nodes - watchers) / m.hostPollS,
     }),
     control('host list', 'changes, relayed by watchers', spreadOver(hostRelay, watchers), hostRelay),
-    control('home of a cell', 'load reports of engines', ...perCell(scale(engineLoad, s.engines / cells / 24))),
+    control(
+      'home of a cell',
+      'load reports of engines',
+      ...perCell(scale(engineLoad, s.engines / cells / 24)),
+    ),
     control('home of a cell', 'statistics of stores', ...perCell(storeStat)),
     control('home of a cell', 'lists of stored pieces', ...perCell(storeList)),
     control('home of a cell', 'retention step', ...perCell(plan)),
     control('home of a cell', 'which cells are this node’s', cost(lookups / m.cellSweepS / US, 0)),
-    control('home of accounts', 'share requests and answers', askCost, scale(askCost, 1 + most(s.accounts) / (s.accounts / s.nodes) / 2)),
+    control(
+      'home of accounts',
+      'share requests and answers',
+      askCost,
+      scale(askCost, 1 + most(s.accounts) / (s.accounts / s.nodes) / 2),
+    ),
     control('lease holder', 'load reports for orders', spreadOver(orders, s.pools), orders, {
       writes: s.pools / m.leaseRenewS,
     }),
--- a/packages/measure-capacity/src/measure-entry.ts
+++ b/packages/measure-capacity/src/measure-entry.ts
@@ -54,7 +54,13 @@
       ...segment,
       accounts: segment.accounts.map((account) => ({ ...account, keys: [{ sha256 }], limits })),
     })),
-    { file: 'pool.laburnum.jsonc', accounts: [], services: [], routes: [], pools: [{ ...pool, servers: [{ ...server, url }] }] },
+    {
+      file: 'pool.laburnum.jsonc',
+      accounts: [],
+      services: [],
+      routes: [],
+      pools: [{ ...pool, servers: [{ ...server, url }] }],
+    },
   ];
   const published = await publishConfig(client, { segments, author: 'operator' });
   const node = await runNode(buildSettings(0, 1, site.platform.url));
--- a/packages/measure-capacity/src/measure-idle.ts
+++ b/packages/measure-capacity/src/measure-idle.ts
@@ -58,7 +58,12 @@
     await platform.stop();
   }
   return [
-    ...[...calls].map(([type, points]) => ({ name: `platform ${type}`, unit: 'calls/s', per: 'nodes', points })),
+    ...[...calls].map(([type, points]) => ({
+      name: `platform ${type}`,
+      unit: 'calls/s',
+      per: 'nodes',
+      points,
+    })),
     { name: 'watches waiting at the platform', unit: 'calls', per: 'nodes', points: watches },
     { name: 'time of a node and its part of the fake', unit: 'us/s', per: 'nodes', points: cpu },
     { name: 'bytes sent to other nodes by a node', unit: 'bytes/s', per: 'nodes', points: bytes },
--- a/packages/measure-capacity/src/measure-messages.ts
+++ b/packages/measure-capacity/src/measure-messages.ts
@@ -28,8 +28,7 @@
     per,
     points: sizes.map((x): Point => ({ x, y: countFrameBytes(name.split(' ')[0] ?? name, build(x)) })),
   });
-  const measureOne = (name: string, body: unknown): Series =>
-    measureSizes(name, 'messages', [1], () => body);
+  const measureOne = (name: string, body: unknown): Series => measureSizes(name, 'messages', [1], () => body);
   const limits = { requestsPerSecond: 1.2345, tokensPerSecond: 345.67, concurrent: 3.25 };
   const buildHead = (accounts: number): ConfigHead => buildSegments(accounts, 70).head;
   return [
--- a/packages/measure-capacity/src/measure-polls.ts
+++ b/packages/measure-capacity/src/measure-polls.ts
@@ -21,7 +21,10 @@
   const measureOne = async (
     name: string,
     kind: string,
-    build: (url: string) => { readonly poll: () => Promise<{ readonly ok: boolean }>; readonly close: () => void },
+    build: (url: string) => {
+      readonly poll: () => Promise<{ readonly ok: boolean }>;
+      readonly close: () => void;
+    },
   ): Promise<void> => {
     const { child, url } = await startServer(10, kind);
     const { poll, close } = build(url);
--- a/packages/measure-capacity/src/measure-process.ts
+++ b/packages/measure-capacity/src/measure-process.ts
@@ -10,8 +10,8 @@
 import { startNodeProcess } from './start-node-process.js';
 
 const ACCOUNTS = [10, 100, 1000, 4100];
-const SETTLE_MS = 2000;
-const RUN_MS = 5000;
+const SETTLE_MS = 8000;
+const RUN_MS = 8000;
 const MS_PER_S = 1000;
 const LIMIT_MS = 60_000;
 
@@ -34,6 +34,7 @@
     if (published.kind !== 'published') throw new Error(JSON.stringify(published).slice(0, 300));
     const first = await startNodeProcess(buildSettings(0, 1, platform.url));
     await waitReady(first);
+    await first.readUse();
     await sleep(SETTLE_MS);
     const before = await first.readUse();
     await sleep(RUN_MS);
--- a/packages/measure-capacity/src/measure-retention.ts
+++ b/packages/measure-capacity/src/measure-retention.ts
@@ -81,7 +81,13 @@
   const used = pieces * PIECE_BYTES;
   const sizes = { memoryBytes: 64e9, diskBytes: used / 0.75, linkBytesPerSecond: 3e9 };
   return {
-    host: { name: 'store-1', url: 'http://10.60.0.1:9000', failureDomain: 'd', ...sizes, diskBytesPerSecond: 1e9 },
+    host: {
+      name: 'store-1',
+      url: 'http://10.60.0.1:9000',
+      failureDomain: 'd',
+      ...sizes,
+      diskBytesPerSecond: 1e9,
+    },
     stat: { ...sizes, memoryUsed: 0, diskUsed: used, linkQueuedBytes: 0, otherShare: 0 },
     alive: true,
   };
--- a/packages/measure-capacity/src/mechanism.ts
+++ b/packages/measure-capacity/src/mechanism.ts
@@ -14,6 +14,8 @@
   storeListS: 30,
   storesPerCell: Infinity,
   planS: 1,
+  /** The pause is at least so many times the last planning time. */
+  planPauseFactor: 100,
   shareIdleS: 20,
   shareRefreshS: 2,
   /** False while a share is refreshed by time alone, true when only use refreshes it. */
--- a/packages/measure-capacity/src/node-process-main.ts
+++ b/packages/measure-capacity/src/node-process-main.ts
@@ -6,9 +6,10 @@
   runNode(settings).then(
     ({ meshAddress, operatorsUrl }) => {
       process.on('message', () => {
+        // Before the collection, which is not part of the node's work.
+        const { user, system } = process.cpuUsage();
         globalThis.gc?.();
         const { rss, heapUsed, external } = process.memoryUsage();
-        const { user, system } = process.cpuUsage();
         process.send?.({ rss, held: heapUsed + external, us: user + system });
       });
       process.send?.({ meshAddress, operatorsUrl });
--- a/packages/measure-capacity/src/poll-server-main.ts
+++ b/packages/measure-capacity/src/poll-server-main.ts
@@ -7,7 +7,10 @@
 const server = createServer((request, response) => {
   const text = texts.get(request.url ?? '');
   request.resume();
-  response.writeHead(text === undefined ? 404 : 200, { 'content-type': 'application/json', 'x-boot-id': 'boot' });
+  response.writeHead(text === undefined ? 404 : 200, {
+    'content-type': 'application/json',
+    'x-boot-id': 'boot',
+  });
   response.end(text ?? '{}');
 });
 server.on('connection', (socket: Socket) => sockets.add(socket));
--- a/packages/measure-capacity/src/sums.ts
+++ b/packages/measure-capacity/src/sums.ts
@@ -11,4 +11,3 @@
   readonly request: { readonly mean: Cost; readonly most: Cost };
   readonly platform: { readonly reads: number; readonly writes: number; readonly waiting: number };
 }
-
