Give each run a mesh secret of its own

Cause: runs shared one mesh secret. A node that had ended left its port to a node of another run at the same time, and nodes that still probed the port took it for theirs and relayed host lists across runs. Change: a random secret for each run.

--- a/packages/check-histories/src/harness/build-settings.ts
+++ b/packages/check-histories/src/harness/build-settings.ts
@@ -1,7 +1,16 @@
 import type { NodeSettings } from '@laburnumshift/types';
 
-/** Settings of node `index` of a run. */
-export function buildSettings(index: number, platformUrl: string, seeds: readonly string[]): NodeSettings {
+/**
+ * Settings of node `index` of a run.
+ *
+ * @param meshSecret one for each run: a node that ended leaves its port to another run, whose nodes must not be taken for it
+ */
+export function buildSettings(
+  index: number,
+  platformUrl: string,
+  seeds: readonly string[],
+  meshSecret: string,
+): NodeSettings {
   return {
     host: `entry-${String(index + 1)}`,
     failureDomain: `domain-${String(index % 3)}`,
@@ -10,7 +19,7 @@
     mesh: '127.0.0.1:0',
     platformUrl,
     seeds,
-    meshSecret: 'histories-mesh-secret',
+    meshSecret,
     limits: {
       maxBodyBytes: 8_388_608,
       maxHeaderBytes: 16_384,
--- a/packages/check-histories/src/harness/create-fleet.ts
+++ b/packages/check-histories/src/harness/create-fleet.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import type { Site } from '@laburnumshift/fakes/site';
 import { runNode } from '@laburnumshift/run-node';
@@ -12,6 +13,9 @@
 
 /** Starts the nodes of a run; with `hasChild`, the last one runs in a process of its own. */
 export async function createFleet(site: Site, count: number, hasChild: boolean): Promise<Fleet> {
+  const meshSecret = randomUUID();
+  const buildNode = (index: number, seeds: readonly string[] = []) =>
+    buildSettings(index, site.platform.url, seeds, meshSecret);
   const nodes: FleetNode[] = [];
   const starts = new Map<number, number>();
   /** Pauses of a node that have not ended; they may overlap. */
@@ -26,14 +30,14 @@
   const updateHosts = (): void => {
     site.setNodes(
       listRunning().map((node): HostEntry => {
-        const { host, failureDomain } = buildSettings(node.index, '', []);
+        const { host, failureDomain } = buildNode(node.index);
         return { host, kind: 'node', failureDomain, state: 'live', address: node.process.meshAddress };
       }),
     );
   };
   const startNode = async (index: number): Promise<void> => {
     const seeds = listRunning().map((node) => node.process.meshAddress);
-    const settings = buildSettings(index, site.platform.url, seeds);
+    const settings = buildNode(index, seeds);
     const process = index === childIndex ? await startChildNode(settings) : await runNode(settings);
     const number = (starts.get(index) ?? 0) + 1;
     starts.set(index, number);
@@ -50,7 +54,7 @@
   };
   const stopNode = async (node: FleetNode): Promise<void> => {
     node.life.stopMs = readMonotonicMs();
-    node.life.drainMs = node.life.stopMs + buildSettings(node.index, '', []).shutdown.balancerDelayMs;
+    node.life.drainMs = node.life.stopMs + buildNode(node.index).shutdown.balancerDelayMs;
     const stopped = node.process.stop();
     await sleep(BALANCER_NOTICE_MS);
     node.inService = false;
