Let histories import pieces more often

Cause: at 40,000 prefill tokens a second and caches of 12 pieces, engines imported 5 pieces in a history, so faults of stores met little work. Change: 10,000 tokens a second and caches of 9 pieces; the table of a run shows cached, imported and resumed tokens and import misses.

--- a/packages/check-histories/src/harness/pools.ts
+++ b/packages/check-histories/src/harness/pools.ts
@@ -6,8 +6,11 @@
 const ENGINES = 4;
 const INSTANCES = 3;
 const STORES = 2;
-/** Rates at which a prompt takes a few milliseconds and an answer about 50 ms, so that faults fall into the middle. */
-const PREFILL = 40_000;
+/**
+ * Rates at which a prompt takes some 30 ms and an answer about 50 ms, so that faults fall into the middle, and at which importing
+ * a piece (1 ms) costs less than computing it (5 ms).
+ */
+const PREFILL = 10_000;
 const DECODE = 250;
 const PIECE_BYTES = 1_000_000;
 
--- a/packages/check-histories/src/harness/run-history.ts
+++ b/packages/check-histories/src/harness/run-history.ts
@@ -1,4 +1,5 @@
 import { createPlatformClient } from '@laburnumshift/call-platform';
+import type { EngineCounters } from '@laburnumshift/fakes/engine';
 import { startSite } from '@laburnumshift/fakes/site';
 import { publishConfig } from '@laburnumshift/publish-config';
 import { CHILD_FAULTS } from '../faults/child-faults.js';
@@ -19,7 +20,7 @@
 
 const NODES = 3;
 /** Pieces in an engine's prefix cache; prompts have up to 8, so that pieces are evicted and imported again. */
-const ENGINE_PIECES = 12;
+const ENGINE_PIECES = 9;
 const FIRST_TRIES = 5;
 const START_LIMIT_MS = 20_000;
 /** Longer than the 8 s after which the check of I9 reports a node that is behind. */
@@ -96,9 +97,21 @@
     generations,
     lives: fleet.listLives(),
     engineRuns: Object.fromEntries([...site.engines].map(([name, engine]) => [name, engine.listRuns()])),
+    engineWork: computeWork([...site.engines.values()].map((engine) => engine.getCounters())),
     serviceCalls: {
       ...Object.fromEntries([...site.services].map(([name, service]) => [name, service.listCalls()])),
       older: site.older.listCalls(),
     },
   };
 }
+
+function computeWork(counters: readonly Readonly<EngineCounters>[]): History['engineWork'] {
+  const computeSum = (read: (one: Readonly<EngineCounters>) => number): number =>
+    counters.reduce((total, one) => total + read(one), 0);
+  return {
+    cachedTokens: computeSum((one) => one.promptTokensCached),
+    importedTokens: computeSum((one) => one.promptTokensImported),
+    importMisses: computeSum((one) => one.importMisses),
+    resumedTokens: computeSum((one) => one.resumedTokens),
+  };
+}
--- a/packages/check-histories/src/history/history.ts
+++ b/packages/check-histories/src/history/history.ts
@@ -25,6 +25,13 @@
   readonly outages: readonly Outage[];
   /** Records of the engines by name. */
   readonly engineRuns: Readonly<Record<string, readonly EngineRunRecord[]>>;
+  /** Engine work that shows whether caches and stores were used. */
+  readonly engineWork: {
+    readonly cachedTokens: number;
+    readonly importedTokens: number;
+    readonly importMisses: number;
+    readonly resumedTokens: number;
+  };
   /** Calls that ran, by service instance; the older system is one of them. */
   readonly serviceCalls: Readonly<Record<string, readonly ServiceCallRecord[]>>;
 }
--- a/packages/check-histories/src/record-history.ts
+++ b/packages/check-histories/src/record-history.ts
@@ -15,6 +15,7 @@
   addCount(summary.operations, 'kills', lives.filter(({ killed }) => killed).length);
   addCount(summary.operations, 'engine runs', Object.values(history.engineRuns).flat().length);
   addCount(summary.operations, 'service runs', Object.values(history.serviceCalls).flat().length);
+  for (const [name, amount] of Object.entries(history.engineWork)) addCount(summary.operations, name, amount);
   for (const name of new Set(faults)) addCount(summary.faults, name);
   summary.pairs.add([...faults].sort().join(' + '));
   for (const { result } of [...completions, ...bookings]) addCount(summary.results, describeResult(result));
--- a/packages/check-histories/test/build-history.ts
+++ b/packages/check-histories/test/build-history.ts
@@ -51,6 +51,7 @@
     leavings: [],
     outages: [],
     engineRuns: { 'engine-1': [RUN] },
+    engineWork: { cachedTokens: 0, importedTokens: 0, importMisses: 0, resumedTokens: 0 },
     serviceCalls: { 'desk-1': [{ key: 'booking-1', arrivedAtMs: 140, ranAtMs: 150 }] },
     ...parts,
   };
