Continue cut answers at their offset in the histories

Cause: callers sent a cut completion again from its beginning, so x-resume-offset was not exercised. Change: the resend of a cut answer asks for the rest, and both parts are checked as one answer.

--- a/packages/check-histories/src/harness/run-callers.ts
+++ b/packages/check-histories/src/harness/run-callers.ts
@@ -12,7 +12,7 @@
 /** Ids that several accounts use at once. */
 const SHARED_IDS = 8;
 
-/** Runs the callers of a schedule; `signal` ends the waiting, and started operations end by themselves. */
+/** Runs the callers of a schedule to the end of their last operation. */
 export async function runCallers(context: RunContext, schedule: Schedule): Promise<void> {
   const completions = schedule.completions.map(async (step, index) => {
     await sleep(step.atMs);
@@ -25,11 +25,14 @@
       prompt: pickTarget(PROMPTS, step.prompt),
       maxTokens: step.maxTokens,
     };
-    await sendTwice(
-      (node) => sendCompletion(context, node, call),
-      step.node,
-      step.resend === null ? [] : [step.resend],
-    );
+    let earlier: readonly string[] = [];
+    const send = async (node: number): Promise<{ readonly result: CallerResult } | undefined> => {
+      const sent = await sendCompletion(context, node, call, earlier);
+      // A caller whose connection was cut goes on where the answer ended.
+      if (sent?.result.kind === 'cut') earlier = sent.tokens;
+      return sent;
+    };
+    await sendTwice(send, step.node, step.resend === null ? [] : [step.resend]);
   });
   const bookings = schedule.bookings.map(async (step, index) => {
     await sleep(step.atMs);
@@ -48,11 +51,12 @@
 
 /** Sends at once, after the times of the resends, and once more through another node when the first has no final answer. */
 async function sendTwice(
-  send: (node: number) => Promise<CallerResult | undefined>,
+  send: (node: number) => Promise<{ readonly result: CallerResult } | undefined>,
   node: number,
   resends: Schedule['bookings'][number]['resends'],
 ): Promise<void> {
-  const first = send(node).then(async (result) => {
+  const first = send(node).then(async (sent) => {
+    const result = sent?.result;
     const isFinal = result?.kind === 'answered' || (result?.kind === 'refused' && result.outcome === 'ran');
     if (!isFinal) await send(node + 1);
   });
--- a/packages/check-histories/src/harness/run-faults.ts
+++ b/packages/check-histories/src/harness/run-faults.ts
@@ -62,13 +62,13 @@
 async function sendCrashing(context: RunContext, target: number, index: number): Promise<void> {
   const account = pickTarget(ACCOUNTS, target);
   for (let send = 0; send < CRASH_SENDS; send += 1) {
-    const result = await sendCompletion(context, target + send, {
+    const sent = await sendCompletion(context, target + send, {
       account,
       service: 'ask',
       key: `crash-${String(index)}-${String(send)}`,
       prompt: `${CRASH_TEXT} ${String(index)}`,
       maxTokens: CRASH_TOKENS,
     });
-    if (result?.kind === 'answered') return;
+    if (sent?.result.kind === 'answered') return;
   }
 }
--- a/packages/check-histories/src/harness/send-booking.ts
+++ b/packages/check-histories/src/harness/send-booking.ts
@@ -19,7 +19,7 @@
   context: RunContext,
   node: number,
   call: BookingCall,
-): Promise<CallerResult | undefined> {
+): Promise<{ readonly result: CallerResult } | undefined> {
   const entry = context.fleet.pickNode(node);
   if (entry === undefined) return undefined;
   const { account, service, key, issuedAtMs, body } = call;
@@ -42,5 +42,5 @@
     body,
     answer: answer?.kind === 'answered' ? answer.body : undefined,
   });
-  return result;
+  return { result };
 }
--- a/packages/check-histories/src/harness/send-completion.ts
+++ b/packages/check-histories/src/harness/send-completion.ts
@@ -14,12 +14,24 @@
   readonly maxTokens: number;
 }
 
-/** Sends a completion through a node and records it; `undefined` when no node is in service. */
+/** What a caller has after one send. */
+interface CompletionSend {
+  readonly result: CallerResult;
+  /** Output tokens from the beginning of the answer. */
+  readonly tokens: readonly string[];
+}
+
+/**
+ * Sends a completion through a node and records it; `undefined` when no node is in service.
+ *
+ * @param earlier tokens of a cut answer, after which this one continues; both together are recorded as one answer
+ */
 export async function sendCompletion(
   context: RunContext,
   node: number,
   call: CompletionCall,
-): Promise<CallerResult | undefined> {
+  earlier: readonly string[] = [],
+): Promise<CompletionSend | undefined> {
   const entry = context.fleet.pickNode(node);
   if (entry === undefined) return undefined;
   const { account, service, key, prompt, maxTokens } = call;
@@ -34,10 +46,12 @@
     maxTokens,
     requestId: key,
     conversation: key,
+    offset: earlier.length,
     signal: limit.signal,
   });
   cancelTimer();
   const result: CallerResult = output.finished ? { kind: 'answered' } : toCallerResult(output.error);
+  const tokens = [...earlier, ...output.tokens];
   context.completions.push({
     account: account.name,
     node: entry.life.node,
@@ -49,7 +63,7 @@
     prompt,
     maxTokens,
     offset: 0,
-    tokens: output.tokens,
+    tokens,
   });
-  return result;
+  return { result, tokens };
 }
