Keep the keys of two accounts apart at the older system

Cause: the older system's keys are not separated by account. Two accounts that sent the same key through us while the older system took the traffic both got the answer of one run; the second booking did not exist. A role on a server was refused by check-declarations although order-engines applies it.

Servers of model pools take a role.

--- a/packages/check-declarations/src/check-kinds.ts
+++ b/packages/check-declarations/src/check-kinds.ts
@@ -52,6 +52,11 @@
     isBroken: (pool) => pool.kind === 'plain' && pool.stores.length + pool.adapters.length > 0,
     message: 'a plain pool has neither stores nor adapters',
   },
+  {
+    member: 'servers',
+    isBroken: (pool) => pool.kind === 'plain' && pool.servers.some((server) => server.role !== undefined),
+    message: 'servers of a plain pool take no orders, so they have no role',
+  },
   {
     member: 'urgentSlots',
     isBroken: (pool) => pool.servers.some((server) => server.slots <= pool.urgentSlots),
--- a/packages/check-declarations/src/entity-schemas.ts
+++ b/packages/check-declarations/src/entity-schemas.ts
@@ -8,10 +8,10 @@
   name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, NAME_MESSAGE),
   /** Backend servers and stores carry the host names of the platform's host list. */
   hostName: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,252}$/, 'must be a host name'),
-  /** Models, adapters and weight versions carry names from outside, e.g. `org/model-8b`. */
+  /** Models, adapters, weight versions and roles carry names from outside, e.g. `org/model-8b`. */
   modelName: z
     .string()
-    .regex(/^[A-Za-z0-9][A-Za-z0-9._/:-]{0,127}$/, 'must be a model, adapter or version name'),
+    .regex(/^[A-Za-z0-9][A-Za-z0-9._/:-]{0,127}$/, 'must be a model, adapter, version or role name'),
   url: z.url({ protocol: /^https?$/, error: 'must be a URL with http or https' }),
   positive: z.number().positive(),
   count: z.number().int().min(1),
--- a/packages/check-declarations/src/pool-schema.ts
+++ b/packages/check-declarations/src/pool-schema.ts
@@ -16,6 +16,7 @@
   slots: ENTITY_SCHEMAS.count.default(8),
   prefillTokensPerSecond: ENTITY_SCHEMAS.positive.default(8000),
   decodeTokensPerSecond: ENTITY_SCHEMAS.positive.default(40),
+  role: ENTITY_SCHEMAS.modelName.optional(),
 });
 const storeSchema = z.strictObject({
   ...placeShape,
--- a/packages/check-declarations/test/check-declarations.test.ts
+++ b/packages/check-declarations/test/check-declarations.test.ts
@@ -116,6 +116,18 @@
     );
 });
 
+test('guards against a role that is dropped, and against one on a server that takes no orders', async (t) => {
+  const renderPool = (kind: string, members: string): string =>
+    `{ "pools": [{ "name": "p", "kind": "${kind}", ${members} "servers": [
+      { "name": "e", "url": "http://10.0.0.1:9000", "failureDomain": "a", "role": "prefill" }] }] }`;
+  const model = renderPool('model', '"model": "m", "weightVersion": "v1",');
+  const directory = await writeFiles(t, { 'a.laburnum.jsonc': model });
+  const [segment] = await checkDeclarations(directory);
+  t.is(segment?.pools[0]?.servers[0]?.role, 'prefill');
+  const lines = await collectFindings(t, { 'a.laburnum.jsonc': renderPool('plain', '') });
+  t.true(lines.some((line) => line.includes('so they have no role')));
+});
+
 test('guards against an empty directory that is taken for an empty configuration', async (t) => {
   t.regex((await collectFindings(t, {}))[0] ?? '', /no \*\.laburnum\.jsonc file/);
 });
--- a/packages/run-call/src/dispatch-older.ts
+++ b/packages/run-call/src/dispatch-older.ts
@@ -1,6 +1,6 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
 import { createRefusal, renderPeerError } from '@laburnumshift/errors';
-import type { CallAnswer, OlderSystemClient, Refusal, Result } from '@laburnumshift/types';
+import type { CallAnswer, CallRequest, OlderSystemClient, Refusal, Result } from '@laburnumshift/types';
 import { OUTCOMES } from '@laburnumshift/types';
 import type { CallState } from './call-state.js';
 import { traceCall } from './trace-call.js';
@@ -21,7 +21,7 @@
   if (remainingMs <= 0 || state.signal.aborted) {
     return refuse('deadline_unreachable', 'no time is left', OUTCOMES.notRun, RETRY_AFTER_MS);
   }
-  const answer = await older.sendCall(state.job.call, remainingMs + lateMs).catch((error: unknown) => ({
+  const answer = await older.sendCall(buildRequest(state), remainingMs + lateMs).catch((error: unknown) => ({
     ok: false as const,
     error: { kind: 'broken' as const, detail: String(error), sent: true as const },
   }));
@@ -40,3 +40,13 @@
         RETRY_AFTER_MS,
       );
 }
+
+/**
+ * An idempotent call is sent without its key: nothing reserves that key, and the older system would answer two accounts
+ * that use the same one with one answer.
+ */
+function buildRequest({ job, service }: CallState): CallRequest {
+  if (!service.idempotent) return job.call;
+  const headers = Object.entries(job.call.headers).filter(([name]) => name !== 'idempotency-key');
+  return { ...job.call, headers: Object.fromEntries(headers) };
+}
--- a/packages/run-call/src/run-journaled.ts
+++ b/packages/run-call/src/run-journaled.ts
@@ -40,7 +40,7 @@
     .catch((error: unknown): JournalDecision => ({ kind: 'unavailable', detail: String(error), seen: true }));
   traceCall(state, 'journal', { kind: decision.kind, attemptId: attempt.attemptId });
   return match(decision)
-    .with({ kind: 'run' }, (run) => waitForAttempt(state, attempt, run))
+    .with({ kind: 'run' }, (run) => waitForAttempt(state, attempt, run, issued.value))
     .with({ kind: 'finished' }, ({ answer }) => ({ ok: true as const, value: answer }))
     .with({ kind: 'in-progress' }, ({ retryAfterMs }) =>
       refuse('in_progress', 'the call is in progress', OUTCOMES.unknown, retryAfterMs),
@@ -64,11 +64,12 @@
   state: CallState,
   attempt: JournalAbandon,
   run: Extract<JournalDecision, { kind: 'run' }>,
+  issuedAtMs: number,
 ): Promise<Result<CallAnswer, Refusal>> {
   if (run.attemptId !== attempt.attemptId) {
     return refuse('in_progress', 'another attempt was permitted', OUTCOMES.unknown, LATE_RETRY_MS);
   }
-  const running = runAttempt(state, attempt, run.system);
+  const running = runAttempt(state, attempt, run.system, issuedAtMs);
   const remainingMs = Math.max(1, state.deadlineMs - readMonotonicMs());
   return (
     (await waitAtMost(running, remainingMs)) ??
--- a/packages/run-call/test/run-call.test.ts
+++ b/packages/run-call/test/run-call.test.ts
@@ -176,6 +176,20 @@
   });
 }
 
+// Guards against an older system that answers two accounts by one key, and against a key that it never sees.
+test.serial('the older system gets the key of a non-idempotent call only', async (t) => {
+  const headers = { 'idempotency-key': KEY, accept: 'a' };
+  const call = { method: 'POST', path: '/book', headers, body: '{}' };
+  for (const [isIdempotent, key] of [
+    [true, undefined],
+    [false, KEY],
+  ] as const) {
+    const service = simulateService([], isIdempotent, 'older');
+    t.like(await runPaused(() => service.runJob({ call })), { ok: true });
+    t.deepEqual(service.counts.olderKeys, [key]);
+  }
+});
+
 // Guards against work sent to a server that the node knows to be leaving or dead.
 test.serial('unusable servers are skipped', async (t) => {
   for (const kind of [true, false]) {
--- a/packages/run-call/test/simulate-service.ts
+++ b/packages/run-call/test/simulate-service.ts
@@ -81,7 +81,7 @@
 
 /** Three servers that play a common list of behaviours and count how often the call ran. */
 export function simulateService(behaviours: Behaviour[], idempotent: boolean, cutover?: System) {
-  const counts = { ran: 0, older: 0, dispatched: [] as string[], unproven: 0 };
+  const counts = { ran: 0, older: 0, dispatched: [] as string[], unproven: 0, olderKeys: [] as unknown[] };
   const unusable = new Set<string>();
   const journal = createJournal();
   const olderAnswers = new Map<string, CallAnswer>();
@@ -120,8 +120,9 @@
     chooseSystem: () => cutover ?? 'own',
     getOlder: () =>
       ({
-        sendCall: () => {
+        sendCall: (call) => {
           counts.older += 1;
+          counts.olderKeys.push(call.headers['idempotency-key']);
           return Promise.resolve({ ok: true, value: { status: 200, headers: {}, body: 'older' } });
         },
         findOutcome: (key) => Promise.resolve({ ok: true, value: olderAnswers.get(key) }),
