Bound the retry time of a share of zero by the refresh

Cause: when a daemon comes back, the others hold the whole limit of an account, so its first share is zero. The refusal then named 60 s, although the share is refreshed every 2 s; callers waited or gave up. Change: the delay at a share's rate is at most the refresh time, or the delay at limit / nodes when that is longer. The sum of the shares is unchanged.

--- a/packages/limit-accounts/src/create-account-limiter.ts
+++ b/packages/limit-accounts/src/create-account-limiter.ts
@@ -4,6 +4,7 @@
 import type { AccountUse } from './account-use.js';
 import { createShareDivider } from './create-share-divider.js';
 import { createTokenBucket } from './create-token-bucket.js';
+import type { TokenBucket } from './token-bucket.js';
 import type { LimiterOptions } from './limiter-options.js';
 import { buildLimits } from './build-limits.js';
 import { SHARE_TIMES } from './share-times.js';
@@ -63,9 +64,10 @@
     use.peakRunning = Math.max(use.peakRunning, use.running + 1);
     // One call at a time is always allowed, or a small limit divided by many nodes would stop the account.
     const slots = Math.max(1, Math.floor(limits.concurrent));
+    const even = getFallback(account);
     const delayMs = Math.max(
-      use.requests.getDelayMs(limits.requestsPerSecond, nowMs),
-      use.tokens.getDelayMs(limits.tokensPerSecond, nowMs),
+      getBucketDelay(use.requests, limits.requestsPerSecond, even.requestsPerSecond, nowMs),
+      getBucketDelay(use.tokens, limits.tokensPerSecond, even.tokensPerSecond, nowMs),
       use.running < slots ? 0 : use.callMs / use.running,
     );
     if (delayMs > 0) {
@@ -132,3 +134,13 @@
     close: stop,
   };
 }
+
+/**
+ * Returns the delay of a bucket. A share near zero, e.g. of a node that joins while the others hold the limit, lasts until the
+ * next refresh only, so that the delay at its rate would be far too long.
+ */
+function getBucketDelay(bucket: TokenBucket, rate: number, evenRate: number, nowMs: number): number {
+  const delayMs = bucket.getDelayMs(rate, nowMs);
+  if (delayMs === 0) return 0;
+  return Math.min(delayMs, Math.max(SHARE_TIMES.refreshMs, bucket.getDelayMs(evenRate, nowMs)));
+}
--- a/packages/limit-accounts/test/account-limiter.test.ts
+++ b/packages/limit-accounts/test/account-limiter.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import fc from 'fast-check';
-import { createAccountLimiter } from '@laburnumshift/limit-accounts';
+import { createAccountLimiter, SHARE_TIMES } from '@laburnumshift/limit-accounts';
 import type { AccountLimiter } from '@laburnumshift/limit-accounts';
 import { installClock } from '@laburnumshift/test-utils';
 
@@ -124,3 +124,25 @@
   t.is(node?.admitCall('a', 1).kind, 'admitted');
   node?.close();
 });
+
+// Guards against callers who wait a minute because a node that has just joined was given a share of zero.
+test.serial('a share of zero is told to last until the next refresh', async (t) => {
+  startClock(t);
+  const limits = { requestsPerSecond: 0, tokensPerSecond: 0, concurrent: 0 };
+  const node = createAccountLimiter({
+    host: 'n0',
+    getLimits: () => LIMIT,
+    countNodes: () => NODES,
+    askShare: ({ account }) => Promise.resolve({ account, limits, validMs: SHARE_TIMES.validMs }),
+    onError: () => undefined,
+  });
+  const permit = node.admitCall('a', 1);
+  if (permit.kind === 'admitted') permit.release();
+  await node.refreshShares();
+  // A bucket may go into debt by one call.
+  t.is(node.admitCall('a', 1).kind, 'admitted');
+  const refused = node.admitCall('a', 1);
+  if (refused.kind !== 'refused') throw new Error('not refused');
+  t.true(refused.retryAfterMs <= SHARE_TIMES.refreshMs);
+  node.close();
+});
