--- a/packages/measure-daemons/src/daemon-scenario.ts
+++ b/packages/measure-daemons/src/daemon-scenario.ts
@@ -1,5 +1,7 @@
+import type { DaemonFigures } from './daemon-figures.js';
+
 /** A measurement over real daemons that can be run by name. */
 export interface DaemonScenario {
   readonly description: string;
-  readonly run: (seed: number) => Promise<unknown>;
+  readonly run: (seed: number) => Promise<DaemonFigures>;
 }
--- a/packages/measure-daemons/src/measure-daemons-command.ts
+++ b/packages/measure-daemons/src/measure-daemons-command.ts
@@ -2,7 +2,10 @@
 import { dirname } from 'node:path';
 import { Command, Option, UsageError } from 'clipanion';
 import { DAEMON_SCENARIOS } from './daemon-scenarios.js';
+import type { DaemonResult } from './daemon-result.js';
 import { readCommit } from './read-commit.js';
+import { readResults } from './read-results.js';
+import { renderTables } from './render-tables.js';
 
 /** Lists the scenarios or runs one of them. */
 export class MeasureDaemonsCommand extends Command {
@@ -12,11 +15,16 @@
   });
 
   list = Option.Boolean('--list', false, { description: 'list the scenarios' });
+  tables = Option.String('--tables', { description: 'print the results in a directory as tables' });
   seed = Option.String('--seed', '1', { description: 'seed of the random numbers' });
   out = Option.String('--out', { description: 'file for the result; standard output by default' });
   scenario = Option.String({ required: false, name: 'NAME' });
 
   async execute(): Promise<number> {
+    if (this.tables !== undefined) {
+      this.context.stdout.write(renderTables(await readResults(this.tables)));
+      return 0;
+    }
     if (this.list || this.scenario === undefined) {
       const lines = Object.entries(DAEMON_SCENARIOS).map(
         ([name, { description }]) => `${name}: ${description}\n`,
@@ -31,7 +39,8 @@
     const commit = readCommit();
     const figures = await scenario.run(seed);
     const command = `npm run measure-daemons -- ${this.scenario} --seed ${String(seed)}`;
-    const text = `${JSON.stringify({ command, scenario: this.scenario, seed, commit, figures }, undefined, 2)}\n`;
+    const result: DaemonResult = { command, scenario: this.scenario, seed, commit, figures };
+    const text = `${JSON.stringify(result, undefined, 2)}\n`;
     if (this.out === undefined) this.context.stdout.write(text);
     else {
       mkdirSync(dirname(this.out), { recursive: true });
--- a/packages/measure-daemons/src/run-failed-node.ts
+++ b/packages/measure-daemons/src/run-failed-node.ts
@@ -7,6 +7,7 @@
 import { readGauge } from './read-gauge.js';
 import { runCandidate } from './run-candidate.js';
 import { waitUntil } from './wait-until.js';
+import type { DaemonFigures } from './daemon-figures.js';
 
 const DURATION_MS = 26_000;
 const BEGIN_MS = 5_000;
@@ -34,7 +35,7 @@
 }
 
 /** Kills three of six daemons under load. Homes are ranked over the live nodes, so a node that is not live has no request placed through it. */
-export async function runFailedNode(seed: number): Promise<unknown> {
+export async function runFailedNode(seed: number): Promise<DaemonFigures> {
   const deployment = DEPLOYMENTS['night-walk'];
   const workload = generateWorkload(deployment, seed, 1, DURATION_MS);
   const { figures, slowest, disturbed } = await runCandidate(deployment, 'own', workload, killDaemons);
--- a/packages/measure-daemons/src/run-fault-scenario.ts
+++ b/packages/measure-daemons/src/run-fault-scenario.ts
@@ -9,6 +9,7 @@
 import { runCandidate } from './run-candidate.js';
 import type { RunFigures } from './run-figures.js';
 import type { Summary } from './summary.js';
+import type { DaemonFigures } from './daemon-figures.js';
 
 const DURATION_MS = 26_000;
 const FAULT_AT_MS = 10_000;
@@ -32,7 +33,7 @@
 }
 
 /** Runs the repair-counter deployment with a fault in the middle. */
-export async function runFaultScenario(fault: DaemonFault, seed: number): Promise<unknown> {
+export async function runFaultScenario(fault: DaemonFault, seed: number): Promise<DaemonFigures> {
   const deployment = DEPLOYMENTS['repair-counter'];
   const workload = generateWorkload(deployment, seed, 1, DURATION_MS);
   const candidates: Record<string, { readonly figures: RunFigures; readonly phases: PhaseFigures }> = {};
--- a/packages/measure-daemons/src/run-leaving-server.ts
+++ b/packages/measure-daemons/src/run-leaving-server.ts
@@ -5,6 +5,7 @@
 import { DEPLOYMENTS } from './deployments.js';
 import { generateWorkload } from './generate-workload.js';
 import { runCandidate } from './run-candidate.js';
+import type { DaemonFigures } from './daemon-figures.js';
 
 const DURATION_MS = 24_000;
 const BEGIN_MS = 6_000;
@@ -29,7 +30,7 @@
 }
 
 /** Marks an engine and an instance of the plain service as leaving under load. */
-export async function runLeavingServer(seed: number): Promise<unknown> {
+export async function runLeavingServer(seed: number): Promise<DaemonFigures> {
   const deployment = DEPLOYMENTS['night-walk'];
   const workload = generateWorkload(deployment, seed, 1, DURATION_MS);
   const { figures, records, disturbed } = await runCandidate(deployment, 'own', workload, markLeaving);
--- a/packages/measure-daemons/src/run-load-scenario.ts
+++ b/packages/measure-daemons/src/run-load-scenario.ts
@@ -4,6 +4,7 @@
 import { generateWorkload } from './generate-workload.js';
 import { runCandidate } from './run-candidate.js';
 import type { RunFigures } from './run-figures.js';
+import type { DaemonFigures } from './daemon-figures.js';
 
 const DURATION_MS = 24_000;
 
@@ -12,7 +13,7 @@
   name: keyof typeof DEPLOYMENTS,
   load: number,
   seed: number,
-): Promise<unknown> {
+): Promise<DaemonFigures> {
   const deployment = DEPLOYMENTS[name];
   const workload = generateWorkload(deployment, seed, load, DURATION_MS);
   const candidates: Record<string, RunFigures> = {};
--- a/packages/measure-daemons/src/run-platform-down.ts
+++ b/packages/measure-daemons/src/run-platform-down.ts
@@ -2,11 +2,12 @@
 import { DEPLOYMENTS } from './deployments.js';
 import { generateWorkload } from './generate-workload.js';
 import { runCandidate } from './run-candidate.js';
+import type { DaemonFigures } from './daemon-figures.js';
 
 const DURATION_MS = 24_000;
 
 /** Runs the night-walk deployment while the platform refuses every call; only keyed bookings may be refused. */
-export async function runPlatformDown(seed: number): Promise<unknown> {
+export async function runPlatformDown(seed: number): Promise<DaemonFigures> {
   const deployment = DEPLOYMENTS['night-walk'];
   const workload = generateWorkload(deployment, seed, 1, DURATION_MS);
   const run = await runCandidate(deployment, 'own', workload, ({ site }) =>
--- a/packages/measure-daemons/src/run-publish.ts
+++ b/packages/measure-daemons/src/run-publish.ts
@@ -11,6 +11,7 @@
 import { readGauge } from './read-gauge.js';
 import { runCandidate } from './run-candidate.js';
 import { waitUntil } from './wait-until.js';
+import type { DaemonFigures } from './daemon-figures.js';
 
 const DURATION_MS = 30_000;
 const PUBLISHES = 20;
@@ -75,7 +76,7 @@
 }
 
 /** Publishes twenty times under load, with a node started in the middle and the platform slow at the end. */
-export async function runPublish(seed: number): Promise<unknown> {
+export async function runPublish(seed: number): Promise<DaemonFigures> {
   const deployment = DEPLOYMENTS['repair-counter'];
   const workload = generateWorkload(deployment, seed, 1, DURATION_MS);
   const { figures, disturbed } = await runCandidate(deployment, 'own', workload, publishOften);
--- a/packages/measure-daemons/src/run-rolling-restart.ts
+++ b/packages/measure-daemons/src/run-rolling-restart.ts
@@ -7,6 +7,7 @@
 import { readGauge } from './read-gauge.js';
 import { runCandidate } from './run-candidate.js';
 import { waitUntil } from './wait-until.js';
+import type { DaemonFigures } from './daemon-figures.js';
 
 const DURATION_MS = 36_000;
 const BEGIN_MS = 3_000;
@@ -35,7 +36,7 @@
 }
 
 /** Rolling restart of all daemons under load. */
-export async function runRollingRestart(seed: number): Promise<unknown> {
+export async function runRollingRestart(seed: number): Promise<DaemonFigures> {
   const deployment = DEPLOYMENTS['night-walk'];
   const workload = generateWorkload(deployment, seed, 1, DURATION_MS);
   const { figures, slowest, disturbed } = await runCandidate(deployment, 'own', workload, restartDaemons);
--- a/packages/measure-daemons/src/run-urgent-scenario.ts
+++ b/packages/measure-daemons/src/run-urgent-scenario.ts
@@ -3,13 +3,17 @@
 import { generateWorkload } from './generate-workload.js';
 import { runCandidate } from './run-candidate.js';
 import type { RunFigures } from './run-figures.js';
+import type { DaemonFigures } from './daemon-figures.js';
 
 const DURATION_MS = 24_000;
 const LIMIT = 1.5;
 const LOADS = { half: 0.5, twice: 2 } as const;
 
 /** Compares urgent short calls at half and at twice the steady load. */
-export async function runUrgentScenario(name: keyof typeof DEPLOYMENTS, seed: number): Promise<unknown> {
+export async function runUrgentScenario(
+  name: keyof typeof DEPLOYMENTS,
+  seed: number,
+): Promise<DaemonFigures> {
   const deployment = DEPLOYMENTS[name];
   const loads: Record<string, RunFigures> = {};
   let slowest: unknown;
