Use the retention planners in the placement simulation

The stand-in rule by-return is gone. Stores hold what the planners of plan-retention decide, exports wait for an idle link and need the piece on the engine, as in the home of a cell. Candidates are pairs of a placement and a retention.

--- a/packages/measure/src/build-sim-input.ts
+++ b/packages/measure/src/build-sim-input.ts
@@ -29,7 +29,7 @@
   const limit = computeRoom(deployment.slots, deployment.urgentSlots, priority);
   const scale = parts.link.getRateScale(nowMs);
   const rate = deployment.linkBytesPerSecond * scale;
-  const queueMs = (store.getQueuedBytes() / rate) * MS_PER_S;
+  const queueMs = (store.link.getQueuedBytes() / rate) * MS_PER_S;
   const countPrefix = (engine: SimEngine): number => {
     const missing = request.pieces.findIndex((piece) => !engine.cache.has(piece.chain));
     return missing < 0 ? request.pieces.length : missing;
@@ -46,7 +46,7 @@
       },
     ],
     stored: request.pieces.map(({ chain }) => {
-      const tier = store.getTier(chain);
+      const tier = store.getTier(request.account, chain);
       return tier === undefined ? -1 : TIER_INDEX[tier];
     }),
   };
--- a/packages/measure/src/compare-placement.ts
+++ b/packages/measure/src/compare-placement.ts
@@ -4,7 +4,8 @@
 import type { VariantFigures } from './variant-figures.js';
 
 /** Candidates that are no baselines begin with this. */
-const OWN = 'own';
+const OWN_PLACEMENT = 'own, ';
+const OWN = 'own, planned';
 const RECOMPUTE_ONLY = 'least-loaded, keep-none';
 
 /** Compares the own figures with the targets of section 1.2. */
@@ -26,8 +27,8 @@
     const [best, figures] = findBest(variant, isTimeFirst);
     const ttft = computeRatio(own.interactive.p95, figures.interactive.p95);
     const recomputed = computeRatio(own.recomputedShare, figures.recomputedShare);
-    addTarget(`${name}: p95 TTFT over ${best}`, ttft, isTimeFirst ? 0.7 : 1);
-    addTarget(`${name}: share recomputed over ${best}`, recomputed, isTimeFirst ? 1 : 0.6);
+    addTarget(`${name}: p95 TTFT, ${OWN} over ${best}`, ttft, isTimeFirst ? 0.7 : 1);
+    addTarget(`${name}: share recomputed, ${OWN} over ${best}`, recomputed, isTimeFirst ? 1 : 0.6);
     const recompute = variant.candidates[RECOMPUTE_ONLY];
     if (own.afterFault !== undefined && recompute?.afterFault !== undefined) {
       const label = `${name}: p95 TTFT from 5 s after the fault over recompute only`;
@@ -54,11 +55,11 @@
   return targets;
 }
 
-/** Finds the baseline that is best in the measure with the most weight. */
+/** Finds the pair of a placement and a retention baseline that is best in the measure with the most weight. */
 function findBest(variant: VariantFigures, isTimeFirst: boolean): [string, RunFigures] {
   const measure = (figures: RunFigures): number =>
     isTimeFirst ? figures.interactive.p95 : figures.recomputedShare;
-  const baselines = Object.entries(variant.candidates).filter(([name]) => !name.startsWith(OWN));
+  const baselines = Object.entries(variant.candidates).filter(([name]) => !name.startsWith(OWN_PLACEMENT));
   const best = baselines.sort(([, a], [, b]) => measure(a) - measure(b))[0];
   if (best === undefined) throw new Error('no baseline was run');
   return best;
--- a/packages/measure/src/deployment.ts
+++ b/packages/measure/src/deployment.ts
@@ -10,6 +10,7 @@
   /** Pieces that an engine's memory holds. */
   readonly enginePieces: number;
   readonly pieceBytes: number;
+  readonly pieceTokens: number;
   readonly memoryPieces: number;
   readonly diskPieces: number;
   readonly linkBytesPerSecond: number;
--- a/packages/measure/src/deployments.ts
+++ b/packages/measure/src/deployments.ts
@@ -16,6 +16,7 @@
   // Refilled in about two minutes at the steady load, while the median gap is six minutes and more.
   enginePieces: 300,
   pieceBytes: PIECE_BYTES,
+  pieceTokens: 2000,
   linkBytesPerSecond: 1.25e9,
   diskBytesPerSecond: 0.6e9,
 };
--- a/packages/measure/src/run-placement-scenario.ts
+++ b/packages/measure/src/run-placement-scenario.ts
@@ -25,12 +25,12 @@
   for (const [variant, { load, fault }] of Object.entries(LOAD_VARIANTS)) {
     const trace = generateTrace(deployment, seed, load, DURATION_MS);
     const candidates: Record<string, RunFigures> = {};
-    for (const [candidate, { policy, retention }] of Object.entries(CANDIDATES)) {
+    for (const [candidate, { policy, createPlanner }] of Object.entries(CANDIDATES)) {
       const run = simulateCell({
         deployment,
         trace,
         policy,
-        retention,
+        createPlanner,
         fault,
         faultAtMs: FAULT_AT_MS,
         durationMs: DURATION_MS,
--- a/packages/measure/src/sim-store.ts
+++ b/packages/measure/src/sim-store.ts
@@ -1,126 +1,159 @@
+import { createCacheDirectory } from '@laburnumshift/track-cache';
+import type { CacheDirectory, ExportPlan, StoreChange, StoreView, Tier } from '@laburnumshift/types';
 import type { Deployment } from './deployment.js';
 import type { EventQueue } from './event-queue.js';
-import { PieceCache } from './piece-cache.js';
+import { SimLink } from './sim-link.js';
 
+const NAME = 's';
 const MS_PER_S = 1000;
-const MINUTE_MS = 60_000;
 /** Time after which a call to a dead store fails. */
 const REFUSED_MS = 50;
-/** Exports that wait for the link; beyond it new ones are dropped. */
-const MAX_EXPORTS = 1024;
+/** The same bound as in the home of a cell (manage-cell, run-exports). */
+const MAX_EXPORTS = 512;
 
-/** A store host: a memory and a disk tier behind one link that carries one transfer at a time; imports go first. */
+/** A store host with a memory and a disk tier. What it holds is decided by a retention planner, as in the home of a cell. */
 export class SimStore {
-  readonly disk: PieceCache;
-  readonly memory: PieceCache;
-  alive = true;
-  linkBytesPerSecond: number;
-  movedBytes = 0;
-  /** Busy milliseconds in each minute, for the peak use. */
-  readonly busyByMinute = new Map<number, number>();
-  private readonly imports: {
-    readonly ms: number;
-    readonly bytes: number;
-    readonly finish: (ok: boolean) => void;
-  }[] = [];
-  private readonly exports = new Map<string, true>();
-  private busyUntilMs = 0;
-  private busy = false;
+  readonly directory: CacheDirectory = createCacheDirectory();
+  readonly link: SimLink;
+  /** False from the time at which a dead store is noticed. */
+  isListed = true;
+  private alive = true;
+  private readonly used: Record<Tier, number> = { memory: 0, disk: 0 };
+  private exports: ExportPlan[] = [];
+  private exporting = false;
 
   constructor(
-    private readonly events: EventQueue,
+    events: EventQueue,
     private readonly deployment: Deployment,
+    /** Tells whether an engine still holds a piece that is to be exported. */
+    private readonly isCached: (engine: string, chain: string) => boolean,
   ) {
-    this.linkBytesPerSecond = deployment.linkBytesPerSecond;
-    this.disk = new PieceCache(deployment.diskPieces);
-    this.memory = new PieceCache(deployment.memoryPieces, (chain) => {
-      this.disk.add(chain);
-    });
+    this.link = new SimLink(events, deployment.linkBytesPerSecond);
   }
 
   /** Tier in which a piece is listed; a dead store stays listed until it is forgotten. */
-  getTier(chain: string): 'memory' | 'disk' | undefined {
-    if (this.memory.has(chain)) return 'memory';
-    return this.disk.has(chain) ? 'disk' : undefined;
+  getTier(scope: string, chain: string): Tier | undefined {
+    return this.directory.findStored(scope, chain)[0]?.tier;
+  }
+
+  getView(): StoreView {
+    const { pieceBytes, memoryPieces, diskPieces, linkBytesPerSecond, diskBytesPerSecond } = this.deployment;
+    const memoryBytes = memoryPieces * pieceBytes;
+    const diskBytes = diskPieces * pieceBytes;
+    const sizes = { memoryBytes, diskBytes, linkBytesPerSecond };
+    return {
+      host: { name: NAME, url: '', failureDomain: 'a', ...sizes, diskBytesPerSecond },
+      stat: {
+        ...sizes,
+        memoryUsed: this.used.memory,
+        diskUsed: this.used.disk,
+        linkQueuedBytes: this.link.getQueuedBytes(),
+        otherShare: 0,
+      },
+      alive: this.isListed,
+    };
   }
 
-  /** Bytes that go before a new import. */
-  getQueuedBytes(): number {
-    const waiting = this.imports.reduce((sum, transfer) => sum + transfer.bytes, 0);
-    const leftMs = Math.max(0, this.busyUntilMs - this.events.getNowMs());
-    return waiting + (leftMs / MS_PER_S) * this.linkBytesPerSecond;
+  /** Filled share of the fuller tier. */
+  getFilling(): number {
+    const { memoryPieces, diskPieces, pieceBytes } = this.deployment;
+    return Math.max(this.used.memory / memoryPieces, this.used.disk / diskPieces) / pieceBytes;
   }
 
-  importPieces(chains: readonly string[], finish: (ok: boolean) => void): void {
+  importPieces(scope: string, chains: readonly string[], finish: (ok: boolean) => void): void {
     if (!this.alive) {
-      this.events.schedule(REFUSED_MS, () => {
-        finish(false);
-      });
+      this.link.fail(REFUSED_MS, finish);
       return;
     }
-    const { pieceBytes, diskBytesPerSecond } = this.deployment;
-    let ms = 0;
-    for (const chain of chains) {
-      const onDisk = this.getTier(chain) === 'disk';
-      const rate = onDisk ? Math.min(diskBytesPerSecond, this.linkBytesPerSecond) : this.linkBytesPerSecond;
-      ms += (pieceBytes / rate) * MS_PER_S;
-      (onDisk ? this.disk : this.memory).add(chain);
-    }
-    this.imports.push({ ms, bytes: chains.length * pieceBytes, finish });
-    this.runTransfer();
+    const ms = chains.reduce((sum, chain) => sum + this.computeMs(this.getTier(scope, chain) ?? 'memory'), 0);
+    this.link.addTransfer(ms, chains.length * this.deployment.pieceBytes, finish);
+    this.runExports();
   }
 
-  /** Exports a piece when the link is idle; a piece that is there counts as used, however the engine came by it. */
-  exportPiece(chain: string): void {
+  /** Queues exports, the most valuable first. */
+  addExports(plans: readonly ExportPlan[]): void {
     if (!this.alive) return;
-    const tier = this.getTier(chain);
-    if (tier !== undefined) this[tier].add(chain);
-    if (tier !== undefined || this.exports.size >= MAX_EXPORTS) return;
-    this.exports.set(chain, true);
-    this.runTransfer();
+    for (const plan of plans) {
+      if (this.exports.some((other) => other.chain === plan.chain && other.scope === plan.scope)) continue;
+      const index = this.exports.findIndex((other) => other.value < plan.value);
+      this.exports.splice(index < 0 ? this.exports.length : index, 0, plan);
+    }
+    this.exports.splice(MAX_EXPORTS);
+    this.runExports();
+  }
+
+  /** Carries out a change of the planner; a move to memory needs an idle link. */
+  applyChange({ scope, chain, action }: StoreChange): void {
+    const piece = this.directory.findStored(scope, chain)[0];
+    if (!this.alive || piece === undefined) return;
+    if (action === 'delete') {
+      this.directory.removeStored(NAME, scope, chain);
+      this.used[piece.tier] -= piece.bytes;
+      return;
+    }
+    const tier = action === 'to-memory' ? 'memory' : 'disk';
+    if (piece.tier === tier || this.isFull(tier, piece.bytes)) return;
+    const move = (): void => {
+      this.used[tier] += piece.bytes;
+      this.used[piece.tier] -= piece.bytes;
+      this.directory.recordStored({ ...piece, tier });
+    };
+    if (tier === 'disk') move();
+    else if (this.link.isIdle()) {
+      this.link.addTransfer(this.computeMs('disk'), 0, (ok) => {
+        const isThere = this.getTier(scope, chain) === 'disk';
+        if (ok && isThere && !this.isFull('memory', piece.bytes)) move();
+      });
+    }
   }
 
   fail(): void {
     this.alive = false;
-    this.exports.clear();
-    for (const transfer of this.imports.splice(0)) transfer.finish(false);
+    this.exports = [];
+    this.link.failAll();
   }
 
   clearListing(): void {
-    this.memory.clear();
-    this.disk.clear();
+    this.isListed = false;
+    this.directory.removeStore(NAME);
+  }
+
+  private runExports(): void {
+    if (this.exporting) return;
+    this.exporting = true;
+    this.link.waitIdle(() => {
+      this.exporting = false;
+      this.startExport();
+    });
   }
 
-  private runTransfer(): void {
-    if (this.busy) return;
-    const { pieceBytes } = this.deployment;
-    const next = this.imports.shift();
-    const [chain] = this.exports.keys();
-    if (next !== undefined) {
-      this.holdLink(next.ms, next.bytes, next.finish);
-    } else if (chain !== undefined) {
-      this.exports.delete(chain);
-      this.holdLink((pieceBytes / this.linkBytesPerSecond) * MS_PER_S, pieceBytes, (ok) => {
-        if (ok) this.memory.add(chain);
+  /** Exports the first piece that its engine still holds and that has room. */
+  private startExport(): void {
+    for (let plan = this.exports.shift(); plan !== undefined; plan = this.exports.shift()) {
+      const { scope, chain, tier, bytes } = plan;
+      if (this.getTier(scope, chain) !== undefined || this.isFull(tier, bytes)) continue;
+      if (!this.isCached(plan.engine, chain)) continue;
+      this.used[tier] += bytes;
+      this.link.addTransfer(this.computeMs('memory'), bytes, (ok) => {
+        if (ok) {
+          const place = { scope, chain, store: NAME, tier };
+          this.directory.recordStored({ ...place, generation: 1, length: 1, checksum: '', bytes });
+        } else this.used[tier] -= bytes;
       });
+      this.runExports();
+      return;
     }
   }
 
-  private holdLink(ms: number, bytes: number, finish: (ok: boolean) => void): void {
-    const nowMs = this.events.getNowMs();
-    this.busy = true;
-    this.busyUntilMs = nowMs + ms;
-    this.movedBytes += bytes;
-    for (let atMs = nowMs; atMs < nowMs + ms;) {
-      const minute = Math.floor(atMs / MINUTE_MS);
-      const untilMs = Math.min(nowMs + ms, (minute + 1) * MINUTE_MS);
-      this.busyByMinute.set(minute, (this.busyByMinute.get(minute) ?? 0) + untilMs - atMs);
-      atMs = untilMs;
-    }
-    this.events.schedule(ms, () => {
-      this.busy = false;
-      finish(this.alive);
-      this.runTransfer();
-    });
+  private computeMs(tier: Tier): number {
+    const { pieceBytes, diskBytesPerSecond } = this.deployment;
+    const { bytesPerSecond } = this.link;
+    const rate = tier === 'disk' ? Math.min(diskBytesPerSecond, bytesPerSecond) : bytesPerSecond;
+    return (pieceBytes / rate) * MS_PER_S;
+  }
+
+  private isFull(tier: Tier, bytes: number): boolean {
+    const { memoryPieces, diskPieces, pieceBytes } = this.deployment;
+    return this.used[tier] + bytes > (tier === 'memory' ? memoryPieces : diskPieces) * pieceBytes;
   }
 }
--- a/packages/measure/src/simulate-cell.ts
+++ b/packages/measure/src/simulate-cell.ts
@@ -5,7 +5,6 @@
 import { createEventQueue } from './create-event-queue.js';
 import { createLinkView } from './create-link-view.js';
 import { createLoadView } from './create-load-view.js';
-import { createReturnMeter } from './create-return-meter.js';
 import type { RequestResult } from './request-result.js';
 import { SimEngine } from './sim-engine.js';
 import type { SimRun } from './sim-run.js';
@@ -19,6 +18,13 @@
 /** A dead store is noticed by the next reading of its state. */
 const NOTICE_MS = 500;
 const RESTART_MS = 500;
+/**
+ * The home of a cell plans changes about each second. Planning takes most of the time of a simulation, so it happens more rarely
+ * here while the tiers have room.
+ */
+const PLAN_CHECK_MS = 1000;
+const PLAN_EVERY_MS = 10_000;
+const PLAN_FILLING = 0.94;
 /** Time after the last arrival for running requests to finish. */
 const DRAIN_MS = 300_000;
 const MINUTE_MS = 60_000;
@@ -27,13 +33,16 @@
 export function simulateCell(options: SimulationOptions): SimulationResult {
   const { deployment, trace, policy, fault } = options;
   const events = createEventQueue();
-  const store = new SimStore(events, deployment);
   const link = createLinkView();
   const engines = Array.from({ length: deployment.engines }, (_, index) => {
     const { prefillTokensPerSecond, enginePieces } = deployment;
     const engine = new SimEngine(`e${String(index)}`, events, prefillTokensPerSecond, enginePieces);
     return { engine, view: createLoadView(engine) };
   });
+  const store = new SimStore(events, deployment, (name, chain) =>
+    engines.some(({ engine }) => engine.name === name && engine.cache.has(chain)),
+  );
+  const planner = options.createPlanner(deployment);
   const queue = createAdmissionQueue({
     maxPerAccount: 512,
     expireAfterMs: Infinity,
@@ -43,8 +52,8 @@
   const runs = new Map<string, SimRun>();
   const results: RequestResult[] = [];
   const seen = new Set<string>();
-  const meter = createReturnMeter();
   let turn = 0;
+  let plannedAtMs = 0;
 
   const buildInput = (request: TraceRequest, anyRoom: boolean): PlacementInput =>
     buildSimInput(deployment, request, { engines, store, link, turn, anyRoom, nowMs: events.getNowMs() });
@@ -108,7 +117,7 @@
       runs.set(item.request.id, run);
       startSimRun(
         run,
-        { events, store, link, seen, meter, retention: options.retention, deployment },
+        { events, store, link, seen, planner, deployment },
         {
           recordFirst: (result) => results.push(result),
           finish: () => {
@@ -121,7 +130,7 @@
   };
 
   const injectFault = (): void => {
-    if (fault === 'link-tenth') store.linkBytesPerSecond /= 10;
+    if (fault === 'link-tenth') store.link.bytesPerSecond /= 10;
     if (fault === 'store-dead') {
       store.fail();
       events.schedule(NOTICE_MS, () => {
@@ -148,6 +157,16 @@
     if (nowMs < options.durationMs + DRAIN_MS) events.schedule(REPORT_EVERY_MS, readReports);
   };
 
+  const planChanges = (): void => {
+    const nowMs = events.getNowMs();
+    if (nowMs - plannedAtMs >= PLAN_EVERY_MS || store.getFilling() > PLAN_FILLING) {
+      plannedAtMs = nowMs;
+      const changes = planner.planChanges([store.getView()], store.directory, nowMs);
+      for (const change of changes) store.applyChange(change);
+    }
+    if (nowMs < options.durationMs) events.schedule(PLAN_CHECK_MS, planChanges);
+  };
+
   for (const request of trace) {
     events.schedule(request.atMs, () => {
       addRequest(request, false);
@@ -155,7 +174,8 @@
   }
   events.schedule(options.faultAtMs, injectFault);
   readReports();
+  planChanges();
   events.runUntil(options.durationMs + DRAIN_MS);
-  const peakLinkUse = Math.max(0, ...store.busyByMinute.values()) / MINUTE_MS;
-  return { results, movedBytes: store.movedBytes, peakLinkUse };
+  const peakLinkUse = Math.max(0, ...store.link.busyByMinute.values()) / MINUTE_MS;
+  return { results, movedBytes: store.link.movedBytes, peakLinkUse };
 }
--- a/packages/measure/src/start-sim-run.ts
+++ b/packages/measure/src/start-sim-run.ts
@@ -1,9 +1,9 @@
+import type { RetentionPlanner } from '@laburnumshift/types';
+import { buildRunReport } from './build-run-report.js';
 import type { Deployment } from './deployment.js';
 import type { EventQueue } from './event-queue.js';
 import type { LinkView } from './link-view.js';
 import type { RequestResult } from './request-result.js';
-import type { RetentionRule } from './retention-rule.js';
-import type { ReturnMeter } from './return-meter.js';
 import type { SimRun } from './sim-run.js';
 import type { SimStore } from './sim-store.js';
 
@@ -17,8 +17,7 @@
     readonly store: SimStore;
     readonly link: LinkView;
     readonly seen: Set<string>;
-    readonly meter: ReturnMeter;
-    readonly retention: RetentionRule;
+    readonly planner: RetentionPlanner;
     readonly deployment: Deployment;
   },
   report: { readonly recordFirst: (result: RequestResult) => void; readonly finish: () => void },
@@ -31,7 +30,9 @@
   const computed = pieces.filter((_, index) => index >= decision.cachedPieces && index < decision.headPieces);
   const imported = pieces.slice(decision.headPieces, decision.importEnd);
   computed.push(...pieces.slice(decision.importEnd));
-  const missed = computed.filter(({ chain }) => seen.has(chain) && store.getTier(chain) === undefined);
+  const missed = computed.filter(
+    ({ chain }) => seen.has(chain) && store.getTier(request.account, chain) === undefined,
+  );
   const headTokens = pieces
     .slice(decision.cachedPieces, decision.headPieces)
     .reduce((sum, piece) => sum + piece.tokens, 0);
@@ -62,19 +63,24 @@
       events.schedule((kind.outputTokens / deployment.decodeTokensPerSecond) * MS_PER_S, () => {
         if (boot !== engine.boot) return;
         engine.running -= 1;
+        reportRun();
         report.finish();
       });
     });
   };
   const recordPieces = (): void => {
-    world.meter.observeRequest(request);
-    const isKept = world.retention(kind, world.meter.getRate(kind.service));
     for (const { chain } of pieces.slice(0, -1)) {
       seen.add(chain);
       engine.cache.add(chain);
-      if (isKept) store.exportPiece(chain);
     }
   };
+  const reportRun = (): void => {
+    if (pieces.length < 2) return;
+    const finished = buildRunReport(run);
+    world.planner.recordUse(finished, events.getNowMs());
+    const plans = world.planner.planExports(finished, [store.getView()], store.directory, events.getNowMs());
+    store.addExports(plans);
+  };
 
   if (headTokens > 0) engine.addPrefill(headTokens, kind.priority, computeRest);
   else computeRest();
@@ -83,6 +89,7 @@
     return;
   }
   store.importPieces(
+    request.account,
     imported.map((piece) => piece.chain),
     (ok) => {
       if (boot !== engine.boot) return;
--- a/packages/measure/test/simulation.test.ts
+++ b/packages/measure/test/simulation.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {
   DEPLOYMENTS,
-  RETENTION_RULES,
+  RETENTION_PLANNERS,
   computeLowerBound,
   generateTrace,
   simulateCell,
@@ -16,7 +16,7 @@
     deployment,
     trace,
     policy: placeRequest,
-    retention: RETENTION_RULES['keep-all-lru'],
+    createPlanner: RETENTION_PLANNERS['keep-all-lru'],
     faultAtMs: DURATION_MS / 2,
     durationMs: DURATION_MS,
     ...change,
