--- a/packages/journal-calls/src/create-local-journal.ts
+++ b/packages/journal-calls/src/create-local-journal.ts
@@ -125,7 +125,9 @@
     }
     const seen = getShard(id).getEntry(id);
     const isEvidence = seen !== undefined && seen.attemptId !== attemptId;
-    return isEvidence ? describeBegin(seen, begin) : { kind: 'unavailable', detail: result };
+    if (isEvidence) return describeBegin(seen, begin);
+    const isCut = getShard(id).isCut(begin.issuedAtMs - limits.skewMs);
+    return { kind: 'unavailable', detail: result, seen: isCut };
   };
 
   return {
@@ -133,14 +135,14 @@
       const id = computeCallId(begin);
       const untilMs = readMonotonicMs() + begin.waitMs;
       if (begin.issuedAtMs > readWallMs() + limits.skewMs) {
-        return { kind: 'unavailable', detail: 'the key is dated in the future' };
+        return { kind: 'unavailable', detail: 'the key is dated in the future', seen: true };
       }
       for (;;) {
         const decision = await beginOnce(id, begin);
         const restMs = untilMs - readMonotonicMs();
         if (decision.kind !== 'in-progress' || restMs <= 0) return decision;
         await getShard(id).waitChange(Math.min(restMs, POLL_MS));
-        await getShard(id).findFresh(id, POLL_MS / 2);
+        await getShard(id).findFresh(id, begin.issuedAtMs - limits.skewMs, POLL_MS / 2);
       }
     },
     finishCall: async (finish) => {
@@ -164,12 +166,23 @@
       );
       return result !== undefined && result.entry?.attemptId !== attemptId;
     },
+    markUnknown: async (attempt) => {
+      const id = computeCallId(attempt);
+      const { attemptId } = attempt;
+      const result = await appendUntilConfirmed(id, (entry) =>
+        entry?.attemptId === attemptId && entry.state === 'started'
+          ? { type: 'unknown', id, attemptId, at: readWallMs() }
+          : undefined,
+      );
+      return result?.entry?.attemptId === attemptId && result.entry.state !== 'started';
+    },
     findCall: async (look) => {
       const id = computeCallId(look);
-      const found = await getShard(id).findFresh(id, 0);
+      const found = await getShard(id).findFresh(id, (look.issuedAtMs ?? 0) - limits.skewMs, 0);
       const entry = found === undefined ? getShard(id).getEntry(id) : found.entry;
       if (entry !== undefined) return describeEntry(entry);
-      if (found === undefined) return { kind: 'unavailable', detail: 'the journal cannot be read' };
+      if (found === undefined)
+        return { kind: 'unavailable', detail: 'the journal cannot be read', seen: true };
       return { kind: 'absent' };
     },
     close: () => {
