--- a/packages/measure-capacity/src/sum-costs.ts
+++ b/packages/measure-capacity/src/add-costs.ts
@@ -1,7 +1,7 @@
 import type { Cost } from './cost.js';
 
 /** Adds costs up. */
-export function sumCosts(costs: readonly Cost[]): Cost {
+export function addCosts(costs: readonly Cost[]): Cost {
   return costs.reduce(
     (sum, { core, bytes, memory }) => ({
       core: sum.core + core,
--- a/packages/measure-capacity/src/capacity-command.ts
+++ b/packages/measure-capacity/src/capacity-command.ts
@@ -6,6 +6,7 @@
 import { MEASUREMENTS } from './measurements.js';
 import { MECHANISM } from './mechanism.js';
 import { readCommit } from './read-commit.js';
+import { readLines } from './read-lines.js';
 import { renderSums } from './render-sums.js';
 
 const FOLDER = 'measurements/capacity';
@@ -56,7 +57,7 @@
   }
 
   private writeSums(): number {
-    const sums = computeSums(FOLDER);
+    const sums = computeSums(readLines(FOLDER));
     const command = 'npm run capacity -- sums';
     const result = { command, commit: readCommit(), mechanism: MECHANISM, sums };
     writeFileSync(this.out ?? `${FOLDER}/sums.json`, `${JSON.stringify(result, undefined, 2)}\n`);
--- a/packages/measure-capacity/src/compute-control.ts
+++ b/packages/measure-capacity/src/compute-control.ts
@@ -9,10 +9,10 @@
 /** A masked ping and a pong without content (RFC 6455), without the headers of TCP and IP. */
 const BEAT_BYTES = 8;
 
-const cost = (core: number, bytes: number, memory = 0): Cost => ({ core, bytes, memory });
-const scale = (one: Cost, times: number): Cost =>
-  cost(one.core * times, one.bytes * times, one.memory * times);
-const add = (a: Cost, b: Cost): Cost => cost(a.core + b.core, a.bytes + b.bytes, a.memory + b.memory);
+const makeCost = (core: number, bytes: number, memory = 0): Cost => ({ core, bytes, memory });
+const computeMultiple = (one: Cost, times: number): Cost =>
+  makeCost(one.core * times, one.bytes * times, one.memory * times);
+const add = (a: Cost, b: Cost): Cost => makeCost(a.core + b.core, a.bytes + b.bytes, a.memory + b.memory);
 
 /** Computes the duties that go on whether or not requests come. */
 export function computeControl(s: Scenario, get: Lookup): Duty[] {
@@ -21,9 +21,9 @@
   const nearby = s.nodes / s.domains;
   const watchers = Math.min(s.nodes, m.watchersPerDomain * s.domains);
   const cells = Math.ceil(s.engines / 24);
-  const most = (homes: number): number =>
+  const computeMost = (homes: number): number =>
     Math.max(homes / s.nodes, s.nodes < 470 ? 2 : get('homes', 'most homes on one of 470 members', homes));
-  const control = (role: string, duty: string, mean: Cost, worst = mean, platform = {}): Duty => ({
+  const makeDuty = (role: string, duty: string, mean: Cost, worst = mean, platform = {}): Duty => ({
     role,
     duty,
     kind: 'control',
@@ -32,17 +32,23 @@
     platform,
   });
   const poll = (series: string, perSecond: number): Cost =>
-    cost((perSecond * get('polls', `${series}: time`)) / US, perSecond * get('polls', `${series}: bytes`));
-  const spreadOver = (holder: Cost, holders: number, rest = cost(0, 0)): Cost =>
-    scale(add(scale(holder, holders), scale(rest, s.nodes - holders)), 1 / s.nodes);
+    makeCost(
+      (perSecond * get('polls', `${series}: time`)) / US,
+      perSecond * get('polls', `${series}: bytes`),
+    );
+  const spreadOver = (holder: Cost, holders: number, rest = makeCost(0, 0)): Cost =>
+    computeMultiple(
+      add(computeMultiple(holder, holders), computeMultiple(rest, s.nodes - holders)),
+      1 / s.nodes,
+    );
 
-  const member = cost(
+  const member = makeCost(
     get('membership', 'steady: time of a node', s.nodes) / US,
     get('membership', 'steady: bytes sent by a node', s.nodes),
   );
   const linkTime =
     get('links', 'idle links, both ends', 1 + others) - get('links', 'idle links, both ends', 1);
-  const links = cost(
+  const links = makeCost(
     linkTime / US,
     others * m.heartbeatsPerSecond * BEAT_BYTES,
     others * (get('links', 'memory of links, both ends', 2) - get('links', 'memory of links, both ends', 1)),
@@ -51,54 +57,57 @@
   const headBytes = get('config', 'size of a head on the platform', s.accounts);
   const checkHead = get('config', 'check a head', s.accounts);
   const readTime = get('polls', 'store statistic: time');
-  const headPoll = cost((readTime + checkHead) / m.configPollS / US, headBytes / m.configPollS);
+  const headPoll = makeCost((readTime + checkHead) / m.configPollS / US, headBytes / m.configPollS);
   const changes = s.changesPerDay / DAY_S;
   const relays = nearby - 1 + watchers - m.watchersPerDomain;
   const frame = get('messages', 'config-head', s.accounts);
   const fetched = get('messages', 'config-get reply', s.accounts);
   const encode = get('config', 'encode a head', s.accounts);
   const apply = get('config', 'compile a configuration', s.accounts) + 2 * checkHead + encode;
-  const atNode = cost((changes * apply) / US, changes * fetched);
+  const atNode = makeCost((changes * apply) / US, changes * fetched);
   const atWatcher = add(
     atNode,
-    cost((changes * relays * encode) / US, changes * (relays * frame + headBytes)),
+    makeCost((changes * relays * encode) / US, changes * (relays * frame + headBytes)),
   );
-  const state = cost(
+  const state = makeCost(
     0,
     0,
     get('config', 'memory of accounts', s.accounts) + get('config', 'memory of engines', s.engines),
   );
 
   const listed = s.nodes + s.engines + s.stores + s.plainServers;
-  const listCost = cost(
+  const listCost = makeCost(
     (get('polls', 'host list: time', listed) + get('config', 'compare a host list', listed)) / US,
     get('polls', 'host list: bytes', listed),
   );
-  const hostWatcher = scale(listCost, 1 / m.hostWatcherPollS);
-  const hostOther = scale(listCost, 1 / m.hostPollS);
+  const hostWatcher = computeMultiple(listCost, 1 / m.hostWatcherPollS);
+  const hostOther = computeMultiple(listCost, 1 / m.hostPollS);
   const relayRate = (2 * s.restartsPerDay) / DAY_S;
-  const hostRelay = cost(0, relayRate * (nearby - 1) * get('messages', 'hosts', listed));
+  const hostRelay = makeCost(0, relayRate * (nearby - 1) * get('messages', 'hosts', listed));
 
   const engineLoad = poll('engine load', 24 / m.loadPollS);
   const storesOfCell = Math.min(s.stores / s.pools, m.storesPerCell);
   const storeStat = poll('store statistic', storesOfCell / m.statPollS);
   const stored = s.prompts * s.piecesPerPrompt;
   const storedOfCell = Math.min(200_000, (stored / s.stores) * storesOfCell);
-  const storeList = cost(
+  const storeList = makeCost(
     0,
     ((stored / s.stores) * storesOfCell * get('retention', 'size of a listed piece')) / m.storeListS,
     (storedOfCell * get('retention', 'memory of stored pieces with their uses', 2)) / 2,
   );
   const planUs = get('retention', 'plan changes', storedOfCell);
-  const plan = cost(planUs / US / Math.max(m.planS, (m.planPauseFactor * planUs) / US), 0);
-  const perCell = (one: Cost): [Cost, Cost] => [scale(one, cells / s.nodes), scale(one, most(cells))];
+  const plan = makeCost(planUs / US / Math.max(m.planS, (m.planPauseFactor * planUs) / US), 0);
+  const spreadCells = (one: Cost): [Cost, Cost] => [
+    computeMultiple(one, cells / s.nodes),
+    computeMultiple(one, computeMost(cells)),
+  ];
 
   const rate = s.requests / s.nodes / s.accounts;
   const inUse = s.accounts * (1 - Math.exp(-rate * m.shareIdleS));
   const asks = m.shareByUse ? s.accounts / (m.shareRefreshS + 1 / rate) : inUse / m.shareRefreshS;
   const askers = (inUse / s.accounts) * s.nodes;
   const call = get('links', 'one call, both ends', 0);
-  const askCost = cost(
+  const askCost = makeCost(
     (asks * (call + get('limits', 'answer a share request', askers))) / US,
     asks * (get('messages', 'share') + get('messages', 'share reply')),
     (inUse * get('limits', 'memory of accounts in use', 1e4)) / 1e4 +
@@ -109,16 +118,16 @@
   const orderReads = Math.min(perPool / m.orderPeriodS, m.orderReadsPerSecond);
   const orders = add(
     poll('engine load', orderReads),
-    cost(get('orders', 'time without the reads', perPool) / US, 0),
+    makeCost(get('orders', 'time without the reads', perPool) / US, 0),
   );
   const polled = Math.min(s.plainServers, m.serversPolled);
 
   return [
-    control('membership', 'probes and gossip', member),
-    control('mesh links', `heartbeats of ${String(others)} links each way`, links),
-    control('configuration', 'state on every node', state),
-    control('configuration', 'poll of the head', headPoll, headPoll, { reads: s.nodes / m.configPollS }),
-    control(
+    makeDuty('membership', 'probes and gossip', member),
+    makeDuty('mesh links', `heartbeats of ${String(others)} links each way`, links),
+    makeDuty('configuration', 'state on every node', state),
+    makeDuty('configuration', 'poll of the head', headPoll, headPoll, { reads: s.nodes / m.configPollS }),
+    makeDuty(
       'configuration',
       'changes, relayed by watchers',
       spreadOver(atWatcher, watchers, atNode),
@@ -129,30 +138,30 @@
         waiting: watchers,
       },
     ),
-    control('host list', 'polls', spreadOver(hostWatcher, watchers, hostOther), hostWatcher, {
+    makeDuty('host list', 'polls', spreadOver(hostWatcher, watchers, hostOther), hostWatcher, {
       reads: watchers / m.hostWatcherPollS + (s.nodes - watchers) / m.hostPollS,
     }),
-    control('host list', 'changes, relayed by watchers', spreadOver(hostRelay, watchers), hostRelay),
-    control(
+    makeDuty('host list', 'changes, relayed by watchers', spreadOver(hostRelay, watchers), hostRelay),
+    makeDuty(
       'home of a cell',
       'load reports of engines',
-      ...perCell(scale(engineLoad, s.engines / cells / 24)),
+      ...spreadCells(computeMultiple(engineLoad, s.engines / cells / 24)),
     ),
-    control('home of a cell', 'statistics of stores', ...perCell(storeStat)),
-    control('home of a cell', 'lists of stored pieces', ...perCell(storeList)),
-    control('home of a cell', 'retention step', ...perCell(plan)),
-    control('home of a cell', 'which cells are this node’s', cost(lookups / m.cellSweepS / US, 0)),
-    control(
+    makeDuty('home of a cell', 'statistics of stores', ...spreadCells(storeStat)),
+    makeDuty('home of a cell', 'lists of stored pieces', ...spreadCells(storeList)),
+    makeDuty('home of a cell', 'retention step', ...spreadCells(plan)),
+    makeDuty('home of a cell', 'which cells are this node’s', makeCost(lookups / m.cellSweepS / US, 0)),
+    makeDuty(
       'home of accounts',
       'share requests and answers',
       askCost,
-      scale(askCost, 1 + most(s.accounts) / (s.accounts / s.nodes) / 2),
+      computeMultiple(askCost, 1 + computeMost(s.accounts) / (s.accounts / s.nodes) / 2),
     ),
-    control('lease holder', 'load reports for orders', spreadOver(orders, s.pools), orders, {
+    makeDuty('lease holder', 'load reports for orders', spreadOver(orders, s.pools), orders, {
       writes: s.pools / m.leaseRenewS,
     }),
-    control('plain node', 'loads of plain servers', poll('service load', polled / m.servicePollS)),
-    control('quarantine', 'watches of suspects and convictions', cost(0, 0), cost(0, 0), {
+    makeDuty('plain node', 'loads of plain servers', poll('service load', polled / m.servicePollS)),
+    makeDuty('quarantine', 'watches of suspects and convictions', makeCost(0, 0), makeCost(0, 0), {
       reads: (2 * s.nodes) / m.watchWaitS,
       waiting: 2 * s.nodes,
     }),
--- a/packages/measure-capacity/src/fit-line.ts
+++ b/packages/measure-capacity/src/compute-line.ts
@@ -2,7 +2,7 @@
 import type { Point } from './point.js';
 
 /** Fits a line by least squares. A single point gives a constant. */
-export function fitLine(points: readonly Point[]): Line {
+export function computeLine(points: readonly Point[]): Line {
   const count = Math.max(1, points.length);
   const meanX = points.reduce((sum, { x }) => sum + x, 0) / count;
   const meanY = points.reduce((sum, { y }) => sum + y, 0) / count;
--- a/packages/measure-capacity/src/compute-requests.ts
+++ b/packages/measure-capacity/src/compute-requests.ts
@@ -6,7 +6,7 @@
 
 const US = 1e6;
 
-const cost = (core: number, bytes: number, memory = 0): Cost => ({ core, bytes, memory });
+const makeCost = (core: number, bytes: number, memory = 0): Cost => ({ core, bytes, memory });
 
 /** Computes the duties that grow with requests: agreement about each request between nodes, and the answers themselves. */
 export function computeRequests(s: Scenario, get: Lookup): Duty[] {
@@ -14,8 +14,8 @@
   const rate = s.requests / s.nodes;
   const lookup = get('homes', m.homeLookup, s.nodes);
   const callUs = (pieces: number): number => get('links', 'one call, both ends', pieces);
-  const bytesOf = (name: string, x = 1): number => get('messages', name, x);
-  const request = (role: string, duty: string, mean: Cost, platform = {}): Duty => ({
+  const getBytes = (name: string, x = 1): number => get('messages', name, x);
+  const makeDuty = (role: string, duty: string, mean: Cost, platform = {}): Duty => ({
     role,
     duty,
     kind: 'request',
@@ -26,23 +26,23 @@
   const place = get('cell', 'place and report a run', s.piecesPerPrompt);
   const engines = Math.min(24, Math.ceil(s.engines / s.pools));
   const placeBytes =
-    bytesOf('place', s.piecesPerPrompt) +
-    bytesOf('place reply', engines) +
-    bytesOf('run-finished', s.piecesPerPrompt);
+    getBytes('place', s.piecesPerPrompt) +
+    getBytes('place reply', engines) +
+    getBytes('run-finished', s.piecesPerPrompt);
   const registered = Math.min(m.maxRunHomeEntries, rate * m.runHomeEntryS);
   const registry =
     get('registry', 'register a run and read it', s.nodes) +
     get('registry', 'check a request', s.nodes) +
     2 * callUs(0);
   const registryBytes =
-    bytesOf('run-claim') +
-    bytesOf('run-claim reply') +
-    bytesOf('suspect-claim') +
-    bytesOf('suspect-claim reply');
+    getBytes('run-claim') +
+    getBytes('run-claim reply') +
+    getBytes('suspect-claim') +
+    getBytes('suspect-claim reply');
   const calls = s.calls / s.nodes;
-  const callBytes = bytesOf('journal-begin') + bytesOf('journal-finish') + 2 * bytesOf('journal reply');
+  const callBytes = getBytes('journal-begin') + getBytes('journal-finish') + 2 * getBytes('journal reply');
   const shardCalls = s.calls / s.journalShards;
-  const shard = cost(
+  const shard = makeCost(
     (shardCalls * (get('journal', 'begin and finish a call') + 2 * callUs(0))) / US,
     shardCalls * callBytes,
     Math.min(m.maxJournalEntries, shardCalls * 7200) *
@@ -50,10 +50,10 @@
   );
   const writes = Math.min(s.journalShards / m.journalWriteS, s.calls * 2);
   return [
-    request(
+    makeDuty(
       'entry',
       'requests and tokens',
-      cost(
+      makeCost(
         (rate * get('entry', 'completion, fake engine included', 0) +
           ((s.tokens / s.nodes) *
             (get('entry', 'completion, fake engine included', 1000) -
@@ -63,40 +63,43 @@
         0,
       ),
     ),
-    request(
+    makeDuty(
       'entry',
       'limits of the account',
-      cost((rate * get('limits', 'admit and release a call')) / US, 0),
+      makeCost((rate * get('limits', 'admit and release a call')) / US, 0),
     ),
-    request(
+    makeDuty(
       'entry and home of a cell',
       'placement and report, two calls',
-      cost((rate * (place + 2 * callUs(s.piecesPerPrompt) + 3 * lookup)) / US, rate * placeBytes),
+      makeCost((rate * (place + 2 * callUs(s.piecesPerPrompt) + 3 * lookup)) / US, rate * placeBytes),
     ),
-    request(
+    makeDuty(
       'home of a cell',
       'uses and exports',
-      cost((rate * get('retention', 'record a use and plan exports', s.piecesPerPrompt)) / US, 0),
+      makeCost((rate * get('retention', 'record a use and plan exports', s.piecesPerPrompt)) / US, 0),
     ),
-    request(
+    makeDuty(
       'home of a cell',
       'cache events, one stored and one evicted for half of the pieces',
-      cost((rate * s.piecesPerPrompt * get('cell', 'apply a cache event')) / US, 0),
+      makeCost((rate * s.piecesPerPrompt * get('cell', 'apply a cache event')) / US, 0),
     ),
-    request(
+    makeDuty(
       'run registry and quarantine',
       'claims of all requests, named ones as well',
-      cost(
+      makeCost(
         (rate * registry) / US,
         rate * registryBytes,
         registered * (get('registry', 'memory of registered runs', 1e4) / 1e4),
       ),
     ),
     {
-      ...request(
+      ...makeDuty(
         'home of a journal shard',
         'begin and finish',
-        cost((calls * (get('journal', 'begin and finish a call') + 2 * callUs(0))) / US, calls * callBytes),
+        makeCost(
+          (calls * (get('journal', 'begin and finish a call') + 2 * callUs(0))) / US,
+          calls * callBytes,
+        ),
       ),
       most: shard,
       platform: { writes },
--- a/packages/measure-capacity/src/create-memory-net.ts
+++ b/packages/measure-capacity/src/create-memory-net.ts
@@ -33,7 +33,7 @@
     return {
       callNode: callNode as NodeMesh['callNode'],
       handleMessage: (type, handler) => {
-        handlers.set(type, handler as Handler);
+        handlers.set(type, handler);
       },
       getAddress: () => address,
       getCounts: () => Object.fromEntries(messages),
--- a/packages/measure-capacity/src/measure-capacity.ts
+++ b/packages/measure-capacity/src/measure-capacity.ts
@@ -1,5 +1,5 @@
 import type { CapacityResult } from './capacity-result.js';
-import { fitLine } from './fit-line.js';
+import { computeLine } from './compute-line.js';
 import { MEASUREMENTS } from './measurements.js';
 import { readCommit } from './read-commit.js';
 
@@ -17,6 +17,6 @@
     measurement: name,
     seed,
     commit: readCommit(),
-    series: series.map((one) => ({ ...one, line: fitLine(one.points) })),
+    series: series.map((one) => ({ ...one, line: computeLine(one.points) })),
   };
 }
--- a/packages/measure-capacity/src/measure-cell.ts
+++ b/packages/measure-capacity/src/measure-cell.ts
@@ -1,3 +1,4 @@
+import { sleep } from '@laburnumshift/clock';
 import { createCacheDirectory } from '@laburnumshift/track-cache';
 import type { CacheDirectory } from '@laburnumshift/types';
 import { buildCell } from './build-cell.js';
@@ -6,8 +7,8 @@
 import { measureHeap } from './measure-heap.js';
 import type { Point } from './point.js';
 import type { Series } from './series.js';
-import { timeBest } from './time-best.js';
-import { timeBestAsync } from './time-best-async.js';
+import { measureTime } from './measure-time.js';
+import { measureProcessorTime } from './measure-processor-time.js';
 
 const PIECES = [8, 32, 128];
 const ENGINES = [2, 8, 24];
@@ -17,20 +18,20 @@
 /** Measures the home of a cell: placement with its report, cache events and the directory's memory. */
 export async function measureCell(): Promise<readonly Series[]> {
   const byPieces: Point[] = [];
-  for (const x of PIECES) byPieces.push({ x, y: await timePlacements(24, x) });
+  for (const x of PIECES) byPieces.push({ x, y: await measurePlacements(24, x) });
   const byEngines: Point[] = [];
-  for (const x of ENGINES) byEngines.push({ x, y: await timePlacements(x, 8) });
+  for (const x of ENGINES) byEngines.push({ x, y: await measurePlacements(x, 8) });
   const memory: Point[] = [];
-  for (const x of ENTRIES) memory.push({ x, y: await measureHeap(() => fillDirectory(x)) });
-  const directory = fillDirectory(10_000);
+  for (const x of ENTRIES) memory.push({ x, y: await measureHeap(() => buildDirectory(x)) });
+  const directory = buildDirectory(10_000);
   let seq = 10_000_000;
-  const event = timeBest((turn) =>
+  const event = measureTime((turn) =>
     directory.applyEvent(`engine-1-${String(turn % 24).padStart(4, '0')}`, {
       seq: (seq += 1),
       at: 1,
       type: turn % 2 === 0 ? 'stored' : 'evicted',
       scope: 'scope-1',
-      chain: `${String(turn % 5000).padStart(32, '0')}`,
+      chain: String(turn % 5000).padStart(32, '0'),
     }),
   );
   return [
@@ -41,16 +42,14 @@
   ];
 }
 
-async function timePlacements(engines: number, pieces: number): Promise<number> {
+async function measurePlacements(engines: number, pieces: number): Promise<number> {
   const { home, servers } = buildCell(engines);
-  await new Promise((resolve) => {
-    setImmediate(resolve);
-  });
+  await sleep(1);
   const requests = Array.from({ length: CALLS }, (_, i) => buildPlaceRequest(`p${String(i % 40)}`, pieces));
   const reports = requests.map((_, i) =>
     buildRunReport(`p${String(i % 40)}`, pieces, servers[i % servers.length]?.name ?? ''),
   );
-  const us = await timeBestAsync(CALLS, async (turn) => {
+  const us = await measureProcessorTime(CALLS, async (turn) => {
     const request = requests[turn % CALLS];
     const report = reports[turn % CALLS];
     if (request === undefined || report === undefined) return;
@@ -63,7 +62,7 @@
   return us;
 }
 
-function fillDirectory(entries: number): CacheDirectory {
+function buildDirectory(entries: number): CacheDirectory {
   const directory = createCacheDirectory();
   const perEngine = Math.ceil(entries / 24);
   for (let engine = 0; engine < 24; engine += 1) {
--- a/packages/measure-capacity/src/measure-config.ts
+++ b/packages/measure-capacity/src/measure-config.ts
@@ -5,14 +5,14 @@
 import { buildSegments } from './build-segments.js';
 import { measureHeap } from './measure-heap.js';
 import type { Series } from './series.js';
-import { timeBest } from './time-best.js';
+import { measureTime } from './measure-time.js';
 
 const ACCOUNTS = [10, 100, 1000, 4100];
 const ENGINES = [70, 700, 4200, 12_000];
 
 /** Measures what a node does at each change of the configuration and what it keeps. */
 export async function measureConfig(): Promise<readonly Series[]> {
-  const series = (name: string, unit: string, per: string, points: Series['points']): Series => ({
+  const makeSeries = (name: string, unit: string, per: string, points: Series['points']): Series => ({
     name,
     unit,
     per,
@@ -34,64 +34,64 @@
     engineMemory.push({ x, y });
   }
   return [
-    series(
+    makeSeries(
       'compile a configuration',
       'us',
       'accounts',
       ACCOUNTS.map((x) => {
         const { head, segments } = buildSegments(x, 70);
-        return { x, y: timeBest(() => compileConfig(head, [...segments.values()])) };
+        return { x, y: measureTime(() => compileConfig(head, [...segments.values()])) };
       }),
     ),
-    series(
+    makeSeries(
       'check a head',
       'us',
       'accounts',
       ACCOUNTS.map((x) => {
         const { head } = buildSegments(x, 70);
-        return { x, y: timeBest(() => parseHead(head)) };
+        return { x, y: measureTime(() => parseHead(head)) };
       }),
     ),
-    series(
+    makeSeries(
       'encode a head',
       'us',
       'accounts',
       ACCOUNTS.map((x) => {
         const { head } = buildSegments(x, 70);
-        return { x, y: timeBest(() => pack(head)) };
+        return { x, y: measureTime(() => pack(head)) };
       }),
     ),
-    series(
+    makeSeries(
       'split pools into cells',
       'us',
       'engines',
       ENGINES.map((x) => {
         const pools = [...buildSegments(1, x).segments.values()].flatMap((segment) => segment.pools);
-        return { x, y: timeBest(() => pools.map((pool) => splitPool(pool.name, pool.servers))) };
+        return { x, y: measureTime(() => pools.map((pool) => splitPool(pool.name, pool.servers))) };
       }),
     ),
-    series(
+    makeSeries(
       'compare a host list',
       'us',
       'hosts',
       ENGINES.map((x) => {
         const hosts = buildHosts(0, x);
-        return { x, y: timeBest(() => JSON.stringify(hosts)) };
+        return { x, y: measureTime(() => JSON.stringify(hosts)) };
       }),
     ),
-    series(
+    makeSeries(
       'size of a host list on the platform',
       'bytes',
       'hosts',
       ENGINES.map((x) => ({ x, y: JSON.stringify(buildHosts(0, x)).length })),
     ),
-    series(
+    makeSeries(
       'size of a head on the platform',
       'bytes',
       'accounts',
       ACCOUNTS.map((x) => ({ x, y: JSON.stringify(buildSegments(x, 70).head).length })),
     ),
-    series('memory of accounts', 'bytes', 'accounts', memory),
-    series('memory of engines', 'bytes', 'engines', engineMemory),
+    makeSeries('memory of accounts', 'bytes', 'accounts', memory),
+    makeSeries('memory of engines', 'bytes', 'engines', engineMemory),
   ];
 }
--- a/packages/measure-capacity/src/measure-entry.ts
+++ b/packages/measure-capacity/src/measure-entry.ts
@@ -10,7 +10,7 @@
 import { buildSettings } from './build-settings.js';
 import type { Point } from './point.js';
 import type { Series } from './series.js';
-import { timeBestAsync } from './time-best-async.js';
+import { measureProcessorTime } from './measure-processor-time.js';
 
 const TOKENS = [4, 64, 256];
 const CALLS = 30;
@@ -68,7 +68,7 @@
   const entry = createEntryClient(node.callersUrl, key);
   const points: Point[] = [];
   for (const x of TOKENS) {
-    const y = await timeBestAsync(CALLS, async (turn) => {
+    const y = await measureProcessorTime(CALLS, async (turn) => {
       const prompt = `prompt ${String(x)} ${String(turn)}`;
       const output = await entry.complete({ service: 'service-0000', prompt, maxTokens: x });
       if (!output.finished) throw new Error(`${JSON.stringify(output.error)} ${JSON.stringify(published)}`);
--- a/packages/measure-capacity/src/measure-heap.ts
+++ b/packages/measure-capacity/src/measure-heap.ts
@@ -1,11 +1,11 @@
+import { sleep } from '@laburnumshift/clock';
+
 /** Measures the heap and buffers that a value holds, bytes; needs `--expose-gc`. */
 export async function measureHeap(build: () => unknown): Promise<number> {
   const readUsed = async (): Promise<number> => {
     for (let i = 0; i < 3; i += 1) {
       globalThis.gc?.();
-      await new Promise((resolve) => {
-        setImmediate(resolve);
-      });
+      await sleep(1);
     }
     const { heapUsed, external } = process.memoryUsage();
     return heapUsed + external;
--- a/packages/measure-capacity/src/measure-homes.ts
+++ b/packages/measure-capacity/src/measure-homes.ts
@@ -1,7 +1,7 @@
 import { findHome, rankHomes } from '@laburnumshift/rank-homes';
 import { buildMembers } from './build-members.js';
 import type { Series } from './series.js';
-import { timeBest } from './time-best.js';
+import { measureTime } from './measure-time.js';
 
 const TARGET_MEMBERS = 470;
 /** Journal shards, cells and accounts of the target. */
@@ -29,7 +29,7 @@
     per: 'members',
     points: SIZES.map((size) => ({
       x: size,
-      y: timeBest((turn) => run(`run:account-${String(turn % 997)}`, size)),
+      y: measureTime((turn) => run(`run:account-${String(turn % 997)}`, size)),
     })),
   }));
   return [...times, { name: 'most homes on one of 470 members', unit: 'homes', per: 'homes', points: most }];
--- a/packages/measure-capacity/src/measure-journal.ts
+++ b/packages/measure-capacity/src/measure-journal.ts
@@ -11,7 +11,7 @@
 import { measureHeap } from './measure-heap.js';
 import type { Point } from './point.js';
 import type { Series } from './series.js';
-import { timeBestAsync } from './time-best-async.js';
+import { measureProcessorTime } from './measure-processor-time.js';
 
 const CALLS = [10, 100, 1000];
 const ENTRIES = [100, 1000, 5000];
@@ -21,7 +21,7 @@
 /** Measures the home of journal shards: time and memory of calls, and writes at the platform for calls that come together. */
 export async function measureJournal(): Promise<readonly Series[]> {
   const journal = createJournal(createMemoryPlatform(), 0);
-  const us = await timeBestAsync(20, () => runCalls(journal, BATCH));
+  const us = await measureProcessorTime(20, () => runCalls(journal, BATCH));
   await journal.close();
   const memory: Point[] = [];
   for (const x of ENTRIES) {
--- a/packages/measure-capacity/src/measure-limits.ts
+++ b/packages/measure-capacity/src/measure-limits.ts
@@ -3,8 +3,8 @@
 import { measureHeap } from './measure-heap.js';
 import type { Point } from './point.js';
 import type { Series } from './series.js';
-import { timeBest } from './time-best.js';
-import { timeBestAsync } from './time-best-async.js';
+import { measureTime } from './measure-time.js';
+import { measureProcessorTime } from './measure-processor-time.js';
 
 const ASKERS = [2, 8, 32, 128, 470];
 const ACCOUNTS = [10, 100, 1000, 4100];
@@ -15,7 +15,7 @@
   const homes = ASKERS.map((x): Point => {
     const home = createLimiter();
     const requests = Array.from({ length: x }, (_, i) => buildRequest('account-0001', i));
-    const y = timeBest((turn) => {
+    const y = measureTime((turn) => {
       const request = requests[turn % x];
       return request === undefined ? undefined : home.handleShare(request);
     });
@@ -31,7 +31,7 @@
       for (let i = 0; i < x; i += 1) admitOne(limiter, `account-${String(i)}`);
     };
     admitAll();
-    refreshes.push({ x, y: await timeBestAsync(10, () => limiter.refreshShares()) });
+    refreshes.push({ x, y: await measureProcessorTime(10, () => limiter.refreshShares()) });
     limiter.close();
     useMemory.push({
       x,
@@ -53,7 +53,7 @@
     });
   }
   const limiter = createLimiter();
-  const admit = timeBest((turn) => {
+  const admit = measureTime((turn) => {
     admitOne(limiter, `account-${String(turn % 1000)}`);
   });
   limiter.close();
--- a/packages/measure-capacity/src/measure-links.ts
+++ b/packages/measure-capacity/src/measure-links.ts
@@ -5,7 +5,7 @@
 import { measureHeap } from './measure-heap.js';
 import type { Point } from './point.js';
 import type { Series } from './series.js';
-import { timeBestAsync } from './time-best-async.js';
+import { measureProcessorTime } from './measure-processor-time.js';
 
 const LINKS = [2, 8, 32, 128];
 const PIECES = [8, 32, 128];
@@ -22,7 +22,6 @@
   for (const x of LINKS) {
     const hub = await createMesh();
     const peers = await Promise.all(Array.from({ length: x }, createMesh));
-    let heap = Infinity;
     const openAll = (): Promise<unknown> =>
       Promise.all(
         peers.map(async (peer) => {
@@ -30,7 +29,7 @@
           if (!reply.ok) throw new Error('a link cannot be opened');
         }),
       );
-    heap = await measureHeap(openAll);
+    const heap = await measureHeap(openAll);
     let best = Infinity;
     for (let round = 0; round < 2; round += 1) {
       const start = process.cpuUsage();
@@ -46,7 +45,9 @@
   const [from, to] = await Promise.all([createMesh(), createMesh()]);
   for (const x of PIECES) {
     const request = buildPlaceRequest('p1', x);
-    const y = await timeBestAsync(400, () => from.callNode(to.getAddress(), 'place', request, CALL_MS));
+    const y = await measureProcessorTime(400, () =>
+      from.callNode(to.getAddress(), 'place', request, CALL_MS),
+    );
     calls.push({ x, y });
   }
   await Promise.all([from.close(), to.close()]);
--- a/packages/measure-capacity/src/measure-polls.ts
+++ b/packages/measure-capacity/src/measure-polls.ts
@@ -5,7 +5,7 @@
 import { createServiceClient } from '@laburnumshift/call-service';
 import { createStoreClient } from '@laburnumshift/call-store';
 import type { Series } from './series.js';
-import { timeBestAsync } from './time-best-async.js';
+import { measureProcessorTime } from './measure-processor-time.js';
 
 const CALLS = 200;
 const ROUNDS = 6;
@@ -28,7 +28,7 @@
   ): Promise<void> => {
     const { child, url } = await startServer(10, kind);
     const { poll, close } = build(url);
-    const us = await timeBestAsync(CALLS, async () => {
+    const us = await measureProcessorTime(CALLS, async () => {
       if (!(await poll()).ok) throw new Error(`${name} failed`);
     });
     addOne(name, us, (await readBytes(child)) / (CALLS * ROUNDS));
@@ -53,7 +53,7 @@
     const list = await startServer(x);
     const platform = createPlatformClient({ url: list.url, writesPerSecond: 1e6, readsPerSecond: 1e6 });
     const calls = x > 1000 ? 5 : 50;
-    times.push({ x, y: await timeBestAsync(calls, () => platform.listHosts()) });
+    times.push({ x, y: await measureProcessorTime(calls, () => platform.listHosts()) });
     sizes.push({ x, y: (await readBytes(list.child)) / (calls * ROUNDS) });
     platform.close();
     list.child.disconnect();
--- a/packages/measure-capacity/src/measure-registry.ts
+++ b/packages/measure-capacity/src/measure-registry.ts
@@ -8,7 +8,7 @@
 import type { MemoryNet } from './memory-net.js';
 import type { Point } from './point.js';
 import type { Series } from './series.js';
-import { timeBestAsync } from './time-best-async.js';
+import { measureProcessorTime } from './measure-processor-time.js';
 
 const SIZES = [2, 8, 32, 128, 470];
 const CLAIMS = [100, 1000, 10_000];
@@ -19,11 +19,11 @@
   const claims: Point[] = [];
   const checks: Point[] = [];
   for (const x of SIZES) {
-    claims.push({ x, y: await timeBestAsync(CALLS, createRunner(x, createMemoryNet(false))) });
+    claims.push({ x, y: await measureProcessorTime(CALLS, createRunner(x, createMemoryNet(false))) });
     const quarantine = createChecker(x, createMemoryNet(false));
     checks.push({
       x,
-      y: await timeBestAsync(CALLS, (turn) =>
+      y: await measureProcessorTime(CALLS, (turn) =>
         quarantine.checkRequest(`fingerprint-${String(turn)}`, String(turn)),
       ),
     });
--- a/packages/measure-capacity/src/measure-retention.ts
+++ b/packages/measure-capacity/src/measure-retention.ts
@@ -5,7 +5,7 @@
 import { measureHeap } from './measure-heap.js';
 import type { Point } from './point.js';
 import type { Series } from './series.js';
-import { timeBest } from './time-best.js';
+import { measureTime } from './measure-time.js';
 
 const PROMPTS = [10, 100, 1000, 2500];
 const PIECES = 8;
@@ -22,12 +22,12 @@
       buildRunReport(`${String(i).padStart(5, '0')}p`, PIECES, 'engine-1-0001'),
     );
     const stores = [buildStore(x)];
-    const { planner, directory } = fillPlanner(reports);
+    const { planner, directory } = buildPlanner(reports);
     let atMs = prompts;
-    steps.push({ x, y: timeBest(() => planner.planChanges(stores, directory, (atMs += 1))) });
-    memory.push({ x, y: await measureHeap(() => fillPlanner(reports)) });
+    steps.push({ x, y: measureTime(() => planner.planChanges(stores, directory, (atMs += 1))) });
+    memory.push({ x, y: await measureHeap(() => buildPlanner(reports)) });
     if (prompts === PROMPTS[1]) {
-      const us = timeBest((turn) => {
+      const us = measureTime((turn) => {
         const report = reports[turn % prompts];
         if (report === undefined) return;
         atMs += 1;
@@ -47,7 +47,7 @@
   ];
 }
 
-function fillPlanner(reports: readonly RunReport[]): {
+function buildPlanner(reports: readonly RunReport[]): {
   readonly planner: RetentionPlanner;
   readonly directory: CacheDirectory;
 } {
--- a/packages/measure-capacity/src/time-best.ts
+++ b/packages/measure-capacity/src/measure-time.ts
@@ -5,7 +5,7 @@
 const ROUND_MS = 15;
 
 /** Times a function over many repetitions: microseconds of one call in the best of several rounds. */
-export function timeBest(run: (turn: number) => unknown): number {
+export function measureTime(run: (turn: number) => unknown): number {
   let turn = 0;
   let best = Infinity;
   for (let round = 0; round <= ROUNDS; round += 1) {
--- a/packages/measure-capacity/src/mechanism.ts
+++ b/packages/measure-capacity/src/mechanism.ts
@@ -33,4 +33,4 @@
   runHomeEntryS: 300,
   maxRunHomeEntries: 50_000,
   maxJournalEntries: 20_000,
-} as const;
+};
