--- a/packages/attach-runs/src/create-run-registry.ts
+++ b/packages/attach-runs/src/create-run-registry.ts
@@ -1,5 +1,5 @@
 import { createRefusal } from '@laburnumshift/errors';
-import { rankHomes } from '@laburnumshift/rank-homes';
+import { findHome } from '@laburnumshift/rank-homes';
 import type { RunClaimReply, RunEnd, RunItem } from '@laburnumshift/types';
 import { OUTCOMES } from '@laburnumshift/types';
 import { appendText } from './append-text.js';
@@ -46,7 +46,7 @@
   const claimRun = async (opening: RunOpening, replaces: string | undefined): Promise<RunClaimReply> => {
     const { account, requestId, bodyHash } = opening;
     const self = membership.getSelf();
-    const owner = rankHomes(`run:${buildKey(account, requestId)}`, membership.listLive())[0] ?? self;
+    const owner = findHome(`run:${buildKey(account, requestId)}`, membership.listLive()) ?? self;
     const body = { account, requestId, host: self.host, address: self.address, bodyHash, replaces };
     const reply = await mesh.callNode(owner.address, 'run-claim', body, CLAIM_TIMEOUT_MS);
     return reply.ok ? reply.value : { kind: 'claimed' };
--- a/packages/journal-calls/src/create-call-journal.ts
+++ b/packages/journal-calls/src/create-call-journal.ts
@@ -1,6 +1,6 @@
 import { readMonotonicMs, runEvery } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
-import { rankHomes } from '@laburnumshift/rank-homes';
+import { findHome } from '@laburnumshift/rank-homes';
 import type { CallJournal, JournalBegin, JournalDecision, JournalLook } from '@laburnumshift/types';
 import { BEGIN_SCHEMA } from './begin-schema.js';
 import { dropExpired } from './drop-expired.js';
@@ -29,7 +29,7 @@
   const open = new Set<string>();
 
   const getShardHome = (shard: number) =>
-    rankHomes(`journal/${String(shard)}`, membership.listLive())[0] ?? membership.getSelf();
+    findHome(`journal/${String(shard)}`, membership.listLive()) ?? membership.getSelf();
   const getCallHome = (call: JournalLook) =>
     getShardHome(Buffer.from(computeCallId(call), 'base64url').readUInt32BE(0) % options.shards);
   const isSelf = (host: string): boolean => host === membership.getSelf().host;
--- a/packages/quarantine-requests/src/expire-entries.ts
+++ b/packages/quarantine-requests/src/expire-entries.ts
@@ -1,4 +1,4 @@
-import { rankHomes } from '@laburnumshift/rank-homes';
+import { findHome } from '@laburnumshift/rank-homes';
 import type { Membership, PlatformClient } from '@laburnumshift/types';
 import { deleteLasting } from './delete-lasting.js';
 import type { SuspectTables } from './suspect-tables.js';
@@ -12,7 +12,7 @@
   nowMs: number,
 ): Promise<void> {
   const isHome = (fingerprint: string): boolean =>
-    rankHomes(fingerprint, membership.listLive())[0]?.host === membership.getSelf().host;
+    findHome(fingerprint, membership.listLive())?.host === membership.getSelf().host;
   for (const [fingerprint, { notice, version }] of tables.suspects) {
     if (nowMs < notice.atMs + suspectMs) continue;
     tables.suspects.delete(fingerprint);
--- a/packages/rank-homes/src/index.ts
+++ b/packages/rank-homes/src/index.ts
@@ -1,5 +1,6 @@
 /** Rendezvous order of members for a key. */
 export { computeWeight } from './compute-weight.js';
 export { findHome } from './find-home.js';
+export { findHomes } from './find-homes.js';
 export { hashName } from './hash-name.js';
 export { rankHomes } from './rank-homes.js';
--- a/packages/run-node/src/create-placer.ts
+++ b/packages/run-node/src/create-placer.ts
@@ -1,4 +1,4 @@
-import { rankHomes } from '@laburnumshift/rank-homes';
+import { findHome as findFirst } from '@laburnumshift/rank-homes';
 import { chooseCells, type LocalPlacer } from '@laburnumshift/manage-cell';
 import type {
   Config,
@@ -30,7 +30,8 @@
     const live = getMembership()?.listLive() ?? [];
     const servers = getCells(pool)[cell] ?? [];
     const domain = findCommonDomain(servers.map((server) => server.failureDomain));
-    const home = rankHomes(`cell/${pool.name}/${String(cell)}`, live, domain)[0];
+    const near = domain === undefined ? [] : live.filter((member) => member.failureDomain === domain);
+    const home = findFirst(`cell/${pool.name}/${String(cell)}`, near.length > 0 ? near : live);
     return home?.address ?? mesh.getAddress();
   };
   const decideLocally = (request: PlaceRequest, pool: PoolConfig): PlaceReply => {
