Send only what changed of the configuration

A head of 4,100 files is 430 KB. It was relayed whole to each node for each change, sent again with each update, and read by each node from the platform every 5 s. The relay now names the generation, an update lists the files that changed above the receiver's generation, and nodes that do not watch read a long head less often. Nodes that do not ask for partial updates get whole ones.

--- a/packages/types/src/node-messages.ts
+++ b/packages/types/src/node-messages.ts
@@ -1,5 +1,4 @@
-import type { ConfigHead } from './config-head.js';
-import type { ConfigSegment } from './config-segment.js';
+import type { ConfigUpdate } from './config-update.js';
 import type { ConvictionNotice } from './conviction-notice.js';
 import type { EngineFailure } from './engine-failure.js';
 import type { HostEntry } from './host-entry.js';
@@ -34,10 +33,11 @@
   readonly 'journal-finish': { body: JournalFinish; reply: { readonly recorded: boolean } };
   readonly 'journal-abandon': { body: JournalAbandon; reply: { readonly recorded: boolean } };
   readonly 'journal-look': { body: JournalLook; reply: JournalDecision };
-  readonly 'config-head': { body: ConfigHead; reply: { readonly generation: number } };
+  readonly 'config-head': { body: { readonly generation: number }; reply: { readonly generation: number } };
   readonly 'config-get': {
-    body: { readonly above: number };
-    reply: { readonly head: ConfigHead; readonly segments: Readonly<Record<string, ConfigSegment>> } | null;
+    /** `partial` says that the sender understands an update with a base. */
+    body: { readonly above: number; readonly partial?: boolean | undefined };
+    reply: ConfigUpdate | null;
   };
   readonly hosts: { body: readonly HostEntry[]; reply: null };
   readonly suspect: { body: SuspectNotice; reply: null };
--- a/packages/watch-config/src/create-config-state.ts
+++ b/packages/watch-config/src/create-config-state.ts
@@ -1,9 +1,9 @@
 import { compileConfig } from '@laburnumshift/check-declarations';
 import { createLogger } from '@laburnumshift/logger';
-import type { Config, ConfigHead, ConfigSegment } from '@laburnumshift/types';
+import type { Config, ConfigHead, ConfigSegment, ConfigUpdate } from '@laburnumshift/types';
 
-/** Generations whose segment hashes are remembered, so that a peer a little behind gets only what it lacks. */
-const REMEMBERED_HEADS = 16;
+/** Removed files that are remembered for peers a little behind; after more, such a peer gets the whole head. */
+const MAX_REMOVED = 1000;
 
 /** The head in force with its content. */
 interface ConfigState {
@@ -12,8 +12,8 @@
   readonly getGeneration: () => number;
   /** Contents of the head in force, by hash. */
   readonly getSegments: () => ReadonlyMap<string, ConfigSegment>;
-  /** Segments of the head in force that a node with this generation lacks. */
-  readonly listSegmentsAbove: (generation: number) => Readonly<Record<string, ConfigSegment>>;
+  /** What a node with this generation lacks; the whole head unless `isPartial`, or when the generation is too old. */
+  readonly buildUpdate: (generation: number, isPartial: boolean) => ConfigUpdate | null;
   /** Brings a head into force unless its generation is not higher or content is missing; says whether it did. */
   readonly applyHead: (head: ConfigHead, contents: ReadonlyMap<string, ConfigSegment>) => boolean;
   readonly onConfig: (handler: (config: Config) => void) => () => void;
@@ -24,7 +24,11 @@
 /** Creates the state of a node that knows no configuration. */
 export function createConfigState(): ConfigState {
   const handlers = new Set<(config: Config) => void>();
-  let remembered: { readonly generation: number; readonly hashes: ReadonlySet<string> }[] = [];
+  /** Generation at which each file changed or was removed, as far as this node has seen. */
+  const changedAt = new Map<string, number>();
+  const removedAt = new Map<string, number>();
+  /** Changes above this generation are all known. */
+  let knownFrom = Infinity;
   let current:
     | {
         readonly head: ConfigHead;
@@ -41,14 +45,43 @@
     }
   };
 
+  const trackChanges = (before: ConfigHead | undefined, after: ConfigHead): void => {
+    if (before === undefined) knownFrom = after.generation;
+    else {
+      for (const [file, hash] of Object.entries(after.segments)) {
+        if (before.segments[file] === hash) continue;
+        changedAt.set(file, after.generation);
+        removedAt.delete(file);
+      }
+      for (const file of Object.keys(before.segments)) {
+        if (after.segments[file] !== undefined) continue;
+        changedAt.delete(file);
+        removedAt.set(file, after.generation);
+      }
+    }
+    if (removedAt.size <= MAX_REMOVED) return;
+    removedAt.clear();
+    knownFrom = after.generation;
+  };
+
   return {
     getConfig: () => current?.config,
     getHead: () => current?.head,
     getGeneration: () => current?.head.generation ?? 0,
     getSegments: () => current?.segments ?? new Map<string, ConfigSegment>(),
-    listSegmentsAbove: (generation) => {
-      const known = remembered.find((entry) => entry.generation === generation)?.hashes;
-      return Object.fromEntries([...(current?.segments ?? [])].filter(([hash]) => known?.has(hash) !== true));
+    buildUpdate: (generation, isPartial) => {
+      if (current === undefined || current.head.generation <= generation) return null;
+      const { head, segments } = current;
+      if (!isPartial || generation < knownFrom) return { head, segments: Object.fromEntries(segments) };
+      const files = [...changedAt].filter(([, at]) => at > generation).map(([file]) => file);
+      const hashes = Object.fromEntries(files.map((file) => [file, head.segments[file] ?? '']));
+      const removed = [...removedAt].filter(([, at]) => at > generation).map(([file]) => file);
+      const contents = Object.values(hashes).flatMap((hash) => {
+        const segment = segments.get(hash);
+        return segment === undefined ? [] : [[hash, segment] as const];
+      });
+      const partial = { head: { ...head, segments: hashes }, base: generation, removed };
+      return { ...partial, segments: Object.fromEntries(contents) };
     },
     applyHead: (head, contents) => {
       if (head.generation <= (current?.head.generation ?? 0)) return false;
@@ -59,10 +92,8 @@
         segments.set(hash, segment);
       }
       const config = compileConfig(head, [...segments.values()]);
+      trackChanges(current?.head, head);
       current = { head, config, segments };
-      remembered = [...remembered, { generation: head.generation, hashes: new Set(segments.keys()) }].slice(
-        -REMEMBERED_HEADS,
-      );
       logger.info('configuration in force', { generation: head.generation, changeId: head.changeId });
       for (const handler of [...handlers]) notifyHandler(handler, config);
       return true;
--- a/packages/watch-config/src/watch-config.ts
+++ b/packages/watch-config/src/watch-config.ts
@@ -19,6 +19,11 @@
 const SHORT_POLL_MS = 500;
 /** Polling varies by this share, so that nodes started together spread their calls. */
 const JITTER = 0.2;
+/**
+ * While peers answer, a node that does not watch reads the head at each poll only up to this many files; a longer head is
+ * read proportionally less often, which keeps the reading below 9 KB/s. The watchers read it at each poll.
+ */
+const FILES_PER_POLL = 400;
 const PEER_TIMEOUT_MS = 1000;
 /**
  * Peers tried at each poll until one answers. While no configuration is known all of them are asked, since some may have
@@ -31,7 +36,7 @@
 /**
  * Keeps the newest configuration in force on this node. It comes from three sources, and only a higher generation is
  * accepted from any of them: the platform's watch on two watchers in each failure domain, which relay it; the watchers'
- * `config-head` messages; and a poll of the platform and of a random peer every 5 s. Answers `config-get`.
+ * `config-head` messages; and a poll of a random peer every 5 s, with the platform less often. Answers `config-get`.
  */
 export function watchConfig(options: WatchConfigOptions): ConfigWatch {
   const { platform, mesh, membership } = options;
@@ -41,9 +46,9 @@
   let stopWatch: (() => void) | undefined;
   let closed = false;
 
-  const relayHead = (head: ConfigHead, source: 'platform' | 'peer'): void => {
+  const relayHead = ({ generation }: ConfigHead, source: 'platform' | 'peer'): void => {
     for (const target of listRelayTargets(membership.getSelf(), membership.listLive(), source)) {
-      void mesh.callNode(target.address, 'config-head', head, PEER_TIMEOUT_MS).then((result) => {
+      void mesh.callNode(target.address, 'config-head', { generation }, PEER_TIMEOUT_MS).then((result) => {
         if (!result.ok) return;
         contact.recordContact();
         if (result.value.generation > state.getGeneration()) void fetchFromPeer(target.address);
@@ -64,14 +69,21 @@
   /** Asks a peer for a newer head; says whether it answered. */
   const fetchFromPeer = async (address: string): Promise<boolean> => {
     for (const above of [state.getGeneration(), 0]) {
-      const result = await mesh.callNode(address, 'config-get', { above }, PEER_TIMEOUT_MS);
+      const result = await mesh.callNode(
+        address,
+        'config-get',
+        { above, partial: above > 0 },
+        PEER_TIMEOUT_MS,
+      );
       if (!result.ok) return false;
       contact.recordContact();
-      const update = parseUpdate(result.value);
-      if (update === undefined || update.head.generation <= state.getGeneration()) return true;
+      const received = parseHead(result.value?.head);
+      if (received === undefined || received.generation <= state.getGeneration()) return true;
+      const update = parseUpdate(result.value, state.getHead());
+      if (update === undefined) continue;
       const contents = new Map([...state.getSegments(), ...update.segments]);
       if (applyHead(update.head, contents, 'peer')) return true;
-      // The peer left out a segment that it thought was here; the second request asks for everything.
+      // What the peer left out is not here; the second request asks for everything.
     }
     return true;
   };
@@ -118,9 +130,16 @@
   };
 
   let reached = true;
+  let polls = randomInt(1000);
   const pollAll = async (): Promise<void> => {
-    const answers = await Promise.all([pollPlatform(), pollPeers()]);
-    reached = answers.includes(true);
+    const isAlone = membership.listLive().length < 2;
+    const isDue = stopWatch !== undefined || isAlone || !reached || state.getHead() === undefined;
+    const files = Object.keys(state.getHead()?.segments ?? {}).length;
+    const pollsPerRead = Math.max(1, Math.ceil(files / FILES_PER_POLL));
+    polls += 1;
+    const isRead = isDue || polls % pollsPerRead === 0;
+    const answers = await Promise.all([pollPeers(), isRead ? pollPlatform() : false]);
+    reached = answers.includes(true) || (!isRead && (await pollPlatform()));
   };
   const computePause = (): number => {
     const pauseMs = reached && state.getHead() !== undefined ? POLL_MS : SHORT_POLL_MS;
@@ -145,18 +164,15 @@
 
   mesh.handleMessage('config-head', (body, from) => {
     contact.recordContact();
-    const head = parseHead(body);
-    if (head !== undefined && head.generation > state.getGeneration()) {
+    if (Number.isSafeInteger(body.generation) && body.generation > state.getGeneration()) {
       const sender = membership.listLive().find((member) => [member.host, member.address].includes(from));
       void fetchFromPeer(sender?.address ?? from);
     }
     return Promise.resolve({ generation: state.getGeneration() });
   });
-  mesh.handleMessage('config-get', ({ above }) => {
-    const head = state.getHead();
+  mesh.handleMessage('config-get', ({ above, partial }) => {
     contact.recordContact();
-    if (head === undefined || head.generation <= above) return Promise.resolve(null);
-    return Promise.resolve({ head, segments: state.listSegmentsAbove(above) });
+    return Promise.resolve(state.buildUpdate(above, partial === true));
   });
 
   updateRole();
