Bound the reading of host lists and plain servers

Two nodes of each failure domain read the whole host list twice a second and relayed it whole; at 13,400 hosts this is 2.5 MB/s. The pause grows with the list, and only nodes and leaving servers are compared and relayed. Each node polled each plain server once a second; in large pools it now uses 16 of them.

--- a/packages/run-node/src/create-host-watch.ts
+++ b/packages/run-node/src/create-host-watch.ts
@@ -1,6 +1,6 @@
-import { runEvery } from '@laburnumshift/clock';
+import { readMonotonicMs, runEvery } from '@laburnumshift/clock';
 import type { Logger } from '@laburnumshift/logger';
-import { rankHomes } from '@laburnumshift/rank-homes';
+import { findHomes } from '@laburnumshift/rank-homes';
 import type { HostEntry, Membership, NodeMesh, PlatformClient } from '@laburnumshift/types';
 import type { HostWatch } from './host-watch.js';
 
@@ -11,9 +11,17 @@
 /** Nodes that read the list for their failure domain; the second covers the first's failure. */
 const WATCHERS = 2;
 const RELAY_TIMEOUT_MS = 500;
+/**
+ * The platform sends the whole list, about 93 bytes a host. Each host in it adds so much to the pause, which keeps the
+ * reading of a watcher below 19 KB/s; a list of 13,000 hosts is read every 65 s. Leaving servers are then noticed by
+ * their own reports and refusals.
+ */
+const ENTRY_MS = 5;
+/** The other nodes hear of changes from the watchers, so they read a long list so many times less often. */
+const OTHERS = 10;
 
 /**
- * Follows the platform's list of hosts. Two nodes of each failure domain read it often and relay changes to the other
+ * Follows the platform's list of hosts: the nodes, and the backend servers that are leaving. Two nodes of each failure domain read it often and relay changes to the other
  * nodes of the domain, so that the calls grow with domains and not with nodes.
  */
 export function createHostWatch(
@@ -26,7 +34,8 @@
   let hosts: readonly HostEntry[] | undefined;
   let leaving: ReadonlySet<string> = new Set();
   let shown = '';
-  let rounds = 0;
+  let listed = 0;
+  let polledMs = -Infinity;
 
   const applyHosts = (next: readonly HostEntry[]): boolean => {
     const text = JSON.stringify(next);
@@ -42,18 +51,26 @@
     if (membership === undefined) return { watching: true, addresses: [] };
     const self = membership.getSelf();
     const near = membership.listLive().filter((member) => member.failureDomain === self.failureDomain);
-    const ranked = rankHomes(`hosts/${self.failureDomain}`, near);
+    const watchers = findHomes(`hosts/${self.failureDomain}`, near, WATCHERS);
     return {
-      watching: ranked.slice(0, WATCHERS).some((member) => member.host === self.host),
+      watching: watchers.some((member) => member.host === self.host),
       addresses: near.filter((member) => member.host !== self.host).map((member) => member.address),
     };
   };
   const pollHosts = async (): Promise<void> => {
     const { watching, addresses } = listPeers();
-    rounds += 1;
-    if (!watching && rounds % (POLL_MS / WATCHER_POLL_MS) !== 1) return;
-    const list = await platform.listHosts();
-    if (list === undefined || !applyHosts(list) || !watching) return;
+    const pauseMs = Math.max(
+      watching ? WATCHER_POLL_MS : POLL_MS,
+      listed * (watching ? 1 : OTHERS) * ENTRY_MS,
+    );
+    // Half of a tick, so that a timer that fires early does not skip a turn.
+    if (readMonotonicMs() - polledMs < pauseMs - WATCHER_POLL_MS / 2) return;
+    polledMs = readMonotonicMs();
+    const all = await platform.listHosts();
+    if (all === undefined) return;
+    listed = all.length;
+    const list = all.filter((entry) => entry.kind === 'node' || entry.state === 'leaving');
+    if (!applyHosts(list) || !watching) return;
     await Promise.all(addresses.map((address) => mesh.callNode(address, 'hosts', list, RELAY_TIMEOUT_MS)));
   };
 
--- a/packages/run-node/src/create-server-table.ts
+++ b/packages/run-node/src/create-server-table.ts
@@ -1,4 +1,5 @@
 import { readMonotonicMs, runEvery } from '@laburnumshift/clock';
+import { computeWeight } from '@laburnumshift/rank-homes';
 import type { BackendServer, Config, ServiceClient } from '@laburnumshift/types';
 import type { ServerTable } from './server-table.js';
 
@@ -13,24 +14,34 @@
   failedUntilMs: number;
 }
 
-/** Creates the table of plain service instances. Each server is asked for its load once a second. */
+/** Servers of a pool that a node calls and polls; each server is in the choice of about as many nodes as any other. */
+const MAX_POLLED = 16;
+
+/**
+ * Creates the table of plain service instances. Each is asked for its load once a second. In a large pool a node uses the
+ * first 16 by rendezvous weight that are not leaving or silent, so that the polls of a server do not grow with nodes times servers.
+ */
 export function createServerTable(
+  host: string,
   getConfig: () => Config | undefined,
   getService: (server: BackendServer) => ServiceClient,
   onError: (error: unknown) => void,
 ): ServerTable {
   const states = new Map<string, ServerState>();
   let leaving: ReadonlySet<string> = new Set();
+  let unused: ReadonlySet<string> = new Set();
 
   const getState = (name: string): ServerState => {
     const state = states.get(name) ?? { queue: 0, leaving: false, failedUntilMs: 0 };
     states.set(name, state);
     return state;
   };
-  const isUsable = (name: string): boolean => {
-    const state = getState(name);
-    return !leaving.has(name) && !state.leaving && state.failedUntilMs <= readMonotonicMs();
+  const isHealthy = (name: string): boolean => {
+    const state = states.get(name);
+    if (leaving.has(name) || state?.leaving === true) return false;
+    return state === undefined || state.failedUntilMs <= readMonotonicMs();
   };
+  const isUsable = (name: string): boolean => !unused.has(name) && isHealthy(name);
   const pollServer = async (server: BackendServer): Promise<void> => {
     const load = await getService(server).readLoad();
     const state = getState(server.name);
@@ -42,12 +53,34 @@
       state.failedUntilMs = readMonotonicMs() + FAILED_MS;
     }
   };
+  /** The first healthy servers of each pool in rendezvous order, and the unhealthy ones before them, which may recover. */
+  const chooseServers = (): BackendServer[] =>
+    Object.values(getConfig()?.pools ?? {}).flatMap((pool) => {
+      if (pool.kind !== 'plain') return [];
+      if (pool.servers.length <= MAX_POLLED) return [...pool.servers];
+      const ranked = pool.servers
+        .map((server) => ({ server, weight: computeWeight(host, server.name) }))
+        .sort((a, b) => b.weight - a.weight)
+        .map(({ server }) => server);
+      let healthy = 0;
+      return ranked.filter(({ name }) => {
+        if (healthy >= MAX_POLLED || leaving.has(name)) return false;
+        if (isHealthy(name)) healthy += 1;
+        return true;
+      });
+    });
   const listServers = (): readonly BackendServer[] =>
     Object.values(getConfig()?.pools ?? {}).flatMap((pool) => (pool.kind === 'plain' ? pool.servers : []));
+  const updateChoice = (): readonly BackendServer[] => {
+    const servers = chooseServers();
+    const names = new Set(servers.map((server) => server.name));
+    unused = new Set(listServers().flatMap(({ name }) => (names.has(name) ? [] : [name])));
+    return servers;
+  };
   const stop = runEvery(
     POLL_MS,
     async () => {
-      const servers = listServers();
+      const servers = updateChoice();
       const names = new Set(servers.map((server) => server.name));
       for (const name of states.keys()) if (!names.has(name)) states.delete(name);
       await Promise.all(servers.map(pollServer));
@@ -61,9 +94,11 @@
     reportServer: (name, state) => {
       if (state === 'leaving') getState(name).leaving = true;
       else getState(name).failedUntilMs = readMonotonicMs() + FAILED_MS;
+      updateChoice();
     },
     setLeaving: (names) => {
       leaving = names;
+      updateChoice();
     },
     listStatus: () =>
       listServers().map(({ name }) => ({ name, usable: isUsable(name), queue: getState(name).queue })),
--- a/packages/run-node/src/run-node.ts
+++ b/packages/run-node/src/run-node.ts
@@ -121,7 +121,7 @@
   const suspects = createSuspectMemory();
   const homes = createHomes(isHome, getConfig, quarantine, suspects, metrics, logger);
   const orders = createOrderDuties(platform, membership, getConfig, peers.getEngine);
-  const servers = createServerTable(getConfig, peers.getService, reportError);
+  const servers = createServerTable(settings.host, getConfig, peers.getService, reportError);
   hostWatch.onChange((leaving) => {
     homes.setLeaving(leaving);
     servers.setLeaving(leaving);
