Bound the polls of a cell's home

Each home polled and listed all stores of its pool, 71 at the target, with more pieces than its directory holds. It uses its part of the stores, at least two. The pauses between load reports and between lists grow with engines and pieces; 24 engines are read every 720 ms in place of 250 ms, 8 engines as before.

--- a/packages/manage-cell/src/cell-times.ts
+++ b/packages/manage-cell/src/cell-times.ts
@@ -1,6 +1,8 @@
 /** Times of a cell's home, milliseconds. */
 export const CELL_TIMES = {
   loadEveryMs: 250,
+  /** Each engine of a cell adds this to the pause, which keeps the load reports of 24 engines below 18 KB/s. */
+  loadEngineMs: 30,
   /** A load report describes the engine about this long before it arrives. */
   loadLagMs: 300,
   /** Without a load report for this long an engine counts as silent. */
@@ -9,6 +11,8 @@
   statEveryMs: 500,
   /** Repairs directory entries that were lost or became stale. */
   listEveryMs: 30_000,
+  /** Each piece of a store adds this to the pause before it is listed again; a piece takes about 240 bytes. */
+  listPieceMs: 100,
   changesEveryMs: 1000,
   sweepEveryMs: 50,
   /** A grant that nobody fetches is withdrawn after this time. */
--- /dev/null
+++ b/packages/manage-cell/src/choose-stores.ts
@@ -0,0 +1,22 @@
+import { computeWeight } from '@laburnumshift/rank-homes';
+import type { PoolConfig, StoreHost } from '@laburnumshift/types';
+import { MAX_CELL_ENGINES } from './max-cell-engines.js';
+
+/**
+ * Least number of stores of a cell, so that one may fail. A home reads the statistics of all its stores twice a second and lists their pieces every 30 s; with
+ * all 71 stores of a large pool this took 2.5% of a core and more pieces than the directory holds.
+ */
+const MIN_CELL_STORES = 2;
+
+/** Chooses the stores of a cell: all when it is the only one, otherwise its part, at least two, in rendezvous order. */
+export function chooseStores(pool: PoolConfig, cell: number): readonly StoreHost[] {
+  const cells = Math.max(1, Math.ceil(pool.servers.length / MAX_CELL_ENGINES));
+  const count = Math.max(MIN_CELL_STORES, Math.ceil(pool.stores.length / cells));
+  if (pool.stores.length <= count) return pool.stores;
+  const key = `stores/${pool.name}/${String(cell)}`;
+  return pool.stores
+    .map((store) => ({ store, weight: computeWeight(key, store.name) }))
+    .sort((a, b) => b.weight - a.weight || (a.store.name < b.store.name ? -1 : 1))
+    .slice(0, count)
+    .map(({ store }) => store);
+}
--- a/packages/manage-cell/src/reconcile-pool.ts
+++ b/packages/manage-cell/src/reconcile-pool.ts
@@ -1,5 +1,6 @@
 import type { BackendServer, PoolConfig } from '@laburnumshift/types';
 import type { CellState } from './cell-state.js';
+import { chooseStores } from './choose-stores.js';
 import { createEngineRecord } from './create-engine-record.js';
 import { createStoreRecord } from './create-store-record.js';
 import { watchEngine } from './watch-engine.js';
@@ -11,6 +12,7 @@
   const reportEnd = (name: string) => (error: unknown) => {
     options.logger.error('peer task failed', { peer: name, reason: String(error) });
   };
+  const stores = chooseStores(pool, options.cell);
   state.pool = pool;
   for (const [name, record] of state.engines) {
     const server = servers.find((candidate) => candidate.name === name);
@@ -29,7 +31,7 @@
     watchEngine(state, record).catch(reportEnd(server.name));
   }
   for (const [name, record] of state.stores) {
-    const host = pool.stores.find((candidate) => candidate.name === name);
+    const host = stores.find((candidate) => candidate.name === name);
     if (host?.url === record.host.url) record.host = host;
     else {
       record.stopper.abort();
@@ -38,7 +40,7 @@
       options.directory.removeStore(name);
     }
   }
-  for (const host of pool.stores) {
+  for (const host of stores) {
     if (state.stores.has(host.name)) continue;
     const record = createStoreRecord(host, options);
     state.stores.set(host.name, record);
--- a/packages/manage-cell/src/watch-engine.ts
+++ b/packages/manage-cell/src/watch-engine.ts
@@ -41,7 +41,7 @@
       });
     }
     state.grantWaiting();
-    await sleep(CELL_TIMES.loadEveryMs, signal);
+    await sleep(Math.max(CELL_TIMES.loadEveryMs, state.engines.size * CELL_TIMES.loadEngineMs), signal);
   }
 }
 
--- a/packages/manage-cell/src/watch-store.ts
+++ b/packages/manage-cell/src/watch-store.ts
@@ -8,6 +8,7 @@
 export async function watchStore(state: CellState, record: StoreRecord): Promise<void> {
   const { signal } = record.stopper;
   const { directory, logger } = state.options;
+  let listMs: number = CELL_TIMES.listEveryMs;
   while (!isStopped(record)) {
     const result = await record.client.readStat();
     if (isStopped(record)) return;
@@ -17,11 +18,12 @@
       record.failures = 0;
       record.queuedBytes = Math.max(result.value.linkQueuedBytes, 0);
       record.queuedAtMs = nowMs;
-      if (record.listedAtMs === undefined || nowMs - record.listedAtMs > CELL_TIMES.listEveryMs) {
+      if (record.listedAtMs === undefined || nowMs - record.listedAtMs > listMs) {
         const pieces = await record.client.listPieces();
         if (pieces.ok) {
           directory.replaceStore(record.host.name, pieces.value);
           record.listedAtMs = nowMs;
+          listMs = Math.max(CELL_TIMES.listEveryMs, pieces.value.length * CELL_TIMES.listPieceMs);
         }
       }
     } else {
