--- a/packages/limit-accounts/src/account-use.ts
+++ b/packages/limit-accounts/src/account-use.ts
@@ -14,5 +14,8 @@
   askedTokens: number;
   peakRunning: number;
   refreshedAtMs: number;
-  share: { readonly limits: AccountLimits; readonly untilMs: number } | undefined;
+  /** A call was refused since the last refresh. */
+  wasRefused: boolean;
+  share:
+    { readonly limits: AccountLimits; readonly refreshAtMs: number; readonly untilMs: number } | undefined;
 }
--- a/packages/limit-accounts/src/create-account-limiter.ts
+++ b/packages/limit-accounts/src/create-account-limiter.ts
@@ -13,10 +13,12 @@
 /** Weight of the latest call in the smoothed duration. */
 const DURATION_GAIN = 0.1;
 const FIRST_CALL_MS = 500;
+/** A share that is used up to this part is refreshed at once, so that it can grow before calls are refused. */
+const NEAR_PART = 0.5;
 
 /**
  * Creates the limiter of a node. Each account's limits are divided among the nodes by the account's home. A share is valid
- * for 6 s; when the home is silent for longer, and before the first answer, the node applies limit / nodes.
+ * for 6 s, a small one for longer with many nodes; when the home is silent for longer, and before the first answer, the node applies limit / nodes.
  */
 export function createAccountLimiter(options: LimiterOptions): AccountLimiter {
   const { getLimits, countNodes } = options;
@@ -38,6 +40,7 @@
       askedTokens: 0,
       peakRunning: 0,
       refreshedAtMs: nowMs,
+      wasRefused: false,
       share: undefined,
     };
     uses.set(account, use);
@@ -70,6 +73,7 @@
     );
     if (delayMs > 0) {
       counts.refused += 1;
+      use.wasRefused = true;
       return { kind: 'refused', retryAfterMs: Math.max(MIN_RETRY_MS, Math.ceil(delayMs)) };
     }
     counts.admitted += 1;
@@ -102,6 +106,7 @@
       askedTokens: 0,
       peakRunning: use.running,
       refreshedAtMs: nowMs,
+      wasRefused: false,
     });
     const grant = await options.askShare({ account, host: options.host, ...demand });
     if (grant === undefined) {
@@ -110,14 +115,30 @@
     }
     counts.shares += 1;
     // Counted from before the request was sent, so that the share ends here before it ends at the home.
-    use.share = { limits: grant.limits, untilMs: nowMs + grant.validMs };
+    const refreshAtMs = nowMs + grant.validMs / SHARE_TIMES.refreshesPerShare;
+    use.share = { limits: grant.limits, refreshAtMs, untilMs: nowMs + grant.validMs };
+  };
+  /** A share is refreshed when it is used and old, or used up before that. */
+  const isDue = (use: AccountUse, nowMs: number): boolean => {
+    const { share } = use;
+    if (share === undefined || share.untilMs <= nowMs || use.wasRefused) return true;
+    const seconds = Math.max((nowMs - use.refreshedAtMs) / MS_PER_S, 1);
+    const { requestsPerSecond, tokensPerSecond, concurrent } = share.limits;
+    const isNear =
+      use.askedRequests / seconds > requestsPerSecond * NEAR_PART ||
+      use.askedTokens / seconds > tokensPerSecond * NEAR_PART ||
+      use.peakRunning > Math.max(1, concurrent * NEAR_PART);
+    const isUsed = use.askedRequests > 0 || use.running > 0;
+    return isNear || (isUsed && share.refreshAtMs - SHARE_TIMES.refreshMs / 2 <= nowMs);
   };
   const refreshShares = async (): Promise<void> => {
     const nowMs = readMonotonicMs();
     const active: Promise<void>[] = [];
     for (const [account, use] of uses) {
-      if (use.running === 0 && nowMs - use.lastCallMs > SHARE_TIMES.idleMs) uses.delete(account);
-      else active.push(refreshShare(account, use));
+      const isShared = use.share !== undefined && use.share.untilMs > nowMs;
+      const isIdle = use.running === 0 && nowMs - use.lastCallMs > SHARE_TIMES.idleMs;
+      if (isIdle && !isShared) uses.delete(account);
+      else if (isDue(use, nowMs)) active.push(refreshShare(account, use));
     }
     await Promise.all(active);
   };
--- a/packages/limit-accounts/src/create-share-divider.ts
+++ b/packages/limit-accounts/src/create-share-divider.ts
@@ -17,7 +17,8 @@
 
 /**
  * Creates the divider of a home. The sum of the shares that are valid at one time never exceeds the limit: a share grows
- * only by what others have given up or let expire.
+ * only by what others have given up or let expire. After the home has moved, small shares of the earlier one may add at
+ * most the limit once more until they end.
  */
 export function createShareDivider(
   getLimits: (account: string) => AccountLimits,
@@ -58,8 +59,15 @@
       const free = Math.max(0, limit - held - even * (nodes - others.length - 1));
       return Math.min(wanted + even, free, isNew ? limit / nodes : Infinity);
     });
-    own.untilMs = nowMs + SHARE_TIMES.validMs;
-    return { account: request.account, limits: own.granted, validMs: SHARE_TIMES.validMs };
+    const { requestsPerSecond, tokensPerSecond, concurrent } = own.granted;
+    const isQuiet =
+      requestsPerSecond * nodes <= limits.requestsPerSecond &&
+      tokensPerSecond * nodes <= limits.tokensPerSecond &&
+      concurrent * nodes <= limits.concurrent;
+    const quietMs = Math.min(nodes * SHARE_TIMES.quietNodeMs, SHARE_TIMES.maxQuietMs);
+    const validMs = isQuiet ? Math.max(quietMs, SHARE_TIMES.validMs) : SHARE_TIMES.validMs;
+    own.untilMs = nowMs + validMs;
+    return { account: request.account, limits: own.granted, validMs };
   };
   return { grantShare };
 }
