--- a/packages/call-node/src/message-schemas.ts
+++ b/packages/call-node/src/message-schemas.ts
@@ -91,14 +91,8 @@
   'journal-abandon': journalAttempt,
   'journal-unknown': journalAttempt,
   'journal-look': z.looseObject({ ...journalCall, issuedAtMs: time.optional() }),
-  'config-head': z.looseObject({
-    generation: z.int().min(0),
-    changeId: text,
-    author: text,
-    publishedAtMs: time,
-    segments: z.record(z.string(), z.string()),
-  }),
-  'config-get': z.looseObject({ above: z.number() }),
+  'config-head': z.looseObject({ generation: z.int().min(0) }),
+  'config-get': z.looseObject({ above: z.number(), partial: z.boolean().optional() }),
   hosts: z.array(
     z.looseObject({
       host: name,
