--- a/packages/measure-daemons/src/compute-figures.ts
+++ b/packages/measure-daemons/src/compute-figures.ts
@@ -33,6 +33,9 @@
   const cuts = records.flatMap((record) =>
     record.cuts.map((detail) => `${record.request.id} ${record.request.kind.service}: ${detail}`),
   );
+  const refused = records.flatMap((record) =>
+    record.refusals.map((code) => `${record.request.id} ${record.request.kind.service}: ${code}`),
+  );
   const bookings = records.filter(({ request }) => request.kind.hasKey === true);
   return {
     services: Object.fromEntries(
@@ -57,6 +60,7 @@
           `${request.id} ${request.kind.service}: ${[...codes, ...details].join(', ')}`,
       ),
     refusals,
+    refused: refused.slice(0, MAX_REASONS),
     cutAnswers: cuts.length,
     cutReasons: cuts.slice(0, MAX_REASONS),
     resends: records.reduce((sum, { attempts }) => sum + Math.max(0, attempts - 1), 0),
--- a/packages/measure-daemons/src/run-figures.ts
+++ b/packages/measure-daemons/src/run-figures.ts
@@ -19,6 +19,8 @@
   /** Requests without a whole answer at the end of all resends. */
   readonly failed: readonly string[];
   readonly refusals: Readonly<Record<string, number>>;
+  /** The first refused requests, with their services. */
+  readonly refused: readonly string[];
   readonly cutAnswers: number;
   readonly cutReasons: readonly string[];
   readonly resends: number;
--- a/packages/measure-daemons/test/compute-figures.test.ts
+++ b/packages/measure-daemons/test/compute-figures.test.ts
@@ -50,6 +50,7 @@
   t.true(figures.interactive.p50 >= 5_000);
   t.deepEqual(figures.failed, ['1 scripts: x (not run)']);
   t.deepEqual(figures.refusals, { 'x (not run)': 1 });
+  t.deepEqual(figures.refused, ['1 scripts: x (not run)']);
 });
 
 // Guards against a doubled booking that is not seen because its answer was right.
