--- a/packages/plan-retention/src/pending-exports.ts
+++ b/packages/plan-retention/src/pending-exports.ts
@@ -1,7 +1,7 @@
 import type { CacheDirectory, ExportPlan, Tier } from '@laburnumshift/types';
 
-/** An export that has not shown up in the directory after this time has failed. */
-const EXPORT_LIMIT_MS = 30_000;
+/** An export that has not shown up in the directory after this time has failed; longer than the export queue. */
+const EXPORT_LIMIT_MS = 60_000;
 
 interface PendingExport extends ExportPlan {
   readonly account: string;
--- a/packages/plan-retention/src/plan-exports.ts
+++ b/packages/plan-retention/src/plan-exports.ts
@@ -7,8 +7,11 @@
 import { FILL_LIMITS } from './fill-limits.js';
 import type { PlannerState } from './planner-state.js';
 
-/** Default of `exportQueueMs`. */
-const EXPORT_QUEUE_MS = 1_000;
+/**
+ * Default of `exportQueueMs`. Exports yield to imports, so a long queue delays nobody, while 1,000 ms cut every prompt off after some
+ * 18 pieces. Engines hold pieces for longer than this.
+ */
+const EXPORT_QUEUE_MS = 30_000;
 
 /** True when the account may keep a further piece of this density. */
 function hasQuota(state: PlannerState, account: string, bytes: number, density: number): boolean {
--- a/packages/plan-retention/src/retention-planner-options.ts
+++ b/packages/plan-retention/src/retention-planner-options.ts
@@ -18,7 +18,7 @@
   readonly prefetchMs?: number;
   /** Prefetch needs at least this chance of a return within that time; default 0.15. */
   readonly prefetchChance?: number;
-  /** No export is planned while more than this time of transfers waits on the link; default 1,000 ms. */
+  /** No export is planned while more than this time of transfers waits on the link; default 30,000 ms. */
   readonly exportQueueMs?: number;
   /** Bound on the pieces whose uses are remembered; default 200,000. */
   readonly maxPieces?: number;
