Read the disk of a store beside its link

A piece on disk held the link at the rate of the disk, in the estimate and in the simulation. The stand-in store moves it over disk and link at the same time, so pieces in memory need not wait for the disk. Estimates and simulation follow.

--- a/packages/measure/src/sim-link.ts
+++ b/packages/measure/src/sim-link.ts
@@ -4,12 +4,11 @@
 const MINUTE_MS = 60_000;
 
 interface Transfer {
-  readonly ms: number;
   readonly bytes: number;
   readonly finish: (ok: boolean) => void;
 }
 
-/** The link of a store: it carries one transfer at a time in order of arrival. */
+/** The link or the disk of a store: it carries one transfer at a time in order of arrival. */
 export class SimLink {
   movedBytes = 0;
   /** Busy milliseconds in each minute, for the peak use. */
@@ -27,17 +26,17 @@
 
   /** Bytes that go before a new transfer. */
   getQueuedBytes(): number {
-    const waitingMs = this.transfers.reduce((sum, transfer) => sum + transfer.ms, 0);
+    const waiting = this.transfers.reduce((sum, transfer) => sum + transfer.bytes, 0);
     const leftMs = this.busy ? Math.max(0, this.busyUntilMs - this.events.getNowMs()) : 0;
-    return ((waitingMs + leftMs) / MS_PER_S) * this.bytesPerSecond;
+    return waiting + (leftMs / MS_PER_S) * this.bytesPerSecond;
   }
 
   isIdle(): boolean {
     return !this.busy && this.transfers.length === 0;
   }
 
-  addTransfer(ms: number, bytes: number, finish: (ok: boolean) => void): void {
-    this.transfers.push({ ms, bytes, finish });
+  addTransfer(bytes: number, finish: (ok: boolean) => void): void {
+    this.transfers.push({ bytes, finish });
     this.runTransfer();
   }
 
@@ -71,8 +70,9 @@
     for (const handler of handlers) handler();
   }
 
-  private holdLink({ ms, bytes, finish }: Transfer): void {
+  private holdLink({ bytes, finish }: Transfer): void {
     const nowMs = this.events.getNowMs();
+    const ms = (bytes / this.bytesPerSecond) * MS_PER_S;
     this.busy = true;
     this.busyUntilMs = nowMs + ms;
     this.movedBytes += bytes;
--- a/packages/measure/src/sim-store.ts
+++ b/packages/measure/src/sim-store.ts
@@ -5,16 +5,16 @@
 import { SimLink } from './sim-link.js';
 
 const NAME = 's';
-const MS_PER_S = 1000;
 /** Time after which a call to a dead store fails. */
 const REFUSED_MS = 50;
 /** The same bound as in the home of a cell (manage-cell, run-exports). */
 const MAX_EXPORTS = 512;
 
-/** A store host with a memory and a disk tier. What it holds is decided by a retention planner, as in the home of a cell. */
+/** A store host with a memory and a disk tier; a piece on the disk uses disk and link at the same time. What it holds is decided by a retention planner, as in the home of a cell. */
 export class SimStore {
   readonly directory: CacheDirectory = createCacheDirectory();
   readonly link: SimLink;
+  private readonly disk: SimLink;
   /** False from the time at which a dead store is noticed. */
   isListed = true;
   private alive = true;
@@ -29,6 +29,7 @@
     private readonly isCached: (engine: string, chain: string) => boolean,
   ) {
     this.link = new SimLink(events, deployment.linkBytesPerSecond);
+    this.disk = new SimLink(events, deployment.diskBytesPerSecond);
   }
 
   /** Tier in which a piece is listed; a dead store stays listed until it is forgotten. */
@@ -65,8 +66,17 @@
       this.link.fail(REFUSED_MS, finish);
       return;
     }
-    const ms = chains.reduce((sum, chain) => sum + this.computeMs(this.getTier(scope, chain) ?? 'memory'), 0);
-    this.link.addTransfer(ms, chains.length * this.deployment.pieceBytes, finish);
+    const { pieceBytes } = this.deployment;
+    const onDisk = chains.filter((chain) => this.getTier(scope, chain) === 'disk').length;
+    let parts = onDisk > 0 ? 2 : 1;
+    let allOk = true;
+    const finishPart = (ok: boolean): void => {
+      parts -= 1;
+      allOk &&= ok;
+      if (parts === 0) finish(allOk);
+    };
+    this.link.addTransfer(chains.length * pieceBytes, finishPart);
+    if (onDisk > 0) this.disk.addTransfer(onDisk * pieceBytes, finishPart);
     this.runExports();
   }
 
@@ -100,7 +110,7 @@
     };
     if (tier === 'disk') move();
     else if (this.link.isIdle()) {
-      this.link.addTransfer(this.computeMs('disk'), 0, (ok) => {
+      this.disk.addTransfer(piece.bytes, (ok) => {
         const isThere = this.getTier(scope, chain) === 'disk';
         if (ok && isThere && !this.isFull('memory', piece.bytes)) move();
       });
@@ -111,6 +121,7 @@
     this.alive = false;
     this.exports = [];
     this.link.failAll();
+    this.disk.failAll();
   }
 
   clearListing(): void {
@@ -134,7 +145,7 @@
       if (this.getTier(scope, chain) !== undefined || this.isFull(tier, bytes)) continue;
       if (!this.isCached(plan.engine, chain)) continue;
       this.used[tier] += bytes;
-      this.link.addTransfer(this.computeMs('memory'), bytes, (ok) => {
+      this.link.addTransfer(bytes, (ok) => {
         if (ok) {
           const place = { scope, chain, store: NAME, tier };
           this.directory.recordStored({ ...place, generation: 1, length: 1, checksum: '', bytes });
@@ -145,13 +156,6 @@
     }
   }
 
-  private computeMs(tier: Tier): number {
-    const { pieceBytes, diskBytesPerSecond } = this.deployment;
-    const { bytesPerSecond } = this.link;
-    const rate = tier === 'disk' ? Math.min(diskBytesPerSecond, bytesPerSecond) : bytesPerSecond;
-    return (pieceBytes / rate) * MS_PER_S;
-  }
-
   private isFull(tier: Tier, bytes: number): boolean {
     const { memoryPieces, diskPieces, pieceBytes } = this.deployment;
     return this.used[tier] + bytes > (tier === 'memory' ? memoryPieces : diskPieces) * pieceBytes;
--- a/packages/place-request/src/build-transfer-table.ts
+++ b/packages/place-request/src/build-transfer-table.ts
@@ -19,22 +19,38 @@
   if (cache === undefined) return { tokens, links: [], runStart, ends: [] };
 
   const stores = [...new Set(cache.sources.map((source) => source.store))];
-  const linkOf = cache.sources.map((source) => stores.indexOf(source.store));
   const pieceMs = cache.sources.map((source) => (pieceBytes / source.bytesPerSecond) * MS_PER_S);
-  const links = stores.map((store) => ({
-    queueMs: Math.max(...cache.sources.filter((s) => s.store === store).map((s) => s.queueMs)),
-    sums: new Float64Array(count + 1),
-  }));
+  // A piece on a disk uses the disk and the link at once, so each store has a link and each slower tier adds its own part.
+  const fastest = stores.map((store) =>
+    Math.min(...pieceMs.filter((_, index) => cache.sources[index]?.store === store)),
+  );
+  const parts = [
+    ...stores.map((store, at) => ({ store, tier: undefined, ms: fastest[at] ?? 0 })),
+    ...cache.sources.flatMap(({ store, tier }, index) => {
+      const ms = pieceMs[index] ?? 0;
+      return ms > (fastest[stores.indexOf(store)] ?? 0) ? [{ store, tier, ms }] : [];
+    }),
+  ];
+  const links = parts.map(({ store, tier }) => {
+    const used = cache.sources.filter((s) => s.store === store && (tier === undefined || s.tier === tier));
+    return { queueMs: Math.max(...used.map((s) => s.queueMs)), sums: new Float64Array(count + 1) };
+  });
+  const partsOf = cache.sources.map((source) =>
+    parts.map(({ store, tier, ms }) =>
+      store === source.store && (tier === undefined || tier === source.tier) ? ms : 0,
+    ),
+  );
   const ends: number[] = [];
   for (let i = 0; i < count; i += 1) {
     const source = cache.stored[i] ?? -1;
-    for (const { sums } of links) sums[i + 1] = sums[i] ?? 0;
-    const link = links[linkOf[source] ?? -1];
-    if (link === undefined) {
+    const times = partsOf[source];
+    links.forEach(({ sums }, part) => {
+      sums[i + 1] = (sums[i] ?? 0) + (times?.[part] ?? 0);
+    });
+    if (times === undefined) {
       runStart[i + 1] = i + 1;
       continue;
     }
-    link.sums[i + 1] = (link.sums[i] ?? 0) + (pieceMs[source] ?? 0);
     runStart[i + 1] = runStart[i] ?? 0;
     if (source !== (cache.stored[i + 1] ?? -1)) ends.push(i + 1);
   }
