Count the prefill chunk under way as queue

A request of higher priority waits for the chunk that the engine computes, so an idle engine is better for it. The estimate had no such wait, and an urgent request took any engine.

--- a/packages/place-request/src/create-prefill-backlog.ts
+++ b/packages/place-request/src/create-prefill-backlog.ts
@@ -2,6 +2,11 @@
 import type { PrefillBacklog } from './prefill-backlog.js';
 
 const MS_PER_S = 1000;
+/**
+ * Engines prefill in chunks that are not interrupted, of 500 tokens or so. A request finds on average half of one under way when
+ * the engine has any work.
+ */
+const CHUNK_REST_TOKENS = 250;
 
 /** Creates an empty backlog. Engines honour priorities, so urgent tokens are worked off before normal and bulk ones. */
 export function createPrefillBacklog(): PrefillBacklog {
@@ -33,7 +38,9 @@
     },
     getTokens: (priority, rate, nowMs) => {
       updateTo(rate, nowMs);
-      return tokens.slice(0, PRIORITIES[priority] + 1).reduce((sum, count) => sum + count, 0);
+      const before = tokens.slice(0, PRIORITIES[priority] + 1).reduce((sum, count) => sum + count, 0);
+      const behind = tokens.slice(PRIORITIES[priority] + 1).reduce((sum, count) => sum + count, 0);
+      return Math.max(before, Math.min(before + behind, CHUNK_REST_TOKENS));
     },
     clear: () => {
       tokens.fill(0);
