--- a/packages/check-declarations/src/account-schema.ts
+++ b/packages/check-declarations/src/account-schema.ts
@@ -12,9 +12,10 @@
       .regex(
         /^[0-9a-f]{64}$/,
         'must be the SHA-256 hash of the key, 64 lower-case hexadecimal digits; never the key itself',
-      ),
-    notBefore: timeSchema.optional(),
-    notAfter: timeSchema.optional(),
+      )
+      .describe('SHA-256 hash of the bearer key, 64 lower-case hexadecimal digits; never the key itself.'),
+    notBefore: timeSchema.optional().describe('Time from which the key is valid.'),
+    notAfter: timeSchema.optional().describe('Time until which the key is valid.'),
   })
   .refine(
     (key) => key.notBefore === undefined || key.notAfter === undefined || key.notBefore < key.notAfter,
@@ -26,15 +27,28 @@
 
 /** A client account as declared. The limits suit one of about ten accounts of a deployment. */
 export const ACCOUNT_SCHEMA: z.ZodType<AccountConfig> = z.strictObject({
-  name: ENTITY_SCHEMAS.name,
-  keys: z.array(keySchema).min(1, 'an account needs at least one key'),
-  weight: ENTITY_SCHEMAS.positive.max(1000).default(1),
+  name: ENTITY_SCHEMAS.name.describe('Name of the client account.'),
+  keys: z
+    .array(keySchema)
+    .min(1, 'an account needs at least one key')
+    .describe('Keys of the account; several are valid at once while one replaces another.'),
+  weight: ENTITY_SCHEMAS.positive
+    .max(1000)
+    .default(1)
+    .describe('Share of the engines under contention, relative to the other accounts.'),
   limits: z
     .strictObject({
-      requestsPerSecond: ENTITY_SCHEMAS.positive.default(100),
-      tokensPerSecond: ENTITY_SCHEMAS.positive.default(200_000),
-      concurrent: ENTITY_SCHEMAS.count.default(100),
+      requestsPerSecond: ENTITY_SCHEMAS.positive.default(100).describe('Requests a second over all nodes.'),
+      tokensPerSecond: ENTITY_SCHEMAS.positive
+        .default(200_000)
+        .describe('Prompt and output tokens a second over all nodes.'),
+      concurrent: ENTITY_SCHEMAS.count.default(100).describe('Requests in progress at once over all nodes.'),
     })
     .prefault({}),
-  storeBytes: z.number().int().min(0).default(1e12),
+  storeBytes: z
+    .number()
+    .int()
+    .min(0)
+    .default(1e12)
+    .describe('Bytes that the account may hold in the stores of a pool.'),
 });
--- a/packages/check-declarations/src/declaration-schema.ts
+++ b/packages/check-declarations/src/declaration-schema.ts
@@ -11,21 +11,32 @@
 
 const routeSchema: z.ZodType<RouteConfig> = z
   .strictObject({
-    name: ENTITY_SCHEMAS.name.optional(),
-    order: z.number().int().default(DEFAULT_ORDER),
-    service: ENTITY_SCHEMAS.name,
-    accounts: z.array(ENTITY_SCHEMAS.name).min(1).optional(),
-    pool: ENTITY_SCHEMAS.name,
+    name: ENTITY_SCHEMAS.name.optional().describe('Name of the route; `SERVICE-to-POOL` by default.'),
+    order: z
+      .number()
+      .int()
+      .default(DEFAULT_ORDER)
+      .describe('Routes with a lower order are tried first; the `pool` of a service has 1,000.'),
+    service: ENTITY_SCHEMAS.name.describe('Service to which the route applies.'),
+    accounts: z
+      .array(ENTITY_SCHEMAS.name)
+      .min(1)
+      .optional()
+      .describe('Client accounts to which the route applies; all when absent.'),
+    pool: ENTITY_SCHEMAS.name.describe('Pool that takes the requests.'),
   })
   .transform((route) => ({ ...route, name: route.name ?? `${route.service}-to-${route.pool}` }));
 
 /** A declaration file. A service with `pool` adds the route `service/NAME`, a name that no declared route can have. */
 export const DECLARATION_SCHEMA: z.ZodType<Omit<ConfigSegment, 'file'>> = z
   .strictObject({
-    accounts: z.array(ACCOUNT_SCHEMA).default([]),
-    services: z.array(SERVICE_SCHEMA).default([]),
-    pools: z.array(POOL_SCHEMA).default([]),
-    routes: z.array(routeSchema).default([]),
+    accounts: z.array(ACCOUNT_SCHEMA).default([]).describe('Client accounts with their keys and limits.'),
+    services: z.array(SERVICE_SCHEMA).default([]).describe('Services that callers name in their requests.'),
+    pools: z.array(POOL_SCHEMA).default([]).describe('Pools of backend servers with their stores.'),
+    routes: z
+      .array(routeSchema)
+      .default([])
+      .describe('Rules that send a service, or some accounts of it, to a pool; the first that matches wins.'),
   })
   .transform(({ accounts, services, pools, routes }) => ({
     accounts,
--- a/packages/check-declarations/src/entity-schemas.ts
+++ b/packages/check-declarations/src/entity-schemas.ts
@@ -12,7 +12,8 @@
   modelName: z
     .string()
     .regex(/^[A-Za-z0-9][A-Za-z0-9._/:-]{0,127}$/, 'must be a model, adapter or version name'),
-  url: z.url({ protocol: /^https?$/, error: 'must be a URL with http or https' }),
+  /** The clients of outside systems speak HTTP without TLS; another URL would fail at the first call. */
+  url: z.url({ protocol: /^http$/, error: 'must be a URL with http' }),
   positive: z.number().positive(),
   count: z.number().int().min(1),
   share: z.number().min(0).max(1),
--- a/packages/check-declarations/src/service-schema.ts
+++ b/packages/check-declarations/src/service-schema.ts
@@ -12,33 +12,64 @@
 
 const weightSchema = z.number().min(0).optional();
 const shape = z.strictObject({
-  name: ENTITY_SCHEMAS.name,
-  kind: z.enum(['model', 'plain']).default('model'),
-  priority: z.enum(['urgent', 'normal', 'bulk']).default('normal'),
-  idempotent: z.boolean().optional(),
+  name: ENTITY_SCHEMAS.name.describe('Name of the service, as callers send it.'),
+  kind: z
+    .enum(['model', 'plain'])
+    .default('model')
+    .describe(
+      '`model` for completions on engines, `plain` for calls that are passed to a business application.',
+    ),
+  priority: z
+    .enum(['urgent', 'normal', 'bulk'])
+    .default('normal')
+    .describe('Priority in the queue of a cell; also selects the defaults of `deadlineMs` and `weights`.'),
+  idempotent: z
+    .boolean()
+    .optional()
+    .describe(
+      'Whether a call may be repeated. A model service is always idempotent; a plain service is not unless it says so.',
+    ),
   accounts: z
     .union([z.literal('*'), z.array(ENTITY_SCHEMAS.name).min(1)], "must be '*' or a list of account names")
-    .default('*'),
-  model: ENTITY_SCHEMAS.modelName.optional(),
-  adapter: ENTITY_SCHEMAS.modelName.optional(),
-  deadlineMs: ENTITY_SCHEMAS.count.max(3_600_000).optional(),
+    .default('*')
+    .describe('Client accounts that may call the service.'),
+  model: ENTITY_SCHEMAS.modelName.optional().describe('Model of a model service; the pool must run it.'),
+  adapter: ENTITY_SCHEMAS.modelName.optional().describe('Adapter of the model.'),
+  deadlineMs: ENTITY_SCHEMAS.count
+    .max(3_600_000)
+    .optional()
+    .describe(
+      'Longest time to the first token or answer, milliseconds; 2,000 for urgent, 15,000 for normal and 300,000 for bulk by default.',
+    ),
   weights: z
     .strictObject({
-      perMs: weightSchema,
-      perKiloTokenRecomputed: weightSchema,
-      perMebibyteMoved: weightSchema,
+      perMs: weightSchema.describe(
+        'Cost of a millisecond of estimated time to the first token; 4, 1 or 0.1 by priority.',
+      ),
+      perKiloTokenRecomputed: weightSchema.describe(
+        'Cost of 1,000 prompt tokens that are computed again; 20, 50 or 100 by priority.',
+      ),
+      perMebibyteMoved: weightSchema.describe(
+        'Cost of a mebibyte that is moved over a store link; 0.02, 0.05 or 0.1 by priority.',
+      ),
     })
     .prefault({}),
   retry: z
     .strictObject({
-      ratio: ENTITY_SCHEMAS.share.default(0.1),
-      minPerSecond: z.number().min(0).default(1),
-      maxAttempts: ENTITY_SCHEMAS.count.max(10).default(3),
+      ratio: ENTITY_SCHEMAS.share.default(0.1).describe('Retries for each first attempt.'),
+      minPerSecond: z.number().min(0).default(1).describe('Retries a second that are always permitted.'),
+      maxAttempts: ENTITY_SCHEMAS.count.max(10).default(3).describe('Attempts for one request.'),
     })
     .prefault({}),
-  cutover: z.strictObject({ olderUrl: ENTITY_SCHEMAS.url, olderShare: ENTITY_SCHEMAS.share }).optional(),
-  /** Shorthand for a route of all accounts to this pool. */
-  pool: ENTITY_SCHEMAS.name.optional(),
+  cutover: z
+    .strictObject({
+      olderUrl: ENTITY_SCHEMAS.url.describe('URL of the older system.'),
+      olderShare: ENTITY_SCHEMAS.share.describe(
+        'Share of the traffic that the older system takes, from 0 to 1.',
+      ),
+    })
+    .optional(),
+  pool: ENTITY_SCHEMAS.name.optional().describe('Pool of all accounts for which no route says otherwise.'),
 });
 
 /** A service as declared, with the pool of the shorthand route. A plain service is non-idempotent unless it says so. */
--- a/packages/record-metrics/test/create-metrics.test.ts
+++ b/packages/record-metrics/test/create-metrics.test.ts
@@ -14,3 +14,21 @@
   t.is(Math.round(metrics.getPercentile('first_token_ms', 50) ?? 0), 50);
   t.true(text.includes('first_token_ms_count 100\n'));
 });
+
+test('guards against labels without a bound, and against counts that begin after the start', (t) => {
+  const metrics = createMetrics();
+  const counts: Record<string, number> = {};
+  metrics.setGaugeGroup('links', () => counts);
+  counts.opened = 2;
+  for (let i = 0; i < 1_000; i += 1) {
+    metrics.countEvent('calls_total', { service: `s${String(i)}` });
+    metrics.recordMs('call_ms', 1, { service: `s${String(i)}` });
+  }
+  metrics.countEvent('calls_total', { service: 's1' });
+  const text = metrics.renderMetrics();
+  t.true(text.includes('links{kind="opened"} 2\n'));
+  t.true(text.includes('calls_total{service="s1"} 2\n'));
+  t.is(text.match(/^calls_total/gm)?.length, 500);
+  t.is(text.match(/^call_ms_count/gm)?.length, 100);
+  t.true(text.includes('metrics_dropped_total 1400\n'));
+});
--- a/packages/run-node/src/create-caller-handlers.ts
+++ b/packages/run-node/src/create-caller-handlers.ts
@@ -50,8 +50,12 @@
     retentionMs: parts.settings.journal.retentionMs,
   };
 
+  /** Callers choose the name; only declared services get series of their own, so that memory stays bounded. */
+  const toLabel = (name: string): string =>
+    configWatch.getConfig()?.services[name] === undefined ? 'undeclared' : name;
+
   async function* streamRun(request: CallerCompletion, signal: AbortSignal): AsyncGenerator<RunItem, void> {
-    const labels = { service: request.service };
+    const labels = { service: toLabel(request.service) };
     const opening = {
       account: request.account.name,
       requestId: request.requestId,
@@ -85,7 +89,7 @@
     runCall: async (request, signal) => {
       const answer = await runCall(request, call, signal);
       const result = answer.ok ? 'answered' : answer.error.code;
-      const labels = { service: request.service };
+      const labels = { service: toLabel(request.service) };
       metrics.countEvent('calls_total', { ...labels, result });
       metrics.recordMs('call_ms', readMonotonicMs() - request.acceptedAtMs, labels);
       return answer;
--- a/packages/run-node/src/set-gauges.ts
+++ b/packages/run-node/src/set-gauges.ts
@@ -21,9 +21,5 @@
     ['account_limits', limiter.getCounts],
     ['retries', retryBudget.getCounts],
   ];
-  for (const [name, read] of groups) {
-    for (const key of Object.keys(read())) {
-      metrics.setGauge(name, () => read()[key] ?? 0, { kind: key });
-    }
-  }
+  for (const [name, read] of groups) metrics.setGaugeGroup(name, read);
 }
