--- /dev/null
+++ b/packages/check-declarations/test/fuzz-documents.test.ts
@@ -0,0 +1,46 @@
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { checkDeclarations } from '@laburnumshift/check-declarations';
+import { FindingsError } from '@laburnumshift/errors';
+import { readSettings } from '@laburnumshift/read-settings';
+import test from 'ava';
+import fc from 'fast-check';
+
+const SEED = 20_261;
+const RUNS = 150;
+const EXAMPLE = '../../../../examples/night-walk/storyteller/pool.laburnum.jsonc';
+
+/** Damaged copies of a good document, any JSON, and any text. */
+const buildDocuments = (good: string): fc.Arbitrary<string> =>
+  fc.oneof(
+    fc
+      .tuple(fc.nat(good.length), fc.nat(40), fc.string({ maxLength: 12 }))
+      .map(([at, cut, text]) => good.slice(0, at) + text + good.slice(at + cut)),
+    fc
+      .tuple(fc.constantFrom('pools', 'accounts', 'services', 'routes', '__proto__'), fc.jsonValue())
+      .map(([name, value]) => `{${JSON.stringify(name)}: [${JSON.stringify(value)}]}`),
+    fc.json(),
+    fc.string({ unit: 'binary' }),
+    fc.nat(2_000).map((depth) => '[{"a":'.repeat(depth)),
+  );
+
+test('guards against a document that ends a command with anything but findings', async (t) => {
+  const directory = await mkdtemp(join(tmpdir(), 'fuzz-'));
+  t.teardown(() => rm(directory, { recursive: true }));
+  const good = await readFile(fileURLToPath(new URL(EXAMPLE, import.meta.url)), 'utf8');
+  const file = join(directory, 'a.laburnum.jsonc');
+  const check = async (read: () => Promise<unknown>): Promise<void> => {
+    await read().catch((error: unknown) => {
+      if (!(error instanceof FindingsError) || error.findings.length === 0) throw error;
+    });
+  };
+  const property = fc.asyncProperty(buildDocuments(good), async (text) => {
+    await writeFile(file, text);
+    await check(() => checkDeclarations(directory));
+    await check(() => readSettings(file));
+  });
+  await fc.assert(property, { seed: SEED, numRuns: RUNS });
+  t.pass();
+});
