--- a/packages/check-declarations/src/pool-schema.ts
+++ b/packages/check-declarations/src/pool-schema.ts
@@ -23,6 +23,9 @@
   decodeTokensPerSecond: ENTITY_SCHEMAS.positive
     .default(40)
     .describe('Output tokens of one request a second; corrected by what is observed.'),
+  role: ENTITY_SCHEMAS.modelName
+    .optional()
+    .describe('Role that the engine is ordered to take; as it is when absent.'),
 });
 const storeSchema = z.strictObject({
   ...placeShape,
