Check import boundaries by lint

Cause: nothing kept a package from importing what its package.json does not declare, a peer package from importing another one, or any package from starting whole nodes. Change: the rule house/import-boundaries. Peer packages share the connection pool of call-store, and call-older-system uses call-service because the older system answers the same plain calls. Measured: eslint reports nothing over the workspace; the rule's test has a case for each message.

--- a/eslint-rules/index.js
+++ b/eslint-rules/index.js
@@ -1,4 +1,5 @@
 import { functionVerbs } from './function-verbs.js';
+import { importBoundaries } from './import-boundaries.js';
 import { noDefaultClock } from './no-default-clock.js';
 import { noEnums } from './no-enums.js';
 import { oneExport } from './one-export.js';
@@ -7,6 +8,7 @@
 export const houseRules = {
   rules: {
     'function-verbs': functionVerbs,
+    'import-boundaries': importBoundaries,
     'no-default-clock': noDefaultClock,
     'no-enums': noEnums,
     'one-export': oneExport,
--- a/eslint-rules/test/house-rules.test.js
+++ b/eslint-rules/test/house-rules.test.js
@@ -7,7 +7,43 @@
 RuleTester.it = (_name, run) => run();
 const tester = new RuleTester({ languageOptions: { parser: tseslint.parser } });
 
+const placeFile = (file) => new URL(`../../packages/${file}`, import.meta.url).pathname;
+const buildErrors = (messageId) => [{ messageId }];
+
 const cases = {
+  'import-boundaries': {
+    valid: [
+      {
+        code: "import { z } from 'zod'; import fs from 'node:fs';",
+        filename: placeFile('read-settings/src/a.ts'),
+      },
+      { code: "import test from 'ava';", filename: placeFile('read-settings/test/a.ts') },
+      { code: "import('@laburnumshift/run-node');", filename: placeFile('cli/src/a.ts') },
+      { code: "export * from '@laburnumshift/call-store';", filename: placeFile('call-engine/src/a.ts') },
+    ],
+    invalid: [
+      {
+        code: "import { match } from 'ts-pattern';",
+        filename: placeFile('read-settings/src/a.ts'),
+        errors: buildErrors('undeclared'),
+      },
+      {
+        code: "import test from 'ava';",
+        filename: placeFile('cli/src/a.ts'),
+        errors: buildErrors('undeclared'),
+      },
+      {
+        code: "import { runNode } from '@laburnumshift/run-node';",
+        filename: placeFile('serve-callers/src/a.ts'),
+        errors: [{ messageId: 'undeclared' }, { messageId: 'node' }],
+      },
+      {
+        code: "export { a } from '@laburnumshift/call-service';",
+        filename: placeFile('call-engine/src/a.ts'),
+        errors: [{ messageId: 'undeclared' }, { messageId: 'peer' }],
+      },
+    ],
+  },
   'function-verbs': {
     valid: ['function readFile() {}', 'const sendCall = () => 1;'],
     invalid: [
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,6 +17,7 @@
     plugins: { house: houseRules },
     rules: {
       'house/function-verbs': 'error',
+      'house/import-boundaries': 'error',
       'house/no-enums': 'error',
       'no-restricted-imports': [
         'error',
