--- a/packages/measure-capacity/src/compute-sums.ts
+++ b/packages/measure-capacity/src/compute-sums.ts
@@ -1,4 +1,5 @@
 import { computeControl } from './compute-control.js';
+import { computeDaily } from './compute-daily.js';
 import { computeRequests } from './compute-requests.js';
 import type { Duty } from './duty.js';
 import type { Lookup } from './lookup.js';
@@ -23,7 +24,14 @@
     };
     return [
       name,
-      { scenario, duties, control: computeKind('control'), request: computeKind('request'), platform },
+      {
+        scenario,
+        duties,
+        control: computeKind('control'),
+        request: computeKind('request'),
+        platform,
+        daily: computeDaily(scenario, get),
+      },
     ];
   });
   return Object.fromEntries(sums);
--- a/packages/measure-capacity/src/render-sums.ts
+++ b/packages/measure-capacity/src/render-sums.ts
@@ -6,7 +6,7 @@
 const MB = 1e6;
 
 /** Renders the duties and sums of a scenario as a table of Markdown. */
-export function renderSums({ duties, control, request, platform }: Sums): string {
+export function renderSums({ duties, control, request, platform, daily }: Sums): string {
   const format = (value: number): string => (value < 0.005 ? '0' : value.toPrecision(value < 0.1 ? 1 : 2));
   const print = (value: number): string => (value >= 100 ? value.toFixed(0) : format(value));
   const renderCost = ({ core, bytes, memory }: Cost): string =>
@@ -26,5 +26,9 @@
     `${renderPair('**sum** | control', control)} ${all} |`,
     `${renderPair('**sum** | request', request)} |`,
     '',
+    '| restarts, failures and limits | figure | unit |',
+    '| --- | --- | --- |',
+    ...daily.map(({ name, value, unit }) => `| ${name} | ${print(value)} | ${unit} |`),
+    '',
   ].join('\n');
 }
