--- a/packages/watch-config/test/memory-world.ts
+++ b/packages/watch-config/test/memory-world.ts
@@ -67,17 +67,24 @@
     this.notifyMembers();
   }
 
-  publishNext(): number {
+  /** Publishes a file that changes each time, and others that never change. */
+  publishNext(others: readonly string[] = []): number {
     const generation = (this.head?.generation ?? 0) + 1;
     const segment = { file: 'a', accounts: [], services: [], pools: [], routes: [], generation };
     const hash = hashSegment(segment);
     this.segments.set(hash, segment);
+    const files: Record<string, string> = { a: hash };
+    for (const file of others) {
+      const other = { file, accounts: [], services: [], pools: [], routes: [] };
+      files[file] = hashSegment(other);
+      this.segments.set(files[file], other);
+    }
     this.head = {
       generation,
       changeId: String(generation),
       author: '',
       publishedAtMs: 0,
-      segments: { a: hash },
+      segments: files,
     };
     const events = [{ name: 'main', version: generation, value: this.head }];
     for (const [host, handlers] of this.watchers) {
--- a/packages/watch-config/test/watch-config.test.ts
+++ b/packages/watch-config/test/watch-config.test.ts
@@ -150,3 +150,23 @@
   t.is(world.countWatchers(), 6);
   world.stopAll();
 });
+
+test.serial('guards against files that a partial update loses, keeps or brings back', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const world = startWorld(['n1', 'n2', 'n3']);
+  world.cutFromPlatform.add('n3');
+  const publishes = [['b', 'c'], ['b', 'c', 'd'], ['b', 'd'], ['d'], ['b', 'd']];
+  for (const [index, files] of publishes.entries()) {
+    // Cut off for two generations, so that one update covers both.
+    if (index === 2) world.cutLinks.add('n3>*').add('n1>n3').add('n2>n3');
+    if (index === 4) world.cutLinks.clear();
+    world.publishNext(files);
+    await clock.tickAsync(LIMIT_MS);
+    if (index === 2 || index === 3) continue;
+    t.deepEqual(world.nodes.get('n3')?.watch.getHead(), world.head, `after publish ${String(index)}`);
+  }
+  world.stopAll();
+});
