Resolve routes in one place

run-call and run-completion had the same function with another kind of service. It moved to resolve-route; the tests of both packages pass unchanged.

--- a/packages/run-call/src/find-outcome.ts
+++ b/packages/run-call/src/find-outcome.ts
@@ -2,8 +2,8 @@
 import type { JournalDecision, JournalLook, Refusal, Result } from '@laburnumshift/types';
 import type { CallDependencies } from './call-dependencies.js';
 import { OUTCOMES } from '@laburnumshift/types';
+import { resolveRoute } from '@laburnumshift/resolve-route';
 import { checkKey } from './check-key.js';
-import { resolveCall } from './resolve-call.js';
 
 /**
  * Finds the state of a non-idempotent call of the account. The older system is not asked: it does not know accounts, so its
@@ -22,7 +22,7 @@
   if (config === undefined) {
     return { ok: true, value: { kind: 'unavailable', detail: 'no configuration yet', seen: true } };
   }
-  const resolved = resolveCall(config, look.account, look.service);
+  const resolved = resolveRoute(config, look.account, look.service, 'plain');
   if (!resolved.ok && resolved.error.code !== 'no_backend_server') {
     return { ok: true, value: { kind: 'absent' } };
   }
--- a/packages/run-call/src/run-call.ts
+++ b/packages/run-call/src/run-call.ts
@@ -1,12 +1,12 @@
 import { createRefusal } from '@laburnumshift/errors';
 import type { CallAnswer, Refusal, Result } from '@laburnumshift/types';
 import { OUTCOMES } from '@laburnumshift/types';
+import { resolveRoute } from '@laburnumshift/resolve-route';
 import type { CallDependencies } from './call-dependencies.js';
 import type { CallJob } from './call-job.js';
 import type { CallState } from './call-state.js';
 import { dispatchCall } from './dispatch-call.js';
 import { dispatchOlder } from './dispatch-older.js';
-import { resolveCall } from './resolve-call.js';
 import { runJournaled } from './run-journaled.js';
 
 const NOT_READY_RETRY_MS = 1_000;
@@ -30,7 +30,7 @@
   if (config === undefined) {
     return refuse('not_ready', 'no configuration yet', OUTCOMES.notRun, NOT_READY_RETRY_MS);
   }
-  const resolved = resolveCall(config, job.account.name, job.service);
+  const resolved = resolveRoute(config, job.account.name, job.service, 'plain');
   if (!resolved.ok) return resolved;
   const { service, pool } = resolved.value;
   const taken = deps.takeLimits?.(job.account.name, 0);
--- a/packages/run-completion/src/run-completion.ts
+++ b/packages/run-completion/src/run-completion.ts
@@ -3,11 +3,11 @@
 import { countTokens, hashPieces } from '@laburnumshift/hash-pieces';
 import type { PoolConfig, Refusal, RunEnd, ServiceConfig } from '@laburnumshift/types';
 import { OUTCOMES } from '@laburnumshift/types';
+import { resolveRoute } from '@laburnumshift/resolve-route';
 import type { CompletionDependencies } from './completion-dependencies.js';
 import type { CompletionJob } from './completion-job.js';
 import { computeFingerprint } from './compute-fingerprint.js';
 import type { EmitToken } from './emit-token.js';
-import { resolveService } from './resolve-service.js';
 import { runAttempts } from './run-attempts.js';
 import { runOnOlder } from './run-on-older.js';
 import type { RunState } from './run-state.js';
@@ -33,7 +33,7 @@
   if (config === undefined) {
     return refuse(createRefusal('not_ready', 'no configuration yet', OUTCOMES.notRun, NOT_READY_RETRY_MS));
   }
-  const resolved = resolveService(config, job.account.name, job.service);
+  const resolved = resolveRoute(config, job.account.name, job.service, 'model');
   if (!resolved.ok) return refuse(resolved.error);
   if (job.startOffset >= job.maxTokens) return { kind: 'finished', reason: 'length' };
   const taken = deps.takeLimits?.(job.account.name, countTokens(job.prompt) + job.maxTokens);
