List all measurements under one command

npm run measure knew only the scenarios over the decision code; it now lists and runs those over daemons too.

--- a/packages/measure-daemons/src/measure-daemons-command.ts
+++ b/packages/measure-daemons/src/measure-daemons-command.ts
@@ -2,8 +2,7 @@
 import { dirname } from 'node:path';
 import { Command, Option, UsageError } from 'clipanion';
 import { DAEMON_SCENARIOS } from './daemon-scenarios.js';
-import type { DaemonResult } from './daemon-result.js';
-import { readCommit } from './read-commit.js';
+import { measureDaemons } from './measure-daemons.js';
 import { readResults } from './read-results.js';
 import { renderTables } from './render-tables.js';
 
@@ -34,12 +33,8 @@
     }
     const seed = Number(this.seed);
     if (!Number.isSafeInteger(seed)) throw new UsageError('--seed must be an integer');
-    const scenario = DAEMON_SCENARIOS[this.scenario];
-    if (scenario === undefined) throw new UsageError(`unknown scenario ${this.scenario}`);
-    const commit = readCommit();
-    const figures = await scenario.run(seed);
-    const command = `npm run measure-daemons -- ${this.scenario} --seed ${String(seed)}`;
-    const result: DaemonResult = { command, scenario: this.scenario, seed, commit, figures };
+    const result = await measureDaemons(this.scenario, seed);
+    if (result === undefined) throw new UsageError(`unknown scenario ${this.scenario}`);
     const text = `${JSON.stringify(result, undefined, 2)}\n`;
     if (this.out === undefined) this.context.stdout.write(text);
     else {
--- a/packages/measure/src/measure-command.ts
+++ b/packages/measure/src/measure-command.ts
@@ -1,4 +1,5 @@
 import { writeFileSync } from 'node:fs';
+import { DAEMON_SCENARIOS, measureDaemons } from '@laburnumshift/measure-daemons';
 import { Command, Option, UsageError } from 'clipanion';
 import { measure } from './measure.js';
 import { SCENARIOS } from './scenarios.js';
@@ -15,18 +16,23 @@
   out = Option.String('--out', { description: 'file for the result; standard output by default' });
   scenario = Option.String({ required: false, name: 'NAME' });
 
-  execute(): Promise<number> {
+  async execute(): Promise<number> {
     if (this.list || this.scenario === undefined) {
-      const lines = Object.entries(SCENARIOS).map(([name, { description }]) => `${name}: ${description}\n`);
+      const lines = Object.entries({ ...SCENARIOS, ...DAEMON_SCENARIOS }).map(
+        ([name, { description }]) => `${name}: ${description}\n`,
+      );
       this.context.stdout.write(lines.join(''));
-      return Promise.resolve(0);
+      return 0;
     }
     const seed = Number(this.seed);
     if (!Number.isSafeInteger(seed)) throw new UsageError('--seed must be an integer');
-    if (!Object.hasOwn(SCENARIOS, this.scenario)) throw new UsageError(`unknown scenario ${this.scenario}`);
-    const text = `${JSON.stringify(measure(this.scenario, seed), undefined, 2)}\n`;
+    const result = Object.hasOwn(SCENARIOS, this.scenario)
+      ? measure(this.scenario, seed)
+      : await measureDaemons(this.scenario, seed);
+    if (result === undefined) throw new UsageError(`unknown scenario ${this.scenario}`);
+    const text = `${JSON.stringify(result, undefined, 2)}\n`;
     if (this.out === undefined) this.context.stdout.write(text);
     else writeFileSync(this.out, text);
-    return Promise.resolve(0);
+    return 0;
   }
 }
