--- a/packages/manage-cell/src/create-engine-screen.ts
+++ b/packages/manage-cell/src/create-engine-filter.ts
@@ -2,12 +2,12 @@
 import type { PlaceRequest } from '@laburnumshift/types';
 import { buildEngineState } from './build-engine-state.js';
 import type { CellState } from './cell-state.js';
-import type { EngineScreen } from './engine-screen.js';
+import type { EngineFilter } from './engine-filter.js';
 import { hasAdapter } from './has-adapter.js';
 import { hasRoom } from './has-room.js';
 
 /** Takes a picture of all engines, to check many waiting requests against it. */
-export function createEngineScreen(state: CellState, nowMs: number): EngineScreen {
+export function createEngineFilter(state: CellState, nowMs: number): EngineFilter {
   const shown = [...state.engines.values()].map((record) => ({
     record,
     engine: buildEngineState(state, record, nowMs, 'bulk'),
--- a/packages/manage-cell/src/create-ticket.ts
+++ b/packages/manage-cell/src/create-pending-placement.ts
@@ -1,8 +1,8 @@
 import type { PlaceReply, PlaceRequest } from '@laburnumshift/types';
-import type { Ticket } from './ticket.js';
+import type { PendingPlacement } from './pending-placement.js';
 
-/** Creates the ticket of a request that has just arrived. */
-export function createTicket(request: PlaceRequest, nowMs: number): Ticket {
+/** Creates the placement of a request that has just arrived. */
+export function createPendingPlacement(request: PlaceRequest, nowMs: number): PendingPlacement {
   let resolve: (reply: PlaceReply) => void = () => undefined;
   const answer = new Promise<PlaceReply>((settle) => {
     resolve = settle;
--- a/packages/manage-cell/src/engine-screen.ts
+++ b/packages/manage-cell/src/engine-filter.ts
@@ -1,7 +1,7 @@
 import type { PlaceRequest } from '@laburnumshift/types';
 
 /** The engines at one moment, for checking which waiting requests could run. */
-export interface EngineScreen {
+export interface EngineFilter {
   readonly usable: number;
   readonly slots: { readonly free: number; readonly reserved: number };
   /** Some usable engine may run it, now or once it has room. */
--- a/packages/manage-cell/src/manage-cell.ts
+++ b/packages/manage-cell/src/manage-cell.ts
@@ -5,7 +5,7 @@
 import type { CellOptions } from './cell-options.js';
 import type { CellState } from './cell-state.js';
 import { CELL_TIMES } from './cell-times.js';
-import { createPlaceDesk } from './create-place-desk.js';
+import { createPlacementQueue } from './create-placement-queue.js';
 import { failEngine } from './fail-engine.js';
 import { listStoreViews } from './list-store-views.js';
 import { observeRun } from './observe-run.js';
@@ -33,14 +33,14 @@
     grantWaiting: () => undefined,
   };
   reconcilePool(state, options.pool, options.servers);
-  const desk = createPlaceDesk(state);
-  state.grantWaiting = desk.grantWaiting;
+  const placements = createPlacementQueue(state);
+  state.grantWaiting = placements.grantWaiting;
   const reportError = (error: unknown): void => {
     logger.error('cell task failed', { reason: String(error) });
   };
   let changesPauseMs: number = CELL_TIMES.changesEveryMs;
   const stops = [
-    runEvery(CELL_TIMES.sweepEveryMs, desk.expireWaiting, reportError),
+    runEvery(CELL_TIMES.sweepEveryMs, placements.expireWaiting, reportError),
     runEvery(
       () => changesPauseMs,
       async () => {
@@ -60,7 +60,7 @@
       planner.recordUse(report, nowMs);
       runExports(state, planner.planExports(report, listStoreViews(state), directory, nowMs));
     }
-    desk.grantWaiting();
+    placements.grantWaiting();
   };
   const reportFailure = (failure: EngineFailure): void => {
     const record = state.engines.get(failure.engine);
@@ -70,7 +70,7 @@
   };
 
   return {
-    place: desk.place,
+    place: placements.place,
     reportRun,
     reportFailure,
     setLeaving: (names) => {
@@ -78,12 +78,12 @@
     },
     updatePool: (pool, servers) => {
       reconcilePool(state, pool, servers);
-      desk.grantWaiting();
+      placements.grantWaiting();
     },
-    getStatus: () => buildStatus(state, desk.getCounts()),
+    getStatus: () => buildStatus(state, placements.getCounts()),
     close: () => {
       for (const stop of stops) stop();
-      desk.close();
+      placements.close();
       for (const record of [...state.engines.values(), ...state.stores.values()]) {
         record.stopper.abort();
         record.client.close();
--- a/packages/manage-cell/src/ticket.ts
+++ b/packages/manage-cell/src/pending-placement.ts
@@ -1,7 +1,7 @@
 import type { PlaceReply, PlaceRequest } from '@laburnumshift/types';
 
 /** A request that was asked for and not answered for good. */
-export interface Ticket {
+export interface PendingPlacement {
   request: PlaceRequest;
   readonly deadlineAtMs: number;
   /** Callers that wait now; only then a grant can be handed out. */
--- a/packages/manage-cell/src/place-desk.ts
+++ b/packages/manage-cell/src/placement-queue.ts
@@ -1,7 +1,7 @@
 import type { PlaceReply, PlaceRequest } from '@laburnumshift/types';
 
 /** Takes requests, holds them in the admission queue and hands out grants. */
-export interface PlaceDesk {
+export interface PlacementQueue {
   readonly place: (request: PlaceRequest) => Promise<PlaceReply>;
   /** Grants what can be granted now. */
   readonly grantWaiting: () => void;
