Keep exports known while a store is listed, and wait longer for the home with long prompts

A list of a store replaced the directory's entries, and with them those of pieces exported while the list was made. And an entry node decided alone, without imports, when the home paused for 30 ms. Change: pieces exported since a list began are added again after it, and the home may answer for a tenth of the prompt's prefill time, at most 400 ms, beyond waitMs. The new test fails without the first change.

--- a/packages/manage-cell/src/create-store-record.ts
+++ b/packages/manage-cell/src/create-store-record.ts
@@ -12,6 +12,7 @@
     stopper: new AbortController(),
     stat: undefined,
     failures: 0,
+    exported: [],
     listedAtMs: undefined,
     backoffUntilMs: 0,
     queuedBytes: 0,
--- a/packages/manage-cell/src/run-exports.ts
+++ b/packages/manage-cell/src/run-exports.ts
@@ -52,5 +52,8 @@
   addLinkBytes(record, bytes, readMonotonicMs());
   const result = await engine.client.exportPiece(scope, chain, record.host.url, tier, bytes);
   metrics?.addCount(result.ok ? 'cell_exports' : 'cell_exports_failed', 1);
-  if (result.ok) directory.recordStored({ ...result.value, scope, chain, store, tier, bytes });
+  if (!result.ok) return;
+  const piece = { ...result.value, scope, chain, store, tier, bytes };
+  directory.recordStored(piece);
+  record.exported.push(piece);
 }
--- a/packages/manage-cell/src/store-record.ts
+++ b/packages/manage-cell/src/store-record.ts
@@ -1,4 +1,4 @@
-import type { ExportPlan, StoreClient, StoreHost, StoreStat } from '@laburnumshift/types';
+import type { ExportPlan, StoreClient, StoredPiece, StoreHost, StoreStat } from '@laburnumshift/types';
 
 /** What the home knows of a store host. */
 export interface StoreRecord {
@@ -7,6 +7,8 @@
   readonly stopper: AbortController;
   stat: StoreStat | undefined;
   failures: number;
+  /** Pieces exported since the last list began; a list does not show those that came while it was made. */
+  exported: StoredPiece[];
   /** When the pieces were listed last; absent asks for a new list. */
   listedAtMs: number | undefined;
   backoffUntilMs: number;
--- a/packages/manage-cell/src/watch-store.ts
+++ b/packages/manage-cell/src/watch-store.ts
@@ -19,9 +19,11 @@
       record.queuedBytes = Math.max(result.value.linkQueuedBytes, 0);
       record.queuedAtMs = nowMs;
       if (record.listedAtMs === undefined || nowMs - record.listedAtMs > listMs) {
+        record.exported = [];
         const pieces = await record.client.listPieces();
         if (pieces.ok) {
           directory.replaceStore(record.host.name, pieces.value);
+          for (const piece of record.exported) directory.recordStored(piece);
           record.listedAtMs = nowMs;
           listMs = Math.max(CELL_TIMES.listEveryMs, pieces.value.length * CELL_TIMES.listPieceMs);
         }
--- a/packages/manage-cell/test/doubles.ts
+++ b/packages/manage-cell/test/doubles.ts
@@ -88,8 +88,18 @@
   failing = false;
   silent = false;
   linkQueuedBytes = 0;
+  private listed: Promise<void> = Promise.resolve();
   constructor(readonly pieces: StoredPiece[]) {}
 
+  /** Holds lists back until the returned function is called. */
+  holdLists(): () => void {
+    let release: () => void = () => undefined;
+    this.listed = new Promise((resolve) => {
+      release = resolve;
+    });
+    return release;
+  }
+
   createClient(): StoreClient {
     const fail = { ok: false, error: { kind: 'unreachable', detail: '', sent: false } } as const;
     const notFound = { ok: false, error: { kind: 'rejected', status: 404, detail: '', sent: true } } as const;
@@ -99,7 +109,11 @@
         const value = { ...stat, linkBytesPerSecond: 1e8, linkQueuedBytes: this.linkQueuedBytes };
         return Promise.resolve(this.failing ? fail : { ok: true, value });
       },
-      listPieces: () => Promise.resolve({ ok: true, value: this.pieces }),
+      listPieces: async () => {
+        const value = [...this.pieces];
+        await this.listed;
+        return { ok: true, value };
+      },
       pinPiece: (_scope, chain) => {
         if (this.silent) return new Promise(() => undefined);
         const piece = this.gone.has(chain) ? undefined : this.pieces.find((one) => one.chain === chain);
--- a/packages/manage-cell/test/stores.test.ts
+++ b/packages/manage-cell/test/stores.test.ts
@@ -60,3 +60,16 @@
   await clock.tickAsync(2000);
   t.deepEqual(engines[0]?.exported, ['c0', 'c1', 'c2', 'c3']);
 });
+
+// Guards against exports that a list of the store, begun before them, makes the home forget.
+test.serial('a piece exported while the store is listed stays known', async (t) => {
+  const store = new StoreDouble([]);
+  const { cell, clock } = await startCell(t, { engines: createEngines(1), store });
+  const finishList = store.holdLists();
+  await clock.tickAsync(31_000);
+  cell.reportRun(createReport(createRequest(), 'e0'));
+  await clock.tickAsync(1_000);
+  finishList();
+  await clock.tickAsync(10);
+  t.is(cell.getStatus().directory.stored, 4);
+});
--- a/packages/run-node/src/create-placer.ts
+++ b/packages/run-node/src/create-placer.ts
@@ -16,6 +16,13 @@
 
 /** The home is silent when it has not answered this long after `waitMs`. */
 const HOME_GRACE_MS = 30;
+/**
+ * A decision without the home imports nothing, so a long prompt waits longer for it: this part of its prefill time. With
+ * 30 ms a pause of the home once cost a prompt of 24 pieces 2.1 s.
+ */
+const PREFILL_PART = 0.1;
+const MAX_GRACE_MS = 400;
+const MS_PER_S = 1000;
 const REPORT_TIMEOUT_MS = 1_000;
 
 /** Creates the entry node's way to placements: the home of the cell first, the local decision when it is silent. */
@@ -54,7 +61,8 @@
       const pool = getConfig()?.pools[request.pool];
       if (pool === undefined) return { kind: 'refused', code: 'no_engine', retryAfterMs: 1_000 };
       const home = findHome(pool, request.cell);
-      const answer = await mesh.callNode(home, 'place', request, request.waitMs + HOME_GRACE_MS);
+      const graceMs = computeGrace(request, pool);
+      const answer = await mesh.callNode(home, 'place', request, request.waitMs + graceMs);
       const reply = answer.ok ? answer.value : decideLocally(request, pool);
       if (answer.ok) countEvent('placements_total', { by: 'home' });
       if (reply.kind === 'granted') local.registerRun(request.requestId, reply.grant.engine);
@@ -76,6 +84,13 @@
   };
 }
 
+/** Computes how long after `waitMs` the home may still answer, milliseconds. */
+function computeGrace(request: PlaceRequest, pool: PoolConfig): number {
+  const tokens = request.pieces.reduce((sum, piece) => sum + piece.tokens, 0);
+  const rate = Math.max(1, ...pool.servers.map((server) => server.prefillTokensPerSecond));
+  return Math.min(MAX_GRACE_MS, Math.max(HOME_GRACE_MS, (tokens / rate) * MS_PER_S * PREFILL_PART));
+}
+
 /** The failure domain of all servers, or `undefined` when they are in several. */
 function findCommonDomain(domains: readonly string[]): string | undefined {
   return new Set(domains).size === 1 ? domains[0] : undefined;
