--- a/packages/manage-cell/test/doubles.ts
+++ b/packages/manage-cell/test/doubles.ts
@@ -84,9 +84,7 @@
 /** A store double that holds some pieces and records pins. */
 export class StoreDouble {
   pinned: string[] = [];
-  gone = new Set<string>();
   failing = false;
-  silent = false;
   linkQueuedBytes = 0;
   private listed: Promise<void> = Promise.resolve();
   constructor(readonly pieces: StoredPiece[]) {}
@@ -115,8 +113,7 @@
         return { ok: true, value };
       },
       pinPiece: (_scope, chain) => {
-        if (this.silent) return new Promise(() => undefined);
-        const piece = this.gone.has(chain) ? undefined : this.pieces.find((one) => one.chain === chain);
+        const piece = this.pieces.find((one) => one.chain === chain);
         if (piece !== undefined) this.pinned.push(chain);
         return Promise.resolve(piece === undefined ? notFound : { ok: true, value: piece });
       },
--- a/packages/measure/src/generate-inputs.ts
+++ b/packages/measure/src/generate-inputs.ts
@@ -1,5 +1,5 @@
 import type { PlacementInput } from '@laburnumshift/place-request';
-import { createRandom } from './create-random.js';
+import { createRandom } from '@laburnumshift/measure-daemons';
 
 /** Generates prompts, partly cached on half of the engines and stored on two tiers of two stores. */
 export function generateInputs(engines: number, count: number, seed: number): PlacementInput[] {
--- a/packages/measure/src/generate-trace.ts
+++ b/packages/measure/src/generate-trace.ts
@@ -1,5 +1,5 @@
 import type { PieceRef } from '@laburnumshift/types';
-import { createRandom } from './create-random.js';
+import { createRandom } from '@laburnumshift/measure-daemons';
 import type { Deployment } from './deployment.js';
 import type { TraceRequest } from './trace-request.js';
 
