--- /dev/null
+++ b/packages/call-backend/src/send-handlers.ts
@@ -0,0 +1,11 @@
+import type { AnswerHead } from '@laburnumshift/forward-types';
+import type { SendFault } from './send-fault.js';
+
+/** Receives the answer to one call. Exactly one of `onEnd` and `onFault` is called, last. */
+export interface SendHandlers {
+  readonly onHead: (head: AnswerHead) => void;
+  readonly onBytes: (bytes: Buffer) => void;
+  /** The whole answer was received. Without a length, the end of the connection is the only sign of that. */
+  readonly onEnd: (hasLength: boolean) => void;
+  readonly onFault: (fault: SendFault) => void;
+}
--- /dev/null
+++ b/packages/clock/src/compute-elapsed-ms.ts
@@ -0,0 +1,11 @@
+import type { Moment } from './moment.js';
+import { readMoment } from './read-moment.js';
+
+/**
+ * Upper bound of the time since a moment, milliseconds. The monotonic clock may stand still while the host is suspended and
+ * the wall clock may be set back, so the larger of both differences counts.
+ */
+export function computeElapsedMs(since: Moment): number {
+  const now = readMoment();
+  return Math.max(now.steadyMs - since.steadyMs, now.wallMs - since.wallMs);
+}
--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,4 +1,7 @@
 /** The only place that reads the clock and sets timers; tests pause and advance the runtime's clock. */
+export { computeElapsedMs } from './compute-elapsed-ms.js';
+export type { Moment } from './moment.js';
+export { readMoment } from './read-moment.js';
 export { readMonotonicMs } from './read-monotonic-ms.js';
 export { readWallMs } from './read-wall-ms.js';
 export { runEvery } from './run-every.js';
--- /dev/null
+++ b/packages/forward-calls/src/attempt-call.ts
@@ -0,0 +1,137 @@
+import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
+import { CALL_KINDS, type AnswerHead } from '@laburnumshift/forward-types';
+import type { SentCall } from '@laburnumshift/call-backend';
+import type { AttemptEnd } from './attempt-end.js';
+import type { AttemptInput } from './attempt-input.js';
+import type { ForwardDeps } from './forward-deps.js';
+
+/** How often a call that may be repeated looks whether its server went silent, milliseconds. */
+const SILENCE_CHECK_MS = 250;
+/** A server with calls that sends nothing for so long is taken for dead, milliseconds; see the pauses that streams allow. */
+const SILENCE_MS = 1200;
+/** Time over the end of the call that the server's own answer to the deadline gets, milliseconds. */
+const END_GRACE_MS = 150;
+const MAX_HELD_BYTES = 4 * 1024 * 1024;
+
+/** Sends a call to one server, and passes a stream on as it comes. Other answers are held back whole for a decision. */
+export function attemptCall(deps: ForwardDeps, input: AttemptInput): Promise<AttemptEnd> {
+  const { job, server, splitter, backendCall } = input;
+  const { reply, route } = job;
+  const tracked = deps.board.beginCall(server.id, input.work);
+
+  return new Promise((resolve) => {
+    const held: Buffer[] = [];
+    let heldBytes = 0;
+    let head: AnswerHead | undefined;
+    let sent: SentCall | undefined;
+    let isOpen = true;
+    let hasFirst = false;
+
+    const finish = (end: AttemptEnd, result: Parameters<typeof tracked.finish>[0]): void => {
+      if (!isOpen) return;
+      isOpen = false;
+      stopEnd();
+      stopCheck();
+      job.left.removeEventListener('abort', handleLeft);
+      tracked.finish(result);
+      resolve(end);
+    };
+    const cancel = (end: AttemptEnd, result: Parameters<typeof tracked.finish>[0]): void => {
+      sent?.cancel();
+      finish(end, result);
+    };
+    const handleLeft = (): void => {
+      cancel({ kind: 'ended' }, 'cancelled');
+    };
+    const stopEnd = startTimer(Math.max(0, job.endsMs - readMonotonicMs()) + END_GRACE_MS, () => {
+      cancel({ kind: 'ended' }, 'cancelled');
+    });
+    let stopCheck = (): void => undefined;
+    const checkSilence = (): void => {
+      const { silentMs } = deps.board.getState(server.id);
+      const startedMs = readMonotonicMs() - sentMs;
+      if (Math.min(silentMs, startedMs) >= SILENCE_MS) {
+        cancel(endBroken('server is silent'), 'failed');
+        return;
+      }
+      stopCheck = startTimer(SILENCE_CHECK_MS, checkSilence);
+    };
+    const endBroken = (reason: string): AttemptEnd => {
+      splitter.clearRest();
+      return reply.isHeadSent() ? { kind: 'cut', reason } : { kind: 'broken', reason };
+    };
+    const isStreamAnswer = (): boolean =>
+      head !== undefined && head.status === 200 && route.kind === CALL_KINDS.stream;
+    const passEvents = (events: Buffer): void => {
+      if (head === undefined) return;
+      if (!hasFirst) {
+        hasFirst = true;
+        tracked.observeFirstEvent();
+        input.onFirstEvent();
+      }
+      if (!reply.isHeadSent()) reply.sendHead(head.status, head.passedHeaders);
+      if (!reply.write(events)) {
+        sent?.pause();
+        reply.onDrain(() => sent?.resume());
+      }
+    };
+
+    const sentMs = readMonotonicMs();
+    job.left.addEventListener('abort', handleLeft);
+    if (input.isRepeatable) stopCheck = startTimer(SILENCE_CHECK_MS, checkSilence);
+    sent = deps.pool.sendCall(server, input.maxConnections, backendCall, job.body, {
+      onHead: (received) => {
+        head = received;
+        tracked.observeBytes();
+        if (received.load !== undefined) deps.board.observeLoad(server.id, received.load);
+        if (received.isNotRun || received.isWrongServer) return;
+        const isSuccess = received.status >= 200 && received.status < 300;
+        if (isSuccess && (!received.isSealed || received.isEncoded))
+          cancel(endBroken('the answer is not the server’s own'), 'failed');
+      },
+      onBytes: (bytes) => {
+        tracked.observeBytes();
+        if (head === undefined || head.isNotRun || head.isWrongServer) return;
+        if (isStreamAnswer()) {
+          const events = splitter.addBytes(bytes);
+          if (events !== undefined) passEvents(events);
+          return;
+        }
+        heldBytes += bytes.length;
+        if (heldBytes > MAX_HELD_BYTES) cancel(endBroken('the answer is too long'), 'failed');
+        else held.push(bytes);
+      },
+      onEnd: (hasLength) => {
+        if (head === undefined) return;
+        if (head.isNotRun || head.isWrongServer) {
+          const reason = head.isWrongServer ? 'another process or version' : 'server is full';
+          finish({ kind: 'not-run', reason, isSent: true }, 'refused');
+          return;
+        }
+        if (!isStreamAnswer()) {
+          const isFailure = head.status >= 500;
+          finish({ kind: 'answered', head, body: Buffer.concat(held) }, isFailure ? 'failed' : 'served');
+          return;
+        }
+        const rest = splitter.getRest();
+        if (rest.length > 0 && !hasLength) {
+          finish(endBroken('stream ended within an event'), 'failed');
+          return;
+        }
+        if (rest.length > 0) passEvents(rest);
+        if (!reply.isHeadSent()) reply.sendHead(head.status, head.passedHeaders);
+        reply.end();
+        finish({ kind: 'delivered', status: head.status }, 'served');
+      },
+      onFault: ({ type, reason }) => {
+        if (head !== undefined && (head.isNotRun || head.isWrongServer)) {
+          finish({ kind: 'not-run', reason: 'server is full', isSent: true }, 'refused');
+        } else if (type === 'not-sent') {
+          finish({ kind: 'not-run', reason, isSent: false }, 'failed');
+        } else {
+          finish(endBroken(reason), 'failed');
+        }
+      },
+    });
+  });
+}
--- /dev/null
+++ b/packages/forward-calls/src/choice.ts
@@ -0,0 +1,14 @@
+import type { BackendEntry } from '@laburnumshift/forward-types';
+
+/** Where a call goes, or why it is refused. */
+export type Choice =
+  | {
+      readonly kind: 'server';
+      readonly server: BackendEntry;
+      readonly uncachedTokens: number;
+      readonly expectedMs: number;
+      readonly fetchFrom: BackendEntry | undefined;
+      /** Weight version that the call shall run under; `undefined` for plain services. */
+      readonly version: number | undefined;
+    }
+  | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number };
--- /dev/null
+++ b/packages/forward-calls/src/choose-server.ts
@@ -0,0 +1,137 @@
+import { computeElapsedMs, readMonotonicMs } from '@laburnumshift/clock';
+import type { BackendEntry, PromptShape } from '@laburnumshift/forward-types';
+import { admitCall, placeCall, placePlainCall } from '@laburnumshift/place-calls';
+import type { ServerState } from '@laburnumshift/track-engines';
+import { buildCacheScope } from './build-cache-scope.js';
+import type { Choice } from './choice.js';
+import { ENGINE_RATES } from './engine-rates.js';
+import type { ForwardDeps } from './forward-deps.js';
+import type { ForwardJob } from './forward-job.js';
+
+/** A load that was told counts half after this time, milliseconds: about the run time of a call. */
+const LOAD_HALF_LIFE_MS = 1500;
+/** Tokens that a waiting call of another host is taken to bring. */
+const WAITING_TOKENS = 2500;
+/** Nothing received for so long makes a server with calls suspect, milliseconds. */
+const SILENT_MS = 800;
+/** Retry-After when no server is there, milliseconds: half of the time in which a lapsed server is back. */
+const NO_SERVER_RETRY_MS = 1000;
+/** Calls on outdated weights lose part of their value from this time on, milliseconds. */
+const OUTDATED_FROM_MS = 1300;
+/** Delay that outdated weights count for before and after that. */
+const OUTDATED_EARLY_MS = 30;
+const OUTDATED_LATE_MS = 400;
+/** Calls stop going to outdated engines so long before the bound, milliseconds: queue and clock rates. */
+const VERSION_MARGIN_MS = 1500;
+/** An order that is under way takes about so long, milliseconds; afterwards the mark is not trusted. */
+const ROLLING_MS = 6000;
+
+const countOthers = (state: ServerState): number => {
+  if (state.load === undefined) return 0;
+  const others = Math.max(0, state.load.running + state.load.waiting - state.inFlightAtLoad);
+  return others * 0.5 ** (state.loadAgeMs / LOAD_HALF_LIFE_MS);
+};
+const isUsable = (state: ServerState): boolean => !state.isAvoided;
+
+/** Chooses the server for the next attempt of a call. Servers that were tried are left out while there are others. */
+export function chooseServer(deps: ForwardDeps, job: ForwardJob, tried: ReadonlySet<string>): Choice {
+  const all = deps.fleet.listBackends(job.service.name);
+  const untried = all.filter(({ id }) => !tried.has(id));
+  const fresh = untried.filter(({ id }) => isUsable(deps.board.getState(id)));
+  const servers = fresh.length > 0 ? fresh : untried;
+  if (servers.length === 0) {
+    const reason = all.length === 0 ? 'no server' : 'no other server';
+    return { kind: 'refuse', reason, retryAfterMs: NO_SERVER_RETRY_MS };
+  }
+  const { prompt } = job.call;
+  if (prompt === undefined || job.service.engine === undefined) return choosePlain(deps, servers);
+  return chooseEngine(deps, job, servers, prompt);
+}
+
+function choosePlain(deps: ForwardDeps, servers: readonly BackendEntry[]): Choice {
+  const candidates = servers.map(({ id, failureDomain, slots }) => {
+    const state = deps.board.getState(id);
+    return {
+      id,
+      failureDomain,
+      calls: state.inFlight + countOthers(state),
+      slots,
+      failureShare: state.failureShare,
+      isSilent: state.silentMs >= SILENT_MS,
+    };
+  });
+  const chosen = placePlainCall(candidates, deps.failureDomain, deps.pickRandom());
+  const server = servers.find(({ id }) => id === chosen?.id);
+  if (server === undefined) return { kind: 'refuse', reason: 'no server', retryAfterMs: NO_SERVER_RETRY_MS };
+  return { kind: 'server', server, uncachedTokens: 0, expectedMs: 0, fetchFrom: undefined, version: undefined };
+}
+
+function chooseEngine(
+  deps: ForwardDeps,
+  job: ForwardJob,
+  servers: readonly BackendEntry[],
+  prompt: PromptShape,
+): Choice {
+  const engine = job.service.engine;
+  if (engine === undefined) throw new TypeError('not a service of engines');
+  const named = deps.fleet.getWeights(prompt.model);
+  const namedMs = named === undefined ? 0 : computeElapsedMs(named.learned);
+  const isOutdated = (server: BackendEntry): boolean =>
+    named !== undefined && (server.versions.get(prompt.model) ?? named.version) < named.version;
+  const mayUse = (server: BackendEntry): boolean => {
+    if (!isOutdated(server)) return true;
+    const isRolling = server.rollingTo !== undefined && namedMs < ROLLING_MS;
+    return !isRolling && namedMs < deps.bounds.versionMs - VERSION_MARGIN_MS;
+  };
+  const usable = servers.filter(mayUse);
+  if (usable.length === 0)
+    return { kind: 'refuse', reason: 'weights are being replaced', retryAfterMs: NO_SERVER_RETRY_MS };
+
+  const shared = prompt.pieces.slice(0, -1);
+  const candidates = usable.map((server) => {
+    const state = deps.board.getState(server.id);
+    const scope = buildCacheScope(job.account, prompt.model, server.versions.get(prompt.model));
+    const others = state.load === undefined ? 0 : Math.max(0, state.load.waiting);
+    const waitTokens = state.pendingTokens + others * WAITING_TOKENS * 0.5 ** (state.loadAgeMs / LOAD_HALF_LIFE_MS);
+    return {
+      id: server.id,
+      failureDomain: server.failureDomain,
+      waitMs: waitTokens / ENGINE_RATES.readPerMs,
+      cachedTokens: deps.board.findChain(server.id, scope, prompt.pieces).tokens,
+      memoryShare: state.heldTokens / engine.capacityTokens,
+      failureShare: state.failureShare,
+      isSilent: state.silentMs >= SILENT_MS,
+      isOutdated: isOutdated(server),
+    };
+  });
+  const placement = placeCall({
+    candidates,
+    homeKey: shared.at(-1)?.id ?? prompt.pieces[0]?.id ?? job.call.id,
+    inputTokens: prompt.inputTokens,
+    sharedTokens: shared.reduce((sum, piece) => sum + piece.tokens, 0),
+    ownDomain: deps.failureDomain,
+    outdatedMs: namedMs < OUTDATED_FROM_MS ? OUTDATED_EARLY_MS : OUTDATED_LATE_MS,
+    rates: {
+      readPerMs: ENGINE_RATES.readPerMs,
+      fetchPerMs:
+        (engine.linkMbps * ENGINE_RATES.bitsPerMbpsMs) / ENGINE_RATES.bitsPerByte / engine.bytesPerToken,
+    },
+  });
+  const server = usable.find(({ id }) => id === placement.id);
+  if (server === undefined) return { kind: 'refuse', reason: 'no server', retryAfterMs: NO_SERVER_RETRY_MS };
+  const admission = admitCall({
+    expectedMs: placement.expectedMs,
+    remainingMs: job.endsMs - readMonotonicMs(),
+    targetMs: job.route.targetMs,
+  });
+  if (!admission.isAdmitted)
+    return { kind: 'refuse', reason: 'queue is too long', retryAfterMs: admission.retryAfterMs };
+  return {
+    kind: 'server',
+    server,
+    uncachedTokens: placement.uncachedTokens,
+    expectedMs: placement.expectedMs,
+    fetchFrom: usable.find(({ id }) => id === placement.fetchFrom),
+    version: server.versions.get(prompt.model),
+  };
+}
--- /dev/null
+++ b/packages/forward-calls/src/forward-deps.ts
@@ -0,0 +1,20 @@
+import type { BackendPool } from '@laburnumshift/call-backend';
+import type { EdgeCodec, ForwardBounds } from '@laburnumshift/forward-types';
+import type { ResendBudget } from '@laburnumshift/limit-resends';
+import type { Metrics } from '@laburnumshift/record-metrics';
+import type { EngineBoard } from '@laburnumshift/track-engines';
+import type { FleetView } from '@laburnumshift/track-fleet';
+
+/** What forwarding a call needs. */
+export interface ForwardDeps {
+  readonly codec: EdgeCodec;
+  readonly fleet: FleetView;
+  readonly board: EngineBoard;
+  readonly pool: BackendPool;
+  readonly resends: ResendBudget;
+  readonly metrics: Metrics;
+  readonly bounds: ForwardBounds;
+  readonly failureDomain: string;
+  /** 0 to 1; decides among equals. */
+  readonly pickRandom: () => number;
+}
--- /dev/null
+++ b/packages/forward-calls/src/refusal-texts.ts
@@ -0,0 +1,11 @@
+/** Text of each answer that the host makes itself. 503 states that the call has not run. */
+export const REFUSAL_TEXTS = {
+  400: 'The request is malformed.',
+  401: 'The key is unknown.',
+  404: 'No route matches.',
+  413: 'The body is too long.',
+  431: 'The header is too long.',
+  502: 'The backend server gave no whole answer. The call may have run.',
+  503: 'The call has not run. Come back later.',
+  504: 'The time for the call is over. It may have run.',
+} as const;
--- /dev/null
+++ b/packages/forward-calls/src/run-forward.ts
@@ -0,0 +1,165 @@
+import { readMonotonicMs } from '@laburnumshift/clock';
+import { CALL_KINDS } from '@laburnumshift/forward-types';
+import { createLogger } from '@laburnumshift/logger';
+import { attemptCall } from './attempt-call.js';
+import { buildCacheScope } from './build-cache-scope.js';
+import { chooseServer } from './choose-server.js';
+import { createEventSplitter } from './create-event-splitter.js';
+import { decideNextStep } from './decide-next-step.js';
+import type { ForwardDeps } from './forward-deps.js';
+import type { ForwardJob } from './forward-job.js';
+import { replyRefusal } from './reply-refusal.js';
+
+/** Attempts whose connection failed before anything was sent; each takes another server. */
+const MAX_UNSENT = 3;
+/** A server that refuses connections gets no calls for so long, milliseconds: half of a short restart. */
+const UNREACHABLE_MS = 500;
+/** Part of a server's connections that one host uses, as hosts don't know each other's. */
+const CONNECTION_SHARE = 0.2;
+const MIN_CONNECTIONS = 4;
+/** Retry-After when servers refused the call, milliseconds: a short queue has changed by then. */
+const FULL_RETRY_MS = 400;
+const DEFAULT_PRIORITY = 5;
+const MAX_URGENCY = 9;
+
+/** Forwards one call until the caller has a final answer. */
+export async function runForward(deps: ForwardDeps, job: ForwardJob): Promise<void> {
+  const { call, route, account, service, reply } = job;
+  const logger = createLogger('forward');
+  const splitter = createEventSplitter();
+  const tried = new Set<string>();
+  const trail: Record<string, unknown>[] = [];
+  const isRepeatable =
+    route.kind === CALL_KINDS.idempotent || (route.kind === CALL_KINDS.stream && route.isResumable);
+  const urgency = Math.min(MAX_URGENCY, 2 * (account?.priority ?? route.priority));
+  let attempts = 0;
+  let unsent = 0;
+  let mayHaveRun = false;
+
+  const recordEnd = (outcome: string, status: number, reason: string): void => {
+    const ms = Math.round(readMonotonicMs() - job.arrivedMs);
+    deps.metrics.countEvent('forwarded_calls_total', { route: route.name, outcome });
+    deps.metrics.recordMs('forwarded_call_ms', ms, { route: route.name });
+    const fields = {
+      request: call.id,
+      route: route.name,
+      service: service.name,
+      account: account?.name,
+      outcome,
+      status,
+      reason,
+      ms,
+      trail,
+    };
+    if (outcome === 'served') logger.info('call ended', fields);
+    else logger.warn('call ended', fields);
+  };
+  const refuse = (reason: string, retryAfterMs: number): void => {
+    if (reply.isHeadSent()) {
+      reply.abort();
+      recordEnd('aborted', 0, reason);
+      return;
+    }
+    const status = mayHaveRun ? 502 : 503;
+    replyRefusal(deps.codec, reply, call.id, status, mayHaveRun ? undefined : retryAfterMs);
+    recordEnd(mayHaveRun ? 'failed' : 'refused', status, reason);
+  };
+
+  for (;;) {
+    if (job.left.aborted) {
+      recordEnd('left', 0, 'caller left');
+      return;
+    }
+    const choice = chooseServer(deps, job, tried);
+    if (choice.kind === 'refuse') {
+      refuse(choice.reason, choice.retryAfterMs);
+      return;
+    }
+    const { server } = choice;
+    const startedMs = readMonotonicMs();
+    const remainingMs = Math.floor(job.endsMs - startedMs);
+    const scope = buildCacheScope(account, call.prompt?.model ?? '', choice.version);
+    attempts += 1;
+    const end = await attemptCall(deps, {
+      job,
+      server,
+      maxConnections: Math.max(MIN_CONNECTIONS, Math.floor(service.maxConnections * CONNECTION_SHARE)),
+      backendCall: {
+        call,
+        remainingMs,
+        expectedServer: server.id,
+        account: account?.name,
+        ...(call.prompt !== undefined && {
+          engine: {
+            expectedVersion: choice.version,
+            cacheScope: scope,
+            urgency: Number.isFinite(urgency) ? urgency : DEFAULT_PRIORITY,
+            fetchFrom: choice.fetchFrom?.address,
+          },
+        }),
+        resumeAfter: splitter.getLastId(),
+      },
+      work: {
+        uncachedTokens: choice.uncachedTokens,
+        totalTokens: (call.prompt?.inputTokens ?? 0) + (call.prompt?.maxOutputTokens ?? 0) / 2,
+      },
+      splitter,
+      isRepeatable,
+      onFirstEvent: () => {
+        const firstMs = readMonotonicMs() - startedMs;
+        deps.metrics.recordMs('first_event_ms', firstMs, { route: route.name });
+        for (const { id, tokens } of call.prompt?.pieces ?? []) deps.board.addPiece(server.id, scope, id, tokens);
+      },
+    });
+    if (end.kind === 'not-run' && !end.isSent) {
+      attempts -= 1;
+      unsent += 1;
+      deps.board.avoidServer(server.id, UNREACHABLE_MS);
+    }
+    tried.add(server.id);
+    if (end.kind === 'broken' || end.kind === 'cut' || end.kind === 'answered' || end.kind === 'ended') mayHaveRun = true;
+    trail.push({
+      server: server.id,
+      expectedMs: Math.round(choice.expectedMs),
+      uncachedTokens: Math.round(choice.uncachedTokens),
+      fetchFrom: choice.fetchFrom?.id,
+      version: choice.version,
+      end: end.kind,
+      reason: 'reason' in end ? end.reason : undefined,
+      ms: Math.round(readMonotonicMs() - startedMs),
+    });
+    const step = decideNextStep(
+      {
+        attempts,
+        maxAttempts: route.maxAttempts,
+        unsent,
+        maxUnsent: MAX_UNSENT,
+        remainingMs: job.endsMs - readMonotonicMs(),
+        isRepeatable,
+        mayHaveRun,
+        isHeadSent: reply.isHeadSent(),
+        hasLeft: job.left.aborted,
+        takeResend: () => deps.resends.takeResend(service.name),
+      },
+      end,
+    );
+    if (step.kind === 'send') continue;
+    if (step.kind === 'done') {
+      if (end.kind === 'delivered') recordEnd('served', end.status, '');
+      else recordEnd('left', 0, 'caller left');
+    } else if (step.kind === 'pass') {
+      reply.sendHead(step.head.status, step.head.passedHeaders);
+      reply.end(step.body);
+      recordEnd(step.head.status < 400 ? 'served' : 'failed', step.head.status, 'server answered');
+    } else if (step.kind === 'refuse') {
+      refuse('servers refused the call', FULL_RETRY_MS);
+    } else if (step.kind === 'fail') {
+      replyRefusal(deps.codec, reply, call.id, step.status, undefined);
+      recordEnd('failed', step.status, step.status === 504 ? 'time is over' : 'no whole answer');
+    } else {
+      reply.abort();
+      recordEnd('aborted', 0, 'stream broke off');
+    }
+    return;
+  }
+}
--- /dev/null
+++ b/packages/forward-types/src/answer-head.ts
@@ -0,0 +1,25 @@
+import type { BackendLoad } from './backend-load.js';
+
+/** What the head of a backend server's answer says. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Id of the call that is answered; `undefined` when not echoed. */
+  readonly callId: string | undefined;
+  /** The server vouches for the answer; a success without it is not the server's. */
+  readonly isSealed: boolean;
+  /** The server states that it did not run the call and never will. */
+  readonly isNotRun: boolean;
+  /** The server is another process than the expected one, or has other weights. */
+  readonly isWrongServer: boolean;
+  /** The server closes the connection after this answer. */
+  readonly isClosing: boolean;
+  /** The body has a coding that the caller did not ask for. */
+  readonly isEncoded: boolean;
+  readonly load: BackendLoad | undefined;
+  /** Weight version that made the answer. */
+  readonly version: number | undefined;
+  /** How long the server keeps an idle connection, milliseconds. */
+  readonly idleMs: number | undefined;
+  /** Header fields for the caller: names and values in turn, without those of the connection. */
+  readonly passedHeaders: readonly string[];
+}
--- /dev/null
+++ b/packages/forward-types/src/engine-control.ts
@@ -0,0 +1,17 @@
+import type { BackendEntry } from './backend-entry.js';
+import type { CacheEventsPage } from './cache-events-page.js';
+import type { EngineReport } from './engine-report.js';
+import type { OrderOutcome } from './order-outcome.js';
+import type { WeightOrder } from './weight-order.js';
+
+/** Calls to engines and stores beside the callers' work. Never rejects; `undefined` means no usable answer. */
+export interface EngineControl {
+  readonly readReport: (engine: BackendEntry) => Promise<EngineReport | undefined>;
+  readonly sendOrder: (engine: BackendEntry, order: WeightOrder) => Promise<OrderOutcome>;
+  /** Waits up to `waitMs` for events after `since`; `full` when the engine answers no more readers. */
+  readonly readEvents: (
+    address: string,
+    since: number,
+    waitMs: number,
+  ) => Promise<CacheEventsPage | 'full' | undefined>;
+}
--- /dev/null
+++ b/packages/forward-types/src/forward-settings.ts
@@ -0,0 +1,14 @@
+import type { ForwardBounds } from './forward-bounds.js';
+
+/** Settings of a forwarding host. Addresses are `IP:port`. */
+export interface ForwardSettings {
+  readonly host: string;
+  readonly failureDomain: string;
+  readonly callerAddress: string;
+  readonly readyAddress: string;
+  /** `undefined` when metrics are not served. */
+  readonly metricsAddress: string | undefined;
+  readonly bounds: ForwardBounds;
+  /** Interval at which servers renew their entries, milliseconds. */
+  readonly heartbeatMs: number;
+}
--- /dev/null
+++ b/packages/forward-types/src/prompt-shape.ts
@@ -0,0 +1,11 @@
+import type { PromptPiece } from './prompt-piece.js';
+
+/** What a call says of its prompt. */
+export interface PromptShape {
+  readonly model: string;
+  readonly inputTokens: number;
+  /** Upper bound of the output. */
+  readonly maxOutputTokens: number;
+  /** In the order of the prompt; the last piece belongs to the call or its session alone. */
+  readonly pieces: readonly PromptPiece[];
+}
--- /dev/null
+++ b/packages/forward-types/src/watch-outcome.ts
@@ -0,0 +1,7 @@
+import type { ObjectChange } from './object-change.js';
+
+/** Answer to a waiting read of changes. `compacted`: the history is gone, list again. */
+export type WatchOutcome =
+  | { readonly kind: 'changes'; readonly changes: readonly ObjectChange[]; readonly revision: number }
+  | { readonly kind: 'compacted' }
+  | { readonly kind: 'unavailable'; readonly reason: string };
--- a/packages/hold-lease/src/hold-lease.ts
+++ b/packages/hold-lease/src/hold-lease.ts
@@ -1,5 +1,12 @@
 import { randomUUID } from 'node:crypto';
-import { readMonotonicMs, readWallMs, runEvery } from '@laburnumshift/clock';
+import {
+  computeElapsedMs,
+  readMoment,
+  readMonotonicMs,
+  readWallMs,
+  runEvery,
+  type Moment,
+} from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
 import type { WriteResult } from '@laburnumshift/types';
 import type { LeaseOptions } from './lease-options.js';
@@ -10,16 +17,20 @@
 /** Competes for a lease, renews it while it is held, and takes it over when its holder stops renewing. */
 export function holdLease(options: LeaseOptions): Lease {
   const { platform, name, self } = options;
+  const times = options.times ?? LEASE_TIMES;
   const logger = createLogger('lease');
-  /** The held lease: its fencing number, the version of its object, and the time until which it is surely held. */
-  let held: { readonly fencing: number; version: number; untilMs: number; sentMs: number } | undefined;
+  /** The held lease: its fencing number, the version of its object, and when its last renewal was sent. */
+  let held: { readonly fencing: number; version: number; sent: Moment } | undefined;
   /** The last version of another holder and the time at which it was first seen. */
   let seen = { version: -1, sinceMs: 0 };
   let closed = false;
 
-  const isHeld = (): boolean => held !== undefined && readMonotonicMs() < held.untilMs;
+  /** Counts the time that the host was suspended, so that a holder that wakes up does not trust its lease. */
+  const computeRemainingMs = (): number =>
+    held === undefined ? 0 : Math.max(0, times.holdMs - computeElapsedMs(held.sent));
+  const isHeld = (): boolean => computeRemainingMs() > 0;
   const writeLease = (holder: string, fencing: number, ifVersion: number): Promise<WriteResult> => {
-    const expiresAt = readWallMs() + LEASE_TIMES.challengeMs;
+    const expiresAt = readWallMs() + times.challengeMs;
     const value = { holder, fencing, expiresAt, incarnation: self.incarnation };
     return platform.writeObject('lease', name, value, ifVersion, randomUUID(), 'lease');
   };
@@ -38,24 +49,23 @@
     const found = await readLease();
     if (found === undefined) return;
     if (found.version !== seen.version) seen = { version: found.version, sinceMs: readMonotonicMs() };
-    const isFree = found.holder === '' || readMonotonicMs() - seen.sinceMs >= LEASE_TIMES.challengeMs;
+    const isFree = found.holder === '' || readMonotonicMs() - seen.sinceMs >= times.challengeMs;
     if (!isFree || closed) return;
-    const sentMs = readMonotonicMs();
+    const sent = readMoment();
     const fencing = found.fencing + 1;
     const result = await writeLease(self.host, fencing, found.version);
     // After an unknown result the lease is not held: this node then waits for its own write like for another's.
     if (result.kind !== 'written') return;
-    held = { fencing, version: result.version, untilMs: sentMs + LEASE_TIMES.holdMs, sentMs };
+    held = { fencing, version: result.version, sent };
     if (isHeld()) logger.info('holds a lease', { lease: name, fencing });
     else dropLease('the answer came too late');
   };
   const renewLease = async (current: NonNullable<typeof held>): Promise<void> => {
-    const sentMs = readMonotonicMs();
+    const sent = readMoment();
     const result = await writeLease(self.host, current.fencing, current.version);
     if (result.kind === 'written') {
       current.version = result.version;
-      current.sentMs = sentMs;
-      current.untilMs = sentMs + LEASE_TIMES.holdMs;
+      current.sent = sent;
       return;
     }
     if (result.kind === 'unavailable') return;
@@ -76,16 +86,16 @@
     const isWanted = options.isWanted?.() ?? true;
     if (held !== undefined && !isWanted) await releaseLease();
     else if (held === undefined && isWanted) await takeLease();
-    else if (held !== undefined && readMonotonicMs() - held.sentMs >= LEASE_TIMES.renewMs)
+    else if (held !== undefined && computeElapsedMs(held.sent) >= times.renewMs)
       await renewLease(held);
   };
-  const stop = runEvery(LEASE_TIMES.pollMs, runOnce, (error) => {
+  const stop = runEvery(options.getPollMs ?? times.pollMs, runOnce, (error) => {
     logger.error('lease work failed', { lease: name, detail: String(error) });
   });
 
   return {
     getFencing: () => (isHeld() ? held?.fencing : undefined),
-    getRemainingMs: () => (held === undefined ? 0 : Math.max(0, held.untilMs - readMonotonicMs())),
+    getRemainingMs: computeRemainingMs,
     release: async () => {
       closed = true;
       stop();
--- a/packages/hold-lease/src/index.ts
+++ b/packages/hold-lease/src/index.ts
@@ -1,5 +1,6 @@
 /** Leases with rising fencing numbers on platform objects. */
 export { holdLease } from './hold-lease.js';
+export type { LeaseDurations } from './lease-durations.js';
 export type { LeaseOptions } from './lease-options.js';
 export { LEASE_TIMES } from './lease-times.js';
 export type { Lease } from './lease.js';
--- a/packages/logger/src/create-logger.ts
+++ b/packages/logger/src/create-logger.ts
@@ -1,14 +1,12 @@
-import bunyan from 'bunyan';
 import type { Logger } from './logger.js';
-
-const root = bunyan.createLogger({ name: 'laburnumshift', level: 'warn' });
+import { ROOT_LOGGER } from './root-logger.js';
 
 /**
  * Creates the logger of one part. Each message starts with the part's prefix, e.g. `[journal]`.
  * Messages carry no prompt text and no keys.
  */
 export function createLogger(part: string): Logger {
-  const child = root.child({ part });
+  const child = ROOT_LOGGER.child({ part });
   const prefix = `[${part}] `;
   return {
     debug: (message, fields = {}) => {
@@ -24,7 +22,7 @@
       child.error(fields, prefix + message);
     },
     setLevel: (level) => {
-      root.level(level);
+      ROOT_LOGGER.level(level);
       child.level(level);
     },
   };
--- /dev/null
+++ b/packages/place-calls/src/index.ts
@@ -0,0 +1,10 @@
+/** Placement and admission of forwarded calls. */
+export type { Admission } from './admission.js';
+export type { AdmissionInput } from './admission-input.js';
+export { admitCall } from './admit-call.js';
+export type { EngineCandidate } from './engine-candidate.js';
+export { placeCall } from './place-call.js';
+export type { PlaceInput } from './place-input.js';
+export type { Placement } from './placement.js';
+export { placePlainCall } from './place-plain-call.js';
+export type { PlainCandidate } from './plain-candidate.js';
--- /dev/null
+++ b/packages/roll-weights/src/list-outdated.ts
@@ -0,0 +1,14 @@
+import type { FleetView } from '@laburnumshift/track-fleet';
+import type { OutdatedEngine } from './outdated-engine.js';
+
+/** Lists the engines in service that have older weights than the newest named ones. */
+export function listOutdated(fleet: Pick<FleetView, 'listAll' | 'listWeights'>): OutdatedEngine[] {
+  const weights = fleet.listWeights();
+  return fleet.listAll().flatMap((engine) => {
+    if (engine.isDraining) return [];
+    return weights.flatMap(({ model, version }) => {
+      const current = engine.versions.get(model);
+      return current !== undefined && current < version ? [{ engine, model, version }] : [];
+    });
+  });
+}
--- /dev/null
+++ b/packages/roll-weights/src/roll-weights.ts
@@ -0,0 +1,95 @@
+import { computeElapsedMs, readMoment, runEvery, sleep, type Moment } from '@laburnumshift/clock';
+import { createLogger } from '@laburnumshift/logger';
+import { chooseNextOrders } from './choose-next-orders.js';
+import { listOutdated } from './list-outdated.js';
+import type { OutdatedEngine } from './outdated-engine.js';
+import type { RollOptions } from './roll-options.js';
+
+const PERIOD_MS = 60;
+/** Pause between two looks at an engine that loads, milliseconds: a third of a load. */
+const REPORT_MS = 150;
+/** An engine that has not taken an order after this is left for another turn, milliseconds: longest run and a load. */
+const ORDER_MS = 8000;
+/** After an order without an answer, the engine's count of orders tells after this whether it came, milliseconds. */
+const UNKNOWN_MS = 500;
+/** An order is sent only while the lease holds for so long, milliseconds: the way to the engine with room. */
+const MIN_LEASE_MS = 200;
+/** Time beyond the lease's bound between the orders of two holders, milliseconds. */
+const TURN_MARGIN_MS = 150;
+
+/**
+ * Brings engines to the newest weights while the lease is held. Each order names the orders that the engine has accepted, so
+ * one that comes late is refused. The first holder may order at once, a later one when orders of the one before are past.
+ *
+ * @returns a function that stops the orders
+ */
+export function rollWeights(options: RollOptions): () => void {
+  const { fleet, control, lease, markRolling } = options;
+  const logger = createLogger('weights');
+  const active = new Map<string, Moment>();
+  let fencing: number | undefined;
+  let heldSince = readMoment();
+
+  const getOrderFencing = (): number | undefined => {
+    const current = lease.getFencing();
+    return current === fencing && lease.getRemainingMs() >= MIN_LEASE_MS ? current : undefined;
+  };
+  const orderOne = async ({ engine, model, version }: OutdatedEngine): Promise<void> => {
+    const started = readMoment();
+    const isMarked = await markRolling(engine.id, version);
+    while (computeElapsedMs(started) < ORDER_MS) {
+      const known = fleet.getBackend(engine.id);
+      if (known?.bornMs !== engine.bornMs || (known.versions.get(model) ?? version) >= version) return;
+      const report = await control.readReport(engine);
+      const current = report?.versions.get(model) ?? 0;
+      if (current >= version) {
+        logger.info('engine has new weights', { engine: engine.id, model, version, ms: computeElapsedMs(started) });
+        return;
+      }
+      if (report === undefined || report.isBusy) {
+        await sleep(REPORT_MS);
+        continue;
+      }
+      const number = getOrderFencing();
+      if (number === undefined) return;
+      const order = { model, version, holder: options.host, fencing: number, expectedOrders: report.orderCount };
+      const outcome = await control.sendOrder(engine, order);
+      logger.info('order sent', { engine: engine.id, ...order, outcome, isMarked });
+      if (outcome === 'refused') return;
+      await sleep(outcome === 'unknown' ? UNKNOWN_MS : REPORT_MS);
+    }
+    logger.warn('engine did not take its weights in time', { engine: engine.id, model, version });
+  };
+  const startOrder = (next: OutdatedEngine): void => {
+    active.set(next.engine.id, readMoment());
+    orderOne(next)
+      .catch((error: unknown) => {
+        logger.error('ordering failed', { engine: next.engine.id, detail: String(error) });
+      })
+      .finally(() => {
+        active.delete(next.engine.id);
+      });
+  };
+  const runOnce = (): void => {
+    const current = lease.getFencing();
+    if (current !== fencing) {
+      fencing = current;
+      heldSince = readMoment();
+    }
+    if (current === undefined) return;
+    if (current > 1 && computeElapsedMs(heldSince) < options.bounds.leaseMs + TURN_MARGIN_MS) return;
+    const outdated = listOutdated(fleet);
+    if (outdated.length === 0) return;
+    const services = new Set(outdated.map(({ engine }) => engine.service));
+    for (const service of services) {
+      const ofService = outdated.filter(({ engine }) => engine.service === service);
+      const engines = fleet.listAll().filter((engine) => engine.service === service && !engine.isDraining);
+      const waiting = ofService.filter(({ engine }) => !active.has(engine.id)).map((one) => ({ ...one, work: 0 }));
+      const activeCount = engines.filter(({ id }) => active.has(id)).length;
+      for (const next of chooseNextOrders(waiting, activeCount, engines.length)) startOrder(next);
+    }
+  };
+  return runEvery(PERIOD_MS, runOnce, (error) => {
+    logger.error('rollout failed', { detail: String(error) });
+  });
+}
--- /dev/null
+++ b/packages/run-forwarder/src/forwarder-times.ts
@@ -0,0 +1,21 @@
+/** Times of a forwarding host, milliseconds. */
+export const FORWARDER_TIMES = {
+  /**
+   * Waits of watch calls. The configuration's is a quarter of the usual bound on revoked keys; a silent connection is
+   * noticed after the wait, which for servers must be inside the bound on leaving ones.
+   */
+  configWaitMs: 1200,
+  backendsWaitMs: 1200,
+  weightsWaitMs: 2500,
+  /** A server is back within two seconds after an outage of the store. */
+  lapseGraceMs: 2000,
+  /** The balancer takes a host out after two questions at one-second intervals. */
+  rotationMs: 2600,
+  /** Left of the grace time for the end of the process. */
+  exitMs: 700,
+  drainCheckMs: 50,
+  /** Lease of orders: see `LeaseDurations`. */
+  lease: { holdMs: 1500, challengeMs: 1800, renewMs: 500, pollMs: 400 },
+  /** Pause between looks at the lease while no engine needs an order. */
+  idlePollMs: 3000,
+} as const;
--- /dev/null
+++ b/packages/run-forwarder/src/index.ts
@@ -0,0 +1,6 @@
+/** A forwarding host. */
+export { FORWARDER_TIMES } from './forwarder-times.js';
+export type { ForwarderOptions } from './forwarder-options.js';
+export { isHostReady } from './is-host-ready.js';
+export { runForwarder } from './run-forwarder.js';
+export type { RunningForwarder } from './running-forwarder.js';
--- /dev/null
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -0,0 +1,120 @@
+import { createBackendPool } from '@laburnumshift/call-backend';
+import { readMonotonicMs, readWallMs, sleep } from '@laburnumshift/clock';
+import { serveForwards } from '@laburnumshift/forward-calls';
+import { holdLease } from '@laburnumshift/hold-lease';
+import { createResendBudget } from '@laburnumshift/limit-resends';
+import { createLogger } from '@laburnumshift/logger';
+import { readCacheEvents } from '@laburnumshift/read-cache-events';
+import { createMetrics } from '@laburnumshift/record-metrics';
+import { listOutdated, rollWeights } from '@laburnumshift/roll-weights';
+import { createEngineBoard } from '@laburnumshift/track-engines';
+import { trackFleet } from '@laburnumshift/track-fleet';
+import type { ForwarderOptions } from './forwarder-options.js';
+import { FORWARDER_TIMES } from './forwarder-times.js';
+import { isHostReady } from './is-host-ready.js';
+import type { RunningForwarder } from './running-forwarder.js';
+import { serveStatus } from './serve-status.js';
+
+const LEASE_NAME = 'weights';
+
+/** Runs a forwarding host; resolves when it listens. */
+export async function runForwarder(options: ForwarderOptions): Promise<RunningForwarder> {
+  const { settings, codec } = options;
+  const { bounds } = settings;
+  const times = FORWARDER_TIMES;
+  const logger = createLogger('host');
+  const metrics = createMetrics();
+  const board = createEngineBoard();
+  const pool = createBackendPool(codec);
+  const fleet = trackFleet({
+    source: options.source,
+    decoder: options.decoder,
+    kinds: options.kinds,
+    waitMs: { config: times.configWaitMs, backends: times.backendsWaitMs, weights: times.weightsWaitMs },
+    lapseGraceMs: times.lapseGraceMs,
+  });
+  const events = readCacheEvents({ control: options.control, board });
+  fleet.watchBackends((id, entry) => {
+    if (entry === undefined) {
+      events.stopReading(id);
+      pool.dropBackend(id);
+      board.dropServer(id);
+    } else if (entry.versions.size > 0) events.startReading(id, entry.address);
+  });
+  let isDraining = false;
+  const forwarder = await serveForwards(settings.callerAddress, {
+    codec,
+    fleet,
+    board,
+    pool,
+    resends: createResendBudget({
+      ratio: bounds.resendRatio,
+      windowMs: bounds.resendWindowMs,
+      slack: bounds.resendSlack,
+    }),
+    metrics,
+    bounds,
+    failureDomain: settings.failureDomain,
+    pickRandom: Math.random,
+  });
+  metrics.setGauge('calls_in_flight', forwarder.countInFlight);
+  metrics.setGauge('config_age_ms', fleet.getConfigAgeMs);
+  let wasReady: boolean | undefined;
+  const checkReady = (): boolean => {
+    const configAgeMs = fleet.getConfigAgeMs();
+    const isComplete = fleet.isComplete();
+    const isReady = isHostReady({ isDraining, isComplete, configAgeMs, revokeMs: bounds.revokeMs });
+    if (isReady !== wasReady) logger.info('readiness', { isReady, isDraining, isComplete, configAgeMs });
+    wasReady = isReady;
+    return isReady;
+  };
+  const ready = await serveStatus(settings.readyAddress, {
+    [options.readyPath]: () => (checkReady() ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' }),
+  });
+  const metricsServer =
+    settings.metricsAddress === undefined
+      ? undefined
+      : await serveStatus(settings.metricsAddress, {
+          '/metrics': () => ({ status: 200, text: metrics.renderMetrics() }),
+        });
+
+  const lease = holdLease({
+    platform: options.leases,
+    name: LEASE_NAME,
+    self: { host: settings.host, incarnation: readWallMs() },
+    times: times.lease,
+    getPollMs: () => (lease.getFencing() !== undefined || listOutdated(fleet).length > 0 ? times.lease.pollMs : times.idlePollMs),
+  });
+  const stopRolling = rollWeights({
+    fleet,
+    control: options.control,
+    markRolling: options.markRolling,
+    lease,
+    host: settings.host,
+    bounds,
+  });
+  logger.info('started', { host: settings.host, failureDomain: settings.failureDomain, bounds });
+
+  return {
+    stop: async () => {
+      const startedMs = readMonotonicMs();
+      isDraining = true;
+      forwarder.startDraining();
+      logger.info('stopping', { inFlight: forwarder.countInFlight(), graceMs: bounds.graceMs });
+      stopRolling();
+      const released = lease.release();
+      const elapsed = (): number => readMonotonicMs() - startedMs;
+      const endMs = bounds.graceMs - times.exitMs;
+      while (elapsed() < endMs && (elapsed() < times.rotationMs || forwarder.countInFlight() > 0))
+        await sleep(times.drainCheckMs);
+      const closed = forwarder.close();
+      events.close();
+      fleet.close();
+      ready.close();
+      metricsServer?.close();
+      await Promise.race([Promise.all([closed, released]), sleep(Math.min(times.drainCheckMs * 4, times.exitMs))]);
+      pool.close();
+      logger.info('stopped', { ms: Math.round(elapsed()), inFlight: forwarder.countInFlight() });
+    },
+  };
+}
--- /dev/null
+++ b/packages/run-forwarder/src/serve-status.ts
@@ -0,0 +1,22 @@
+import http from 'node:http';
+import { createLogger } from '@laburnumshift/logger';
+import type { StatusPages } from './status-pages.js';
+
+/** Answers questions of the balancer or of the metrics collector on one address; 404 for other paths. */
+export async function serveStatus(address: string, pages: StatusPages): Promise<http.Server> {
+  const server = http.createServer((request, response) => {
+    const page = pages[(request.url ?? '').split('?', 1)[0] ?? '']?.() ?? { status: 404, text: 'not found\n' };
+    response.writeHead(page.status, { 'content-type': 'text/plain' });
+    response.end(page.text);
+  });
+  const [host, port] = address.split(':');
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+  createLogger('status').info('listening', { address, paths: Object.keys(pages) });
+  return server;
+}
--- /dev/null
+++ b/packages/run-forwarder/src/status-pages.ts
@@ -0,0 +1,2 @@
+/** Answers by path. */
+export type StatusPages = Readonly<Record<string, () => { readonly status: number; readonly text: string }>>;
--- /dev/null
+++ b/packages/track-engines/src/create-engine-board.ts
@@ -0,0 +1,125 @@
+import { readMonotonicMs } from '@laburnumshift/clock';
+import type { BackendLoad } from '@laburnumshift/forward-types';
+import type { EngineBoard } from './engine-board.js';
+import type { ServerState } from './server-state.js';
+import { createPieceTable } from './create-piece-table.js';
+import type { PieceTable } from './piece-table.js';
+
+/** Weight of the newest call in the share of failures: about the last eight calls count. */
+const FAILURE_WEIGHT = 0.12;
+/** The share of failures halves in this time without calls, milliseconds, so that a server is tried again. */
+const FAILURE_HALF_LIFE_MS = 2000;
+
+interface Entry {
+  inFlight: number;
+  pendingTokens: number;
+  heldTokens: number;
+  load: BackendLoad | undefined;
+  loadAtMs: number;
+  inFlightAtLoad: number;
+  /** Last received byte, or the start of the first call after an idle time. */
+  heardMs: number;
+  failureShare: number;
+  failureAtMs: number;
+  avoidedUntilMs: number;
+  readonly pieces: PieceTable;
+}
+
+/** Creates the board. All figures are of this host's own calls, but for the loads that servers tell. */
+export function createEngineBoard(): EngineBoard {
+  const entries = new Map<string, Entry>();
+
+  const getEntry = (server: string): Entry => {
+    const known = entries.get(server);
+    if (known !== undefined) return known;
+    const entry: Entry = {
+      inFlight: 0,
+      pendingTokens: 0,
+      heldTokens: 0,
+      load: undefined,
+      loadAtMs: 0,
+      inFlightAtLoad: 0,
+      heardMs: 0,
+      failureShare: 0,
+      failureAtMs: 0,
+      avoidedUntilMs: 0,
+      pieces: createPieceTable(),
+    };
+    entries.set(server, entry);
+    return entry;
+  };
+  const computeFailureShare = (entry: Entry): number =>
+    entry.failureShare * 0.5 ** ((readMonotonicMs() - entry.failureAtMs) / FAILURE_HALF_LIFE_MS);
+  const recordResult = (entry: Entry, isFailure: boolean): void => {
+    const share = computeFailureShare(entry);
+    entry.failureShare = share + FAILURE_WEIGHT * (Number(isFailure) - share);
+    entry.failureAtMs = readMonotonicMs();
+  };
+
+  return {
+    beginCall: (server, work) => {
+      const entry = getEntry(server);
+      if (entry.inFlight === 0) entry.heardMs = readMonotonicMs();
+      entry.inFlight += 1;
+      entry.pendingTokens += work.uncachedTokens;
+      entry.heldTokens += work.totalTokens;
+      let isPending = true;
+      let isOpen = true;
+      const endPending = (): void => {
+        if (isPending) entry.pendingTokens -= work.uncachedTokens;
+        isPending = false;
+      };
+      return {
+        observeBytes: () => {
+          entry.heardMs = readMonotonicMs();
+        },
+        observeFirstEvent: endPending,
+        finish: (result) => {
+          if (!isOpen) return;
+          isOpen = false;
+          endPending();
+          entry.inFlight -= 1;
+          entry.heldTokens -= work.totalTokens;
+          if (result === 'served' || result === 'failed') recordResult(entry, result === 'failed');
+        },
+      };
+    },
+    getState: (server): ServerState => {
+      const entry = getEntry(server);
+      const now = readMonotonicMs();
+      return {
+        inFlight: entry.inFlight,
+        pendingTokens: entry.pendingTokens,
+        heldTokens: entry.heldTokens,
+        load: entry.load,
+        loadAgeMs: entry.load === undefined ? Infinity : now - entry.loadAtMs,
+        inFlightAtLoad: entry.inFlightAtLoad,
+        silentMs: entry.inFlight === 0 ? 0 : now - entry.heardMs,
+        failureShare: computeFailureShare(entry),
+        isAvoided: now < entry.avoidedUntilMs,
+      };
+    },
+    observeLoad: (server, load) => {
+      const entry = getEntry(server);
+      entry.load = load;
+      entry.loadAtMs = readMonotonicMs();
+      entry.inFlightAtLoad = entry.inFlight;
+    },
+    avoidServer: (server, ms) => {
+      getEntry(server).avoidedUntilMs = readMonotonicMs() + ms;
+    },
+    addPiece: (server, scope, piece, tokens) => {
+      getEntry(server).pieces.addPiece(scope, piece, tokens);
+    },
+    dropPiece: (server, scope, piece) => {
+      getEntry(server).pieces.dropPiece(scope, piece);
+    },
+    clearPieces: (server) => {
+      getEntry(server).pieces.clear();
+    },
+    findChain: (server, scope, pieces) => getEntry(server).pieces.findChain(scope, pieces),
+    dropServer: (server) => {
+      entries.delete(server);
+    },
+  };
+}
--- /dev/null
+++ b/packages/track-fleet/src/fleet-view.ts
@@ -0,0 +1,21 @@
+import type { BackendEntry, ForwardConfig } from '@laburnumshift/forward-types';
+import type { NamedWeights } from './named-weights.js';
+
+/** What a host knows of the fleet. Objects are replaced, never changed. */
+export interface FleetView {
+  readonly getConfig: () => ForwardConfig | undefined;
+  /** Upper bound of the age of the configuration, milliseconds. */
+  readonly getConfigAgeMs: () => number;
+  /** Servers of a service that may get calls: not draining, not gone. */
+  readonly listBackends: (service: string) => readonly BackendEntry[];
+  readonly getBackend: (id: string) => BackendEntry | undefined;
+  /** All servers that are known, draining ones too. */
+  readonly listAll: () => readonly BackendEntry[];
+  readonly getWeights: (model: string) => NamedWeights | undefined;
+  readonly listWeights: () => readonly NamedWeights[];
+  /** True once each kind was listed. */
+  readonly isComplete: () => boolean;
+  /** Calls the handler when a server came, changed or left (`undefined`). */
+  readonly watchBackends: (handler: (id: string, entry: BackendEntry | undefined) => void) => void;
+  readonly close: () => void;
+}
--- /dev/null
+++ b/packages/track-fleet/src/index.ts
@@ -0,0 +1,6 @@
+/** What a host knows of routes, accounts, backend servers and weights. */
+export type { FleetDecoder } from './fleet-decoder.js';
+export type { FleetOptions } from './fleet-options.js';
+export type { FleetView } from './fleet-view.js';
+export type { NamedWeights } from './named-weights.js';
+export { trackFleet } from './track-fleet.js';
--- /dev/null
+++ b/packages/track-fleet/src/named-weights.ts
@@ -0,0 +1,9 @@
+import type { Moment } from '@laburnumshift/clock';
+import type { WeightVersion } from '@laburnumshift/forward-types';
+
+/** The newest weights of a model and when this host learned of them. */
+export interface NamedWeights extends WeightVersion {
+  readonly learned: Moment;
+  /** True when the version was there before this process started to watch. */
+  readonly isInitial: boolean;
+}
--- /dev/null
+++ b/packages/watch-objects/src/kind-view.ts
@@ -0,0 +1,11 @@
+import type { StoredObject } from '@laburnumshift/forward-types';
+
+/** The copy of one kind of objects. */
+export interface KindView {
+  readonly objects: ReadonlyMap<string, StoredObject>;
+  /** Upper bound of the copy's age, milliseconds; infinite before the first list. */
+  readonly getAgeMs: () => number;
+  /** Milliseconds since the store answered again after an outage; infinite when there was none. */
+  readonly getRecoveredMs: () => number;
+  readonly close: () => void;
+}
--- /dev/null
+++ b/packages/watch-objects/src/watch-kind.ts
@@ -0,0 +1,97 @@
+import { computeElapsedMs, readMoment, sleep, type Moment } from '@laburnumshift/clock';
+import type { ObjectChange, StoredObject } from '@laburnumshift/forward-types';
+import { createLogger } from '@laburnumshift/logger';
+import { diffObjects } from './diff-objects.js';
+import type { KindView } from './kind-view.js';
+import type { WatchOptions } from './watch-options.js';
+
+/** Pause after a failed call, milliseconds; doubled up to the maximum. A tenth of the usual bound of a configuration. */
+const MIN_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 400;
+
+/**
+ * Keeps a copy of all objects of a kind: lists once, then follows the changes. A gap in the history leads to a new list. The
+ * copy stays usable while the store is away; its age tells how far to trust it.
+ */
+export function watchKind(options: WatchOptions): KindView {
+  const { source, kind, waitMs, onChanges } = options;
+  const logger = createLogger('watch');
+  const objects = new Map<string, StoredObject>();
+  const stopper = new AbortController();
+  let confirmed: Moment | undefined;
+  let recovered: Moment | undefined;
+  let revision: number | undefined;
+  let failures = 0;
+
+  const observeSuccess = (sent: Moment): void => {
+    if (failures > 0) {
+      recovered = readMoment();
+      logger.info('store answers again', { kind, failures, revision });
+    }
+    failures = 0;
+    confirmed = sent;
+  };
+  const observeFailure = async (call: string, reason: string): Promise<void> => {
+    failures += 1;
+    // The first failure and then each doubling, so that an outage does not flood the log.
+    if ((failures & (failures - 1)) === 0) logger.warn('store call failed', { kind, call, reason, failures });
+    await sleep(Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** (failures - 1)), stopper.signal);
+  };
+  const applyChanges = (changes: readonly ObjectChange[]): void => {
+    const newer = changes.filter(({ object }) => object.revision > (objects.get(object.name)?.revision ?? 0));
+    for (const { isRemoved, object } of newer) {
+      if (isRemoved) objects.delete(object.name);
+      else objects.set(object.name, object);
+    }
+    if (newer.length > 0) onChanges(newer);
+  };
+  const listOnce = async (): Promise<void> => {
+    const sent = readMoment();
+    const outcome = await source.listKind(kind);
+    if (stopper.signal.aborted) return;
+    if (outcome.kind === 'unavailable') return observeFailure('list', outcome.reason);
+    const changes = diffObjects(objects, outcome.objects);
+    for (const { isRemoved, object } of changes) {
+      if (isRemoved) objects.delete(object.name);
+      else objects.set(object.name, object);
+    }
+    revision = outcome.revision;
+    observeSuccess(sent);
+    logger.info('listed', { kind, revision, count: objects.size, changes: changes.length });
+    onChanges(changes);
+  };
+  const watchOnce = async (from: number): Promise<void> => {
+    const sent = readMoment();
+    const outcome = await source.watchKind(kind, from, waitMs);
+    if (stopper.signal.aborted) return;
+    if (outcome.kind === 'unavailable') return observeFailure('watch', outcome.reason);
+    if (outcome.kind === 'compacted') {
+      logger.warn('history is gone, listing again', { kind, revision: from });
+      revision = undefined;
+      return;
+    }
+    revision = outcome.revision;
+    observeSuccess(sent);
+    applyChanges(outcome.changes);
+  };
+  const runLoop = async (): Promise<void> => {
+    while (!stopper.signal.aborted) {
+      try {
+        await (revision === undefined ? listOnce() : watchOnce(revision));
+      } catch (error) {
+        logger.error('watch failed', { kind, detail: String(error) });
+        await sleep(MAX_PAUSE_MS, stopper.signal);
+      }
+    }
+  };
+  void runLoop();
+
+  return {
+    objects,
+    getAgeMs: () => (confirmed === undefined ? Infinity : computeElapsedMs(confirmed)),
+    getRecoveredMs: () => (recovered === undefined ? Infinity : computeElapsedMs(recovered)),
+    close: () => {
+      stopper.abort();
+    },
+  };
+}
--- /dev/null
+++ b/packages/watch-objects/src/watch-options.ts
@@ -0,0 +1,11 @@
+import type { ObjectChange, ObjectSource } from '@laburnumshift/forward-types';
+
+/** Options of the copy of one kind. */
+export interface WatchOptions {
+  readonly source: ObjectSource;
+  readonly kind: string;
+  /** Longest wait of one watch call, milliseconds. Each answer confirms the copy, so this bounds its usual age. */
+  readonly waitMs: number;
+  /** Receives changes after they are in the copy, in the store's order; after a list, the differences to the copy before. */
+  readonly onChanges: (changes: readonly ObjectChange[]) => void;
+}
