Fetch prompt pieces from stores of kept cache and share loads between hosts

Pieces are now kept in the stores and fetched from there, and hosts tell each other their work by datagrams.

--- a/packages/call-backend/src/backend-agent.ts
+++ b/packages/call-backend/src/backend-agent.ts
@@ -21,6 +21,7 @@
     const hint = /timeout=(\d+)/.exec(String(message?.res?.headers['keep-alive'] ?? ''))?.[1];
     const idleMs = hint === undefined ? DEFAULT_IDLE_MS : Number(hint) * MS_PER_S - IDLE_MARGIN_MS;
     if (idleMs <= 0 || stream.readableLength > 0) return false;
+    super.keepSocketAlive(stream);
     stream.setTimeout(idleMs, closeIdle);
     stream.on('data', closeIdle);
     return true;
@@ -30,7 +31,7 @@
     stream.off('data', closeIdle);
     stream.off('timeout', closeIdle);
     stream.setTimeout(0);
-    request.reusedSocket = true;
+    super.reuseSocket(stream, request);
   }
 
   /** Closes idle connections now and the others after their calls. */
--- a/packages/forward-calls/src/choice.ts
+++ b/packages/forward-calls/src/choice.ts
@@ -1,4 +1,4 @@
-import type { BackendEntry } from '@laburnumshift/forward-types';
+import type { BackendEntry, CacheTransfers } from '@laburnumshift/forward-types';
 
 /** Where a call goes, or why it is refused. */
 export type Choice =
@@ -7,7 +7,10 @@
       readonly server: BackendEntry;
       readonly uncachedTokens: number;
       readonly expectedMs: number;
-      readonly fetchFrom: BackendEntry | undefined;
+      /** Share of the engine's memory that running calls hold with this one. */
+      readonly memoryShare?: number;
+      /** `undefined` for plain services. */
+      readonly transfers: CacheTransfers | undefined;
       /** Weight version that the call shall run under; `undefined` for plain services. */
       readonly version: number | undefined;
     }
--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -1,8 +1,8 @@
 import { computeElapsedMs, readMonotonicMs } from '@laburnumshift/clock';
 import type { BackendEntry, PromptShape } from '@laburnumshift/forward-types';
 import { admitCall, placeCall, placePlainCall } from '@laburnumshift/place-calls';
+import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import type { ServerState } from '@laburnumshift/track-engines';
-import { buildCacheScope } from './build-cache-scope.js';
 import type { Choice } from './choice.js';
 import { ENGINE_RATES } from './engine-rates.js';
 import type { ForwardDeps } from './forward-deps.js';
@@ -10,8 +10,6 @@
 
 /** A load that was told counts half after this time, milliseconds: about the run time of a call. */
 const LOAD_HALF_LIFE_MS = 1500;
-/** Tokens that a waiting call of another host is taken to bring. */
-const WAITING_TOKENS = 2500;
 /** Nothing received for so long makes a server with calls suspect, milliseconds. */
 const SILENT_MS = 800;
 /** Retry-After when no server is there, milliseconds: half of the time in which a lapsed server is back. */
@@ -26,10 +24,12 @@
 /** An order that is under way takes about so long, milliseconds; afterwards the mark is not trusted. */
 const ROLLING_MS = 6000;
 
-const countOthers = (state: ServerState): number => {
-  if (state.load === undefined) return 0;
+/** Calls of other hosts at a server: as they tell, or from the load that the server told when they are not heard. */
+const countOthers = (deps: ForwardDeps, server: string, state: ServerState): number => {
+  const told = deps.sharing.getOthers(server).inFlight;
+  if (state.load === undefined) return told;
   const others = Math.max(0, state.load.running + state.load.waiting - state.inFlightAtLoad);
-  return others * 0.5 ** (state.loadAgeMs / LOAD_HALF_LIFE_MS);
+  return Math.max(told, others * 0.5 ** (state.loadAgeMs / LOAD_HALF_LIFE_MS));
 };
 const isUsable = (state: ServerState): boolean => !state.isAvoided;
 
@@ -54,7 +54,7 @@
     return {
       id,
       failureDomain,
-      calls: state.inFlight + countOthers(state),
+      calls: state.inFlight + countOthers(deps, id, state),
       slots,
       failureShare: state.failureShare,
       isSilent: state.silentMs >= SILENT_MS,
@@ -63,7 +63,7 @@
   const chosen = placePlainCall(candidates, deps.failureDomain, deps.pickRandom());
   const server = servers.find(({ id }) => id === chosen?.id);
   if (server === undefined) return { kind: 'refuse', reason: 'no server', retryAfterMs: NO_SERVER_RETRY_MS };
-  return { kind: 'server', server, uncachedTokens: 0, expectedMs: 0, fetchFrom: undefined, version: undefined };
+  return { kind: 'server', server, uncachedTokens: 0, expectedMs: 0, transfers: undefined, version: undefined };
 }
 
 function chooseEngine(
@@ -87,18 +87,31 @@
   if (usable.length === 0)
     return { kind: 'refuse', reason: 'weights are being replaced', retryAfterMs: NO_SERVER_RETRY_MS };
 
-  const shared = prompt.pieces.slice(0, -1);
+  const buildRequest = (version: number | undefined) => ({
+    scope: buildCacheScope(job.account, prompt.model, version),
+    pieces: prompt.pieces,
+    engines: usable.filter((server) => server.versions.get(prompt.model) === version),
+    stores: deps.fleet.getConfig()?.stores ?? [],
+  });
+  const plans = new Map<number | undefined, ReturnType<typeof deps.keeper.planFetches>>();
+  const planFor = (server: BackendEntry) => {
+    const version = server.versions.get(prompt.model);
+    const plan = plans.get(version) ?? deps.keeper.planFetches(buildRequest(version));
+    plans.set(version, plan);
+    return plan(server.id);
+  };
   const candidates = usable.map((server) => {
     const state = deps.board.getState(server.id);
-    const scope = buildCacheScope(job.account, prompt.model, server.versions.get(prompt.model));
-    const others = state.load === undefined ? 0 : Math.max(0, state.load.waiting);
-    const waitTokens = state.pendingTokens + others * WAITING_TOKENS * 0.5 ** (state.loadAgeMs / LOAD_HALF_LIFE_MS);
+    const others = deps.sharing.getOthers(server.id);
+    const { localTokens, fetchTokens } = planFor(server);
     return {
       id: server.id,
       failureDomain: server.failureDomain,
-      waitMs: waitTokens / ENGINE_RATES.readPerMs,
-      cachedTokens: deps.board.findChain(server.id, scope, prompt.pieces).tokens,
-      memoryShare: state.heldTokens / engine.capacityTokens,
+      waitMs: (state.pendingTokens + others.pendingTokens) / ENGINE_RATES.readPerMs,
+      localTokens,
+      fetchTokens,
+      heldTokens: state.heldTokens + others.heldTokens,
+      capacityTokens: engine.capacityTokens,
       failureShare: state.failureShare,
       isSilent: state.silentMs >= SILENT_MS,
       isOutdated: isOutdated(server),
@@ -106,9 +119,9 @@
   });
   const placement = placeCall({
     candidates,
-    homeKey: shared.at(-1)?.id ?? prompt.pieces[0]?.id ?? job.call.id,
+    homeKey: prompt.pieces.at(-2)?.id ?? prompt.pieces[0]?.id ?? job.call.id,
     inputTokens: prompt.inputTokens,
-    sharedTokens: shared.reduce((sum, piece) => sum + piece.tokens, 0),
+    needTokens: prompt.inputTokens + prompt.maxOutputTokens,
     ownDomain: deps.failureDomain,
     outdatedMs: namedMs < OUTDATED_FROM_MS ? OUTDATED_EARLY_MS : OUTDATED_LATE_MS,
     rates: {
@@ -126,12 +139,14 @@
   });
   if (!admission.isAdmitted)
     return { kind: 'refuse', reason: 'queue is too long', retryAfterMs: admission.retryAfterMs };
+  const version = server.versions.get(prompt.model);
   return {
     kind: 'server',
     server,
     uncachedTokens: placement.uncachedTokens,
     expectedMs: placement.expectedMs,
-    fetchFrom: usable.find(({ id }) => id === placement.fetchFrom),
-    version: server.versions.get(prompt.model),
+    memoryShare: placement.memoryShare,
+    transfers: deps.keeper.planTransfers(buildRequest(version), planFor(server)),
+    version,
   };
 }
--- a/packages/forward-calls/src/forward-deps.ts
+++ b/packages/forward-calls/src/forward-deps.ts
@@ -1,7 +1,9 @@
 import type { BackendPool } from '@laburnumshift/call-backend';
 import type { EdgeCodec, ForwardBounds } from '@laburnumshift/forward-types';
+import type { PieceKeeper } from '@laburnumshift/keep-pieces';
 import type { ResendBudget } from '@laburnumshift/limit-resends';
 import type { Metrics } from '@laburnumshift/record-metrics';
+import type { LoadSharing } from '@laburnumshift/share-load';
 import type { EngineBoard } from '@laburnumshift/track-engines';
 import type { FleetView } from '@laburnumshift/track-fleet';
 
@@ -11,6 +13,8 @@
   readonly fleet: FleetView;
   readonly board: EngineBoard;
   readonly pool: BackendPool;
+  readonly keeper: PieceKeeper;
+  readonly sharing: Pick<LoadSharing, 'getOthers' | 'countHosts'>;
   readonly resends: ResendBudget;
   readonly metrics: Metrics;
   readonly bounds: ForwardBounds;
--- a/packages/forward-calls/src/index.ts
+++ b/packages/forward-calls/src/index.ts
@@ -1,5 +1,4 @@
 /** Forwarding of callers' requests to backend servers. */
-export { buildCacheScope } from './build-cache-scope.js';
 export { decideNextStep } from './decide-next-step.js';
 export type { ForwardDeps } from './forward-deps.js';
 export type { Forwarder } from './forwarder.js';
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -1,8 +1,8 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
 import { CALL_KINDS } from '@laburnumshift/forward-types';
+import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import { createLogger } from '@laburnumshift/logger';
 import { attemptCall } from './attempt-call.js';
-import { buildCacheScope } from './build-cache-scope.js';
 import { chooseServer } from './choose-server.js';
 import { createEventSplitter } from './create-event-splitter.js';
 import { decideNextStep } from './decide-next-step.js';
@@ -14,8 +14,7 @@
 const MAX_UNSENT = 3;
 /** A server that refuses connections gets no calls for so long, milliseconds: half of a short restart. */
 const UNREACHABLE_MS = 500;
-/** Part of a server's connections that one host uses, as hosts don't know each other's. */
-const CONNECTION_SHARE = 0.2;
+/** Connections that one host may have to a server however many hosts there are. */
 const MIN_CONNECTIONS = 4;
 /** Retry-After when servers refused the call, milliseconds: a short queue has changed by then. */
 const FULL_RETRY_MS = 400;
@@ -33,6 +32,7 @@
     route.kind === CALL_KINDS.idempotent || (route.kind === CALL_KINDS.stream && route.isResumable);
   const urgency = Math.min(MAX_URGENCY, 2 * (account?.priority ?? route.priority));
   let attempts = 0;
+  let firstMs: number | undefined;
   let unsent = 0;
   let mayHaveRun = false;
 
@@ -83,32 +83,33 @@
     const end = await attemptCall(deps, {
       job,
       server,
-      maxConnections: Math.max(MIN_CONNECTIONS, Math.floor(service.maxConnections * CONNECTION_SHARE)),
+      maxConnections: Math.max(MIN_CONNECTIONS, Math.floor(service.maxConnections / (deps.sharing.countHosts() + 2))),
       backendCall: {
         call,
         remainingMs,
         expectedServer: server.id,
         account: account?.name,
-        ...(call.prompt !== undefined && {
+        ...(choice.transfers !== undefined && {
           engine: {
             expectedVersion: choice.version,
             cacheScope: scope,
             urgency: Number.isFinite(urgency) ? urgency : DEFAULT_PRIORITY,
-            fetchFrom: choice.fetchFrom?.address,
+            transfers: choice.transfers,
           },
         }),
         resumeAfter: splitter.getLastId(),
       },
       work: {
         uncachedTokens: choice.uncachedTokens,
-        totalTokens: (call.prompt?.inputTokens ?? 0) + (call.prompt?.maxOutputTokens ?? 0) / 2,
+        totalTokens: (call.prompt?.inputTokens ?? 0) + (call.prompt?.maxOutputTokens ?? 0),
       },
       splitter,
       isRepeatable,
       onFirstEvent: () => {
-        const firstMs = readMonotonicMs() - startedMs;
+        firstMs = Math.round(readMonotonicMs() - startedMs);
         deps.metrics.recordMs('first_event_ms', firstMs, { route: route.name });
-        for (const { id, tokens } of call.prompt?.pieces ?? []) deps.board.addPiece(server.id, scope, id, tokens);
+        const pieces = deps.board.getPieces(server.id);
+        for (const { id, tokens } of call.prompt?.pieces ?? []) pieces.addPiece(scope, id, tokens);
       },
     });
     if (end.kind === 'not-run' && !end.isSent) {
@@ -122,9 +123,13 @@
       server: server.id,
       expectedMs: Math.round(choice.expectedMs),
       uncachedTokens: Math.round(choice.uncachedTokens),
-      fetchFrom: choice.fetchFrom?.id,
+      memoryShare: choice.memoryShare,
+      fetchFrom: choice.transfers?.fetchFrom,
+      saveTo: choice.transfers?.saveTo,
       version: choice.version,
       end: end.kind,
+      firstMs,
+      lastEvent: splitter.getLastId(),
       reason: 'reason' in end ? end.reason : undefined,
       ms: Math.round(readMonotonicMs() - startedMs),
     });
--- a/packages/forward-types/src/backend-call.ts
+++ b/packages/forward-types/src/backend-call.ts
@@ -1,3 +1,4 @@
+import type { CacheTransfers } from './cache-transfers.js';
 import type { ForwardCall } from './forward-call.js';
 
 /** A call as it is sent to one backend server. */
@@ -17,8 +18,7 @@
     readonly cacheScope: string;
     /** 0 (first) to 9. */
     readonly urgency: number;
-    /** Address of an engine or store that is asked for cached pieces first. */
-    readonly fetchFrom?: string | undefined;
+    readonly transfers: CacheTransfers;
   };
   /** Last event that was passed on, when a stream is resumed by the host. */
   readonly resumeAfter: string | undefined;
--- a/packages/forward-types/src/cache-events-page.ts
+++ b/packages/forward-types/src/cache-events-page.ts
@@ -8,5 +8,7 @@
   readonly next: number;
   /** Some events between the position asked for and the first event are gone. */
   readonly isGap: boolean;
+  /** Time on the engines' clock when the page was made, milliseconds; `undefined` when not told. */
+  readonly clockMs: number | undefined;
   readonly events: readonly CacheEvent[];
 }
--- a/packages/forward-types/src/engine-control.ts
+++ b/packages/forward-types/src/engine-control.ts
@@ -8,6 +8,12 @@
 export interface EngineControl {
   readonly readReport: (engine: BackendEntry) => Promise<EngineReport | undefined>;
   readonly sendOrder: (engine: BackendEntry, order: WeightOrder) => Promise<OrderOutcome>;
+  /** Frees pieces of a store that is still in its life `bootId`; false when that failed. */
+  readonly freePieces: (
+    address: string,
+    bootId: string,
+    pieces: readonly { readonly scope: string; readonly piece: string }[],
+  ) => Promise<boolean>;
   /** Waits up to `waitMs` for events after `since`; `full` when the engine answers no more readers. */
   readonly readEvents: (
     address: string,
--- a/packages/forward-types/src/forward-settings.ts
+++ b/packages/forward-types/src/forward-settings.ts
@@ -8,6 +8,8 @@
   readonly readyAddress: string;
   /** `undefined` when metrics are not served. */
   readonly metricsAddress: string | undefined;
+  /** For datagrams between hosts. */
+  readonly sharingAddress: string;
   readonly bounds: ForwardBounds;
   /** Interval at which servers renew their entries, milliseconds. */
   readonly heartbeatMs: number;
--- a/packages/forward-types/src/index.ts
+++ b/packages/forward-types/src/index.ts
@@ -5,6 +5,7 @@
 export type { BackendLoad } from './backend-load.js';
 export type { CacheEvent } from './cache-event.js';
 export type { CacheEventsPage } from './cache-events-page.js';
+export type { CacheTransfers } from './cache-transfers.js';
 export type { CallFault } from './call-fault.js';
 export type { CallKind } from './call-kind.js';
 export { CALL_KINDS } from './call-kinds.js';
--- /dev/null
+++ b/packages/keep-pieces/src/create-piece-keeper.ts
@@ -0,0 +1,129 @@
+import { computeElapsedMs, readMonotonicMs, readMoment, type Moment } from '@laburnumshift/clock';
+import type { KeptCacheStore, PromptPiece } from '@laburnumshift/forward-types';
+import { createLogger } from '@laburnumshift/logger';
+import { chooseKeeper, planFetch } from '@laburnumshift/place-calls';
+import { getStoreId } from './get-store-id.js';
+import type { KeeperOptions } from './keeper-options.js';
+import { parseCacheScope } from './parse-cache-scope.js';
+import type { PieceKeeper } from './piece-keeper.js';
+
+/** A save that is not reported complete after this has failed, milliseconds: a long prompt, its queue and the event's delay. */
+const SAVE_MS = 6000;
+/** Fetched pieces are not used later than this, milliseconds: transfers that wait longer than 2 s are not started. */
+const FETCH_MS = 2500;
+/** Pieces are freed so long after the last engine left their weights, milliseconds: longer than a fetch, with clock slack. */
+const FREE_AFTER_MS = 4000;
+/** Pieces freed by one call. */
+const FREE_BATCH = 500;
+
+interface PendingSave {
+  readonly store: string;
+  readonly tokens: number;
+  readonly untilMs: number;
+}
+
+/** Creates the keeper of one host. */
+export function createPieceKeeper(options: KeeperOptions): PieceKeeper {
+  const { board, events, fleet, control } = options;
+  const logger = createLogger('keeper');
+  const pending = new Map<string, PendingSave>();
+  /** Since when no engine has weights below the version, by model. */
+  const oldest = new Map<string, { readonly version: number; readonly since: Moment }>();
+
+  const listUsable = (stores: readonly KeptCacheStore[]): KeptCacheStore[] =>
+    stores.filter((store) => events.isReading(getStoreId(store)));
+  const isKept = (store: KeptCacheStore, scope: string, piece: PromptPiece): boolean =>
+    board.getPieces(getStoreId(store)).getTokens(scope, piece.id) >= piece.tokens;
+  const dropExpired = (): void => {
+    const now = readMonotonicMs();
+    for (const [key, save] of pending) {
+      if (save.untilMs > now) return;
+      pending.delete(key);
+    }
+  };
+  const countPending = (store: string): number =>
+    [...pending.values()].reduce((sum, save) => sum + (save.store === store ? save.tokens : 0), 0);
+  const findKeeper = (
+    scope: string,
+    piece: PromptPiece,
+    stores: readonly KeptCacheStore[],
+  ): KeptCacheStore | undefined => {
+    const key = `${scope} ${piece.id}`;
+    if (pending.has(key)) return undefined;
+    const candidates = stores.map((store) => ({
+      name: store.name,
+      address: store.address,
+      capacityTokens: store.capacityTokens,
+      usedTokens: store.isManaged ? board.getPieces(getStoreId(store)).countTokens() + countPending(store.name) : 0,
+    }));
+    const chosen = chooseKeeper(key, piece.tokens, candidates);
+    if (chosen === undefined) return undefined;
+    pending.set(key, { store: chosen.name, tokens: piece.tokens, untilMs: readMonotonicMs() + SAVE_MS });
+    return stores.find((store) => store.name === chosen.name);
+  };
+
+  return {
+    planFetches: ({ scope, pieces, engines, stores }) => {
+      const usable = events.readClockMs() === undefined ? [] : listUsable(stores);
+      const known = new Map<string, { readonly store: string | undefined; readonly holders: string[] }>();
+      const findHolders = (piece: PromptPiece) => {
+        const found = known.get(piece.id) ?? {
+          store: usable.find((store) => isKept(store, scope, piece))?.address,
+          holders: engines
+            .filter(({ id }) => board.getPieces(id).getTokens(scope, piece.id) >= piece.tokens)
+            .map(({ id }) => id),
+        };
+        known.set(piece.id, found);
+        return found;
+      };
+      return (engine) =>
+        planFetch(
+          pieces,
+          (piece) => board.getPieces(engine).getTokens(scope, piece.id),
+          (piece) => {
+            const { store, holders } = findHolders(piece);
+            const holder = holders.find((id) => id !== engine);
+            return store ?? engines.find(({ id }) => id === holder)?.address;
+          },
+        );
+    },
+    planTransfers: ({ scope, pieces, stores }, plan) => {
+      dropExpired();
+      const usable = listUsable(stores);
+      const clockMs = events.readClockMs();
+      return {
+        fetchFrom: plan.sources,
+        fetchUntilMs: clockMs === undefined ? undefined : Math.floor(clockMs + FETCH_MS),
+        // The last piece belongs to one call or session, so it is not worth the room.
+        saveTo: pieces.map((piece, index) =>
+          index === pieces.length - 1 || usable.some((store) => isKept(store, scope, piece))
+            ? undefined
+            : findKeeper(scope, piece, usable)?.address,
+        ),
+      };
+    },
+    freeOutdated: async (stores) => {
+      for (const { model } of fleet.listWeights()) {
+        const versions = fleet.listAll().flatMap((engine) => engine.versions.get(model) ?? []);
+        const version = Math.min(...versions);
+        if (Number.isFinite(version) && oldest.get(model)?.version !== version)
+          oldest.set(model, { version, since: readMoment() });
+      }
+      const isOutdated = (scope: string): boolean => {
+        const parsed = parseCacheScope(scope);
+        const limit = parsed === undefined ? undefined : oldest.get(parsed.model);
+        if (parsed === undefined || limit === undefined) return false;
+        return parsed.version < limit.version && computeElapsedMs(limit.since) > FREE_AFTER_MS;
+      };
+      for (const store of listUsable(stores)) {
+        const id = getStoreId(store);
+        const bootId = events.getBootId(id);
+        const freed = board.getPieces(id).listPieces(isOutdated).slice(0, FREE_BATCH);
+        if (!store.isManaged || bootId === undefined || freed.length === 0) continue;
+        const isDone = await control.freePieces(store.address, bootId, freed);
+        logger.info('pieces of outdated weights freed', { store: store.name, count: freed.length, isDone });
+        if (isDone) for (const { scope, piece } of freed) board.getPieces(id).dropPiece(scope, piece);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/keep-pieces/src/keeper-options.ts
@@ -0,0 +1,12 @@
+import type { EngineControl } from '@laburnumshift/forward-types';
+import type { EventsReader } from '@laburnumshift/read-cache-events';
+import type { EngineBoard } from '@laburnumshift/track-engines';
+import type { FleetView } from '@laburnumshift/track-fleet';
+
+/** Options of the keeper of pieces. */
+export interface KeeperOptions {
+  readonly board: Pick<EngineBoard, 'getPieces'>;
+  readonly events: Pick<EventsReader, 'isReading' | 'getBootId' | 'readClockMs'>;
+  readonly fleet: Pick<FleetView, 'listAll' | 'listWeights'>;
+  readonly control: Pick<EngineControl, 'freePieces'>;
+}
--- a/packages/place-calls/src/engine-candidate.ts
+++ b/packages/place-calls/src/engine-candidate.ts
@@ -5,9 +5,12 @@
   /** Time until the engine begins with a new prompt, milliseconds. */
   readonly waitMs: number;
   /** Tokens of this prompt's beginning that are in the engine's cache. */
-  readonly cachedTokens: number;
-  /** Share of the engine's memory that running calls hold, 0 and more. */
-  readonly memoryShare: number;
+  readonly localTokens: number;
+  /** Further tokens that the engine can fetch. */
+  readonly fetchTokens: number;
+  /** Tokens in the engine's memory for running calls. */
+  readonly heldTokens: number;
+  readonly capacityTokens: number;
   /** Share of recent calls that failed, 0 to 1. */
   readonly failureShare: number;
   /** Calls are in flight and nothing was received for too long. */
--- a/packages/place-calls/src/index.ts
+++ b/packages/place-calls/src/index.ts
@@ -2,9 +2,13 @@
 export type { Admission } from './admission.js';
 export type { AdmissionInput } from './admission-input.js';
 export { admitCall } from './admit-call.js';
+export { chooseKeeper } from './choose-keeper.js';
 export type { EngineCandidate } from './engine-candidate.js';
+export type { FetchPlan } from './fetch-plan.js';
+export type { KeeperCandidate } from './keeper-candidate.js';
 export { placeCall } from './place-call.js';
 export type { PlaceInput } from './place-input.js';
 export type { Placement } from './placement.js';
 export { placePlainCall } from './place-plain-call.js';
 export type { PlainCandidate } from './plain-candidate.js';
+export { planFetch } from './plan-fetch.js';
--- /dev/null
+++ b/packages/place-calls/src/keeper-candidate.ts
@@ -0,0 +1,8 @@
+/** A store that may keep a piece. */
+export interface KeeperCandidate {
+  readonly name: string;
+  readonly address: string;
+  readonly capacityTokens: number;
+  /** Tokens of pieces that are kept or on their way. */
+  readonly usedTokens: number;
+}
--- a/packages/place-calls/src/place-call.ts
+++ b/packages/place-calls/src/place-call.ts
@@ -9,59 +9,52 @@
 const SILENT_MS = 4000;
 /** Delay that another failure domain counts for, milliseconds: its bytes are paid for. */
 const DOMAIN_MS = 3;
-/** Share of the time to read the shared pieces that a copy away from home costs later: the memory it takes from others. */
-const SPREAD_SHARE = 0.5;
-/** Fetches of fewer tokens than this are not worth a transfer. */
-const MIN_FETCH_TOKENS = 512;
+/** A fetch counts this many times its duration: it takes a link and memory from others. */
+const FETCH_FACTOR = 2;
 /** Wait of a fetch before its first byte, milliseconds. */
 const FETCH_START_MS = 5;
+/** Delay by which an engine that is not home to the key counts more, milliseconds: below the read of a short prompt. */
+const AWAY_MS = 8;
 /** Above this share of its memory an engine preempts calls; each further part of 1 counts for so many milliseconds. */
-const MEMORY_SHARE = 0.85;
-const MEMORY_MS = 5000;
+const MEMORY_SHARE = 0.8;
+const MEMORY_MS = 4000;
+/** Cost of a full memory below that share, milliseconds: spreads calls before memory binds. */
+const MEMORY_SLOPE_MS = 60;
+
+interface Rated extends Placement {
+  readonly score: number;
+}
 
 /**
- * Chooses the engine with the least expected delay: its queue, reading what it has not cached, fetching what others have, and
- * the cost of a further copy of shared pieces. Answers load of all levels: with short queues reuse decides, with long ones
- * the queue.
+ * Chooses the engine with the least expected delay: its queue, its memory, reading what nobody has, and fetching what others
+ * have. Answers load of all levels: with short queues reuse decides, with long ones the queue, near the limit memory.
  */
 export function placeCall(input: PlaceInput): Placement {
-  const { candidates, inputTokens, sharedTokens, rates } = input;
+  const { candidates, inputTokens, needTokens, rates } = input;
   const ranked = candidates
     .map((engine) => ({ engine, weight: computeWeight(input.homeKey, engine.id) }))
     .sort((a, b) => b.weight - a.weight);
-  const home = ranked[0]?.engine.id;
-  const source = findSource(candidates);
 
-  const rate = (engine: EngineCandidate): Placement & { readonly score: number } => {
-    const cached = Math.min(engine.cachedTokens, inputTokens);
-    const elsewhere = source === undefined || source.id === engine.id ? 0 : Math.min(source.cachedTokens, inputTokens);
-    const isFetched = elsewhere - cached >= MIN_FETCH_TOKENS;
-    const fetchMs = isFetched ? FETCH_START_MS + (elsewhere - cached) / rates.fetchPerMs : 0;
-    const uncachedTokens = inputTokens - (isFetched ? elsewhere : cached);
+  const rate = (engine: EngineCandidate, rank: number): Rated => {
+    const { localTokens, fetchTokens } = engine;
+    const fetchMs = fetchTokens > 0 ? FETCH_START_MS + fetchTokens / rates.fetchPerMs : 0;
+    const uncachedTokens = Math.max(0, inputTokens - localTokens - fetchTokens);
     const expectedMs = engine.waitMs + fetchMs + uncachedTokens / rates.readPerMs;
-    const missingShared = Math.max(0, sharedTokens - cached);
-    const spreadMs = engine.id === home && source === undefined ? 0 : (missingShared / rates.readPerMs) * SPREAD_SHARE;
+    const memoryShare = (engine.heldTokens + needTokens) / engine.capacityTokens;
     const score =
       expectedMs +
-      spreadMs +
+      fetchMs * (FETCH_FACTOR - 1) +
+      (rank === 0 ? 0 : AWAY_MS) +
+      memoryShare * MEMORY_SLOPE_MS +
+      Math.max(0, memoryShare - MEMORY_SHARE) * MEMORY_MS +
       engine.failureShare * FAILURE_MS +
       (engine.isSilent ? SILENT_MS : 0) +
       (engine.isOutdated ? input.outdatedMs : 0) +
-      (engine.failureDomain === input.ownDomain ? 0 : DOMAIN_MS) +
-      Math.max(0, engine.memoryShare - MEMORY_SHARE) * MEMORY_MS;
-    return { id: engine.id, expectedMs, uncachedTokens, fetchFrom: isFetched ? source?.id : undefined, score };
+      (engine.failureDomain === input.ownDomain ? 0 : DOMAIN_MS);
+    return { id: engine.id, expectedMs, uncachedTokens, memoryShare, score };
   };
 
-  const [first, ...others] = ranked.map(({ engine }) => rate(engine));
+  const [first, ...others] = ranked.map(({ engine }, rank) => rate(engine, rank));
   if (first === undefined) throw new RangeError('no candidate to choose from');
   return others.reduce((a, b) => (b.score < a.score ? b : a), first);
 }
-
-/** The engine from which most of the prompt can be fetched. */
-function findSource(candidates: readonly EngineCandidate[]): EngineCandidate | undefined {
-  const usable = candidates.filter((engine) => engine.cachedTokens > 0 && !engine.isSilent && !engine.isOutdated);
-  return usable.reduce<EngineCandidate | undefined>(
-    (best, engine) => (best === undefined || engine.cachedTokens > best.cachedTokens ? engine : best),
-    undefined,
-  );
-}
--- a/packages/place-calls/src/place-input.ts
+++ b/packages/place-calls/src/place-input.ts
@@ -4,11 +4,11 @@
 export interface PlaceInput {
   /** At least one. */
   readonly candidates: readonly EngineCandidate[];
-  /** Engines rank by this key where nobody has the prompt cached, so that all hosts choose alike. */
+  /** Equal engines rank by this key, so that calls with the same pieces meet at one engine. */
   readonly homeKey: string;
   readonly inputTokens: number;
-  /** Tokens of the pieces that other calls share. */
-  readonly sharedTokens: number;
+  /** Prompt and expected output, tokens. */
+  readonly needTokens: number;
   readonly ownDomain: string;
   /** Cost of an engine with outdated weights, as milliseconds of delay. */
   readonly outdatedMs: number;
--- a/packages/place-calls/src/placement.ts
+++ b/packages/place-calls/src/placement.ts
@@ -5,6 +5,6 @@
   readonly expectedMs: number;
   /** Tokens that the engine has to read. */
   readonly uncachedTokens: number;
-  /** Engine that is asked for cached pieces first. */
-  readonly fetchFrom: string | undefined;
+  /** Share of the engine's memory that running calls hold with this one. */
+  readonly memoryShare: number;
 }
--- a/packages/read-cache-events/src/read-cache-events.ts
+++ b/packages/read-cache-events/src/read-cache-events.ts
@@ -1,4 +1,4 @@
-import { sleep } from '@laburnumshift/clock';
+import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
 import type { EventsOptions } from './events-options.js';
 import type { EventsReader } from './events-reader.js';
@@ -19,31 +19,37 @@
 export function readCacheEvents({ control, board }: EventsOptions): EventsReader {
   const logger = createLogger('events');
   const stoppers = new Map<string, AbortController>();
+  const bootIds = new Map<string, string>();
+  /** Engines whose last read failed. */
+  const lost = new Set<string>();
+  let clock: { readonly readMs: number; readonly clockMs: number } | undefined;
 
   const runLoop = async (engine: string, address: string, signal: AbortSignal): Promise<void> => {
+    const pieces = board.getPieces(engine);
     let since = 0;
     let bootId: string | undefined;
-    let isLost = false;
     while (!signal.aborted) {
       const page = await control.readEvents(address, since, WAIT_MS);
       if (signal.aborted) return;
       if (page === undefined || page === 'full') {
-        if (!isLost) logger.warn('no events', { engine, address, reason: page ?? 'no answer' });
-        isLost = true;
+        if (!lost.has(engine)) logger.warn('no events', { engine, address, reason: page ?? 'no answer' });
+        lost.add(engine);
         await sleep(page === 'full' ? FULL_PAUSE_MS : FAILED_PAUSE_MS, signal);
         continue;
       }
-      if (isLost) logger.info('events again', { engine, address });
-      isLost = false;
+      if (lost.has(engine)) logger.info('events again', { engine, address });
+      lost.delete(engine);
       if (page.bootId !== bootId) {
         if (bootId !== undefined) logger.info('engine restarted, its cache is empty', { engine, bootId: page.bootId });
-        board.clearPieces(engine);
+        pieces.clear();
         bootId = page.bootId;
       } else if (page.isGap) logger.warn('events were lost', { engine, since, next: page.next });
       since = page.next;
+      bootIds.set(engine, page.bootId);
+      if (page.clockMs !== undefined) clock = { readMs: readMonotonicMs(), clockMs: page.clockMs };
       for (const { isAdded, scope, piece, tokens } of page.events) {
-        if (isAdded || tokens > 0) board.addPiece(engine, scope, piece, tokens);
-        else board.dropPiece(engine, scope, piece);
+        if (isAdded || tokens > 0) pieces.addPiece(scope, piece, tokens);
+        else pieces.dropPiece(scope, piece);
       }
       await sleep(READ_PAUSE_MS, signal);
     }
@@ -51,6 +57,8 @@
   const stopReading = (engine: string): void => {
     stoppers.get(engine)?.abort();
     stoppers.delete(engine);
+    bootIds.delete(engine);
+    lost.delete(engine);
   };
 
   return {
@@ -63,6 +71,9 @@
       });
     },
     stopReading,
+    isReading: (engine) => bootIds.has(engine) && !lost.has(engine),
+    getBootId: (engine) => bootIds.get(engine),
+    readClockMs: () => (clock === undefined ? undefined : clock.clockMs + readMonotonicMs() - clock.readMs),
     close: () => {
       for (const engine of [...stoppers.keys()]) stopReading(engine);
     },
--- a/packages/run-forwarder/src/forwarder-options.ts
+++ b/packages/run-forwarder/src/forwarder-options.ts
@@ -8,7 +8,7 @@
   readonly source: ObjectSource;
   readonly leases: Pick<PlatformClient, 'readObject' | 'writeObject'>;
   readonly decoder: FleetDecoder;
-  readonly kinds: FleetOptions['kinds'];
+  readonly kinds: FleetOptions['kinds'] & { readonly hosts: string };
   readonly codec: EdgeCodec;
   readonly control: EngineControl;
   /** Marks an engine that is about to load weights. */
--- a/packages/run-forwarder/src/forwarder-times.ts
+++ b/packages/run-forwarder/src/forwarder-times.ts
@@ -14,6 +14,8 @@
   /** Left of the grace time for the end of the process. */
   exitMs: 700,
   drainCheckMs: 50,
+  /** Distance of two looks for pieces of outdated weights. */
+  freePauseMs: 700,
   /** Lease of orders: see `LeaseDurations`. */
   lease: { holdMs: 1500, challengeMs: 1800, renewMs: 500, pollMs: 400 },
   /** Pause between looks at the lease while no engine needs an order. */
--- /dev/null
+++ b/packages/run-forwarder/src/join-options.ts
@@ -0,0 +1,14 @@
+import type { ObjectSource } from '@laburnumshift/forward-types';
+import type { PlatformClient } from '@laburnumshift/types';
+
+/** Options of the table of hosts. */
+export interface JoinOptions {
+  readonly source: ObjectSource;
+  readonly leases: Pick<PlatformClient, 'readObject' | 'writeObject'>;
+  /** Kind of the hosts' objects. */
+  readonly kind: string;
+  readonly host: string;
+  /** `IP:port` for datagrams. */
+  readonly address: string;
+  readonly bornMs: number;
+}
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -1,17 +1,20 @@
 import { createBackendPool } from '@laburnumshift/call-backend';
-import { readMonotonicMs, readWallMs, sleep } from '@laburnumshift/clock';
+import { readMonotonicMs, readWallMs, runEvery, sleep } from '@laburnumshift/clock';
 import { serveForwards } from '@laburnumshift/forward-calls';
 import { holdLease } from '@laburnumshift/hold-lease';
 import { createResendBudget } from '@laburnumshift/limit-resends';
+import { createPieceKeeper, getStoreId } from '@laburnumshift/keep-pieces';
 import { createLogger } from '@laburnumshift/logger';
 import { readCacheEvents } from '@laburnumshift/read-cache-events';
 import { createMetrics } from '@laburnumshift/record-metrics';
 import { listOutdated, rollWeights } from '@laburnumshift/roll-weights';
+import { shareLoad } from '@laburnumshift/share-load';
 import { createEngineBoard } from '@laburnumshift/track-engines';
 import { trackFleet } from '@laburnumshift/track-fleet';
 import type { ForwarderOptions } from './forwarder-options.js';
 import { FORWARDER_TIMES } from './forwarder-times.js';
 import { isHostReady } from './is-host-ready.js';
+import { joinHosts } from './join-hosts.js';
 import type { RunningForwarder } from './running-forwarder.js';
 import { serveStatus } from './serve-status.js';
 
@@ -41,12 +44,41 @@
       board.dropServer(id);
     } else if (entry.versions.size > 0) events.startReading(id, entry.address);
   });
+  const bornMs = readWallMs();
+  const keeper = createPieceKeeper({ board, events, fleet, control: options.control });
+  const stores = new Set<string>();
+  fleet.watchConfig((config) => {
+    const ids = new Map(config.stores.map((store) => [getStoreId(store), store.address]));
+    for (const id of stores) if (!ids.has(id)) events.stopReading(id);
+    stores.clear();
+    for (const [id, address] of ids) {
+      stores.add(id);
+      events.startReading(id, address);
+    }
+  });
+  const hosts = joinHosts({
+    source: options.source,
+    leases: options.leases,
+    kind: options.kinds.hosts,
+    host: settings.host,
+    address: settings.sharingAddress,
+    bornMs,
+  });
+  const sharing = await shareLoad({
+    address: settings.sharingAddress,
+    host: settings.host,
+    bornMs,
+    board,
+    listPeers: hosts.listPeers,
+  });
   let isDraining = false;
   const forwarder = await serveForwards(settings.callerAddress, {
     codec,
     fleet,
     board,
     pool,
+    keeper,
+    sharing,
     resends: createResendBudget({
       ratio: bounds.resendRatio,
       windowMs: bounds.resendWindowMs,
@@ -81,7 +113,7 @@
   const lease = holdLease({
     platform: options.leases,
     name: LEASE_NAME,
-    self: { host: settings.host, incarnation: readWallMs() },
+    self: { host: settings.host, incarnation: bornMs },
     times: times.lease,
     getPollMs: () => (lease.getFencing() !== undefined || listOutdated(fleet).length > 0 ? times.lease.pollMs : times.idlePollMs),
   });
@@ -93,6 +125,13 @@
     host: settings.host,
     bounds,
   });
+  const stopFreeing = runEvery(
+    times.freePauseMs,
+    () => (lease.getFencing() === undefined ? undefined : keeper.freeOutdated(fleet.getConfig()?.stores ?? [])),
+    (error) => {
+      logger.error('freeing pieces failed', { detail: String(error) });
+    },
+  );
   logger.info('started', { host: settings.host, failureDomain: settings.failureDomain, bounds });
 
   return {
@@ -102,6 +141,7 @@
       forwarder.startDraining();
       logger.info('stopping', { inFlight: forwarder.countInFlight(), graceMs: bounds.graceMs });
       stopRolling();
+      stopFreeing();
       const released = lease.release();
       const elapsed = (): number => readMonotonicMs() - startedMs;
       const endMs = bounds.graceMs - times.exitMs;
@@ -109,6 +149,8 @@
         await sleep(times.drainCheckMs);
       const closed = forwarder.close();
       events.close();
+      sharing.close();
+      hosts.close();
       fleet.close();
       ready.close();
       metricsServer?.close();
--- /dev/null
+++ b/packages/share-load/src/decode-load-message.ts
@@ -0,0 +1,20 @@
+import { unpack } from 'msgpackr';
+import type { LoadMessage } from './load-message.js';
+
+const isCount = (value: unknown): value is number => typeof value === 'number' && value >= 0;
+
+/** Decodes a datagram; `undefined` when it is not a message of this kind. */
+export function decodeLoadMessage(bytes: Buffer): LoadMessage | undefined {
+  let value: unknown;
+  try {
+    value = unpack(bytes);
+  } catch {
+    return undefined;
+  }
+  if (!Array.isArray(value)) return undefined;
+  const [host, bornMs, number, loads] = value as unknown[];
+  if (typeof host !== 'string' || !isCount(bornMs) || !isCount(number) || !Array.isArray(loads)) return undefined;
+  const isLoad = (load: unknown): boolean =>
+    Array.isArray(load) && typeof load[0] === 'string' && load.slice(1, 4).every(isCount) && load.length === 4;
+  return loads.every(isLoad) ? (value as unknown as LoadMessage) : undefined;
+}
--- a/packages/track-engines/src/create-engine-board.ts
+++ b/packages/track-engines/src/create-engine-board.ts
@@ -108,16 +108,11 @@
     avoidServer: (server, ms) => {
       getEntry(server).avoidedUntilMs = readMonotonicMs() + ms;
     },
-    addPiece: (server, scope, piece, tokens) => {
-      getEntry(server).pieces.addPiece(scope, piece, tokens);
-    },
-    dropPiece: (server, scope, piece) => {
-      getEntry(server).pieces.dropPiece(scope, piece);
-    },
-    clearPieces: (server) => {
-      getEntry(server).pieces.clear();
-    },
-    findChain: (server, scope, pieces) => getEntry(server).pieces.findChain(scope, pieces),
+    getPieces: (server) => getEntry(server).pieces,
+    listLoads: () =>
+      [...entries]
+        .filter(([, entry]) => entry.inFlight > 0)
+        .map(([server, entry]) => [server, entry.inFlight, entry.pendingTokens, entry.heldTokens] as const),
     dropServer: (server) => {
       entries.delete(server);
     },
--- a/packages/track-engines/src/engine-board.ts
+++ b/packages/track-engines/src/engine-board.ts
@@ -1,6 +1,6 @@
-import type { BackendLoad, PromptPiece } from '@laburnumshift/forward-types';
-import type { CachedChain } from './cached-chain.js';
+import type { BackendLoad } from '@laburnumshift/forward-types';
 import type { CallWork } from './call-work.js';
+import type { PieceTable } from './piece-table.js';
 import type { ServerState } from './server-state.js';
 import type { TrackedCall } from './tracked-call.js';
 
@@ -11,11 +11,10 @@
   readonly observeLoad: (server: string, load: BackendLoad) => void;
   /** The server refused a connection, or reset calls: it gets no new calls for `ms`. */
   readonly avoidServer: (server: string, ms: number) => void;
-  readonly addPiece: (server: string, scope: string, piece: string, tokens: number) => void;
-  readonly dropPiece: (server: string, scope: string, piece: string) => void;
-  /** Forgets what the server has cached. */
-  readonly clearPieces: (server: string) => void;
-  readonly findChain: (server: string, scope: string, pieces: readonly PromptPiece[]) => CachedChain;
+  /** The cached pieces of an engine or a store. */
+  readonly getPieces: (server: string) => PieceTable;
+  /** Server, own calls, pending and held tokens of each server with own calls. */
+  readonly listLoads: () => (readonly [string, number, number, number])[];
   /** Forgets everything about a server that left. */
   readonly dropServer: (server: string) => void;
 }
--- a/packages/track-engines/src/piece-table.ts
+++ b/packages/track-engines/src/piece-table.ts
@@ -1,11 +1,12 @@
-import type { PromptPiece } from '@laburnumshift/forward-types';
-import type { CachedChain } from './cached-chain.js';
-
-/** Cached pieces of one engine. */
+/** Cached pieces of one engine or store. */
 export interface PieceTable {
   readonly addPiece: (scope: string, piece: string, tokens: number) => void;
   readonly dropPiece: (scope: string, piece: string) => void;
   readonly clear: () => void;
-  /** A piece counts only if all pieces before it are cached whole. */
-  readonly findChain: (scope: string, pieces: readonly PromptPiece[]) => CachedChain;
+  /** Tokens of a piece; 0 when it is not cached. */
+  readonly getTokens: (scope: string, piece: string) => number;
+  /** Sum over all pieces. */
+  readonly countTokens: () => number;
+  /** Pieces whose scope fulfils the condition. */
+  readonly listPieces: (isWanted: (scope: string) => boolean) => { scope: string; piece: string }[];
 }
--- a/packages/track-fleet/src/fleet-view.ts
+++ b/packages/track-fleet/src/fleet-view.ts
@@ -17,5 +17,7 @@
   readonly isComplete: () => boolean;
   /** Calls the handler when a server came, changed or left (`undefined`). */
   readonly watchBackends: (handler: (id: string, entry: BackendEntry | undefined) => void) => void;
+  /** Calls the handler when a configuration came into force. */
+  readonly watchConfig: (handler: (config: ForwardConfig) => void) => void;
   readonly close: () => void;
 }
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -16,6 +16,7 @@
   const lapsed = new Map<string, Moment>();
   const weights = new Map<string, NamedWeights>();
   const handlers: ((id: string, entry: BackendEntry | undefined) => void)[] = [];
+  const configHandlers: ((config: ForwardConfig) => void)[] = [];
   let config: ForwardConfig | undefined;
   let isWeightsListed = false;
 
@@ -90,6 +91,7 @@
       if (config !== undefined && next.version <= config.version) continue;
       logger.info('configuration in force', { version: next.version, before: config?.version });
       config = next;
+      for (const handler of configHandlers) handler(next);
     }
   };
   const applyWeights = (changes: readonly ObjectChange[]): void => {
@@ -122,6 +124,9 @@
     watchBackends: (handler) => {
       handlers.push(handler);
     },
+    watchConfig: (handler) => {
+      configHandlers.push(handler);
+    },
     close: () => {
       for (const view of views) view.close();
     },
