Admit calls by the memory of engines and mark orders for all hosts

After new weights engines ran out of memory and preempted calls over and over. Calls now wait shortly or are refused while the best engine's memory is full, less urgent ones first. Orders are announced on the engine's entry, so hosts keep calls away.

--- a/packages/forward-calls/src/choice.ts
+++ b/packages/forward-calls/src/choice.ts
@@ -14,4 +14,6 @@
       /** Weight version that the call shall run under; `undefined` for plain services. */
       readonly version: number | undefined;
     }
+  /** No room now; to be asked again soon. */
+  | { readonly kind: 'wait' }
   | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number };
--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -22,7 +22,7 @@
 /** Calls stop going to outdated engines so long before the bound, milliseconds: queue and clock rates. */
 const VERSION_MARGIN_MS = 1500;
 /** An order that is under way takes about so long, milliseconds; afterwards the mark is not trusted. */
-const ROLLING_MS = 6000;
+const ROLLING_MS = 12_000;
 
 /** Calls of other hosts at a server: as they tell, or from the load that the server told when they are not heard. */
 const countOthers = (deps: ForwardDeps, server: string, state: ServerState): number => {
@@ -80,10 +80,15 @@
     named !== undefined && (server.versions.get(prompt.model) ?? named.version) < named.version;
   const mayUse = (server: BackendEntry): boolean => {
     if (!isOutdated(server)) return true;
-    const isRolling = server.rollingTo !== undefined && namedMs < ROLLING_MS;
-    return !isRolling && namedMs < deps.bounds.versionMs - VERSION_MARGIN_MS;
+    return namedMs < deps.bounds.versionMs - VERSION_MARGIN_MS;
   };
-  const usable = servers.filter(mayUse);
+  // A mark of an older version counts too: its order may be under way when newer weights are named.
+  const isLoading = ({ mark, versions }: BackendEntry): boolean =>
+    mark !== undefined &&
+    !mark.isDone &&
+    mark.version > (versions.get(mark.model) ?? 0) &&
+    namedMs < ROLLING_MS;
+  const usable = servers.filter((server) => mayUse(server) && !isLoading(server));
   if (usable.length === 0)
     return { kind: 'refuse', reason: 'weights are being replaced', retryAfterMs: NO_SERVER_RETRY_MS };
 
@@ -132,13 +137,16 @@
   });
   const server = usable.find(({ id }) => id === placement.id);
   if (server === undefined) return { kind: 'refuse', reason: 'no server', retryAfterMs: NO_SERVER_RETRY_MS };
+  const now = readMonotonicMs();
   const admission = admitCall({
     expectedMs: placement.expectedMs,
-    remainingMs: job.endsMs - readMonotonicMs(),
+    memoryShare: placement.memoryShare,
+    remainingMs: job.endsMs - now,
+    waitedMs: now - job.arrivedMs,
     targetMs: job.route.targetMs,
+    priority: job.account?.priority ?? job.route.priority,
   });
-  if (!admission.isAdmitted)
-    return { kind: 'refuse', reason: 'queue is too long', retryAfterMs: admission.retryAfterMs };
+  if (admission.kind !== 'admit') return admission;
   const version = server.versions.get(prompt.model);
   return {
     kind: 'server',
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -1,4 +1,4 @@
-import { readMonotonicMs } from '@laburnumshift/clock';
+import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import { CALL_KINDS } from '@laburnumshift/forward-types';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import { createLogger } from '@laburnumshift/logger';
@@ -14,10 +14,14 @@
 const MAX_UNSENT = 3;
 /** A server that refuses connections gets no calls for so long, milliseconds: half of a short restart. */
 const UNREACHABLE_MS = 500;
+/** A server that refused a call gets no further ones for so long, milliseconds: it is full or takes new weights. */
+const REFUSED_MS = 200;
 /** Connections that one host may have to a server however many hosts there are. */
 const MIN_CONNECTIONS = 4;
 /** Retry-After when servers refused the call, milliseconds: a short queue has changed by then. */
 const FULL_RETRY_MS = 400;
+/** Pause before a call that waits for room asks again, milliseconds: about the time between two ends of calls. */
+const ROOM_MS = 30;
 const DEFAULT_PRIORITY = 5;
 const MAX_URGENCY = 9;
 
@@ -75,6 +79,10 @@
       refuse(choice.reason, choice.retryAfterMs);
       return;
     }
+    if (choice.kind === 'wait') {
+      await sleep(ROOM_MS, job.left);
+      continue;
+    }
     const { server } = choice;
     const startedMs = readMonotonicMs();
     const remainingMs = Math.floor(job.endsMs - startedMs);
@@ -117,6 +125,7 @@
       unsent += 1;
       deps.board.avoidServer(server.id, UNREACHABLE_MS);
     }
+    if (end.kind === 'not-run' && end.isSent) deps.board.avoidServer(server.id, REFUSED_MS);
     tried.add(server.id);
     if (end.kind === 'broken' || end.kind === 'cut' || end.kind === 'answered' || end.kind === 'ended') mayHaveRun = true;
     trail.push({
--- a/packages/forward-types/src/backend-entry.ts
+++ b/packages/forward-types/src/backend-entry.ts
@@ -1,3 +1,5 @@
+import type { OrderMark } from './order-mark.js';
+
 /** A backend server as it registered itself. */
 export interface BackendEntry {
   /** Name of the running process; a restart mostly brings a new one. */
@@ -12,6 +14,6 @@
   readonly bornMs: number;
   /** Weight versions by model name. */
   readonly versions: ReadonlyMap<string, number>;
-  /** Version that the server is being brought to by an order; `undefined` when no order is under way. */
-  readonly rollingTo?: number | undefined;
+  /** Mark of the last order: set before it is sent. */
+  readonly mark: OrderMark | undefined;
 }
--- a/packages/forward-types/src/index.ts
+++ b/packages/forward-types/src/index.ts
@@ -24,6 +24,7 @@
 export type { ListOutcome } from './list-outcome.js';
 export type { ObjectChange } from './object-change.js';
 export type { ObjectSource } from './object-source.js';
+export type { OrderMark } from './order-mark.js';
 export type { OrderOutcome } from './order-outcome.js';
 export type { PromptPiece } from './prompt-piece.js';
 export type { PromptShape } from './prompt-shape.js';
--- a/packages/place-calls/src/admission.ts
+++ b/packages/place-calls/src/admission.ts
@@ -1,3 +1,5 @@
-/** Whether a call is sent now, or when the caller should come back. */
+/** Whether a call is sent now, waits for room, or when the caller should come back. */
 export type Admission =
-  { readonly isAdmitted: true } | { readonly isAdmitted: false; readonly retryAfterMs: number };
+  | { readonly kind: 'admit' }
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number };
--- a/packages/place-calls/src/plan-fetch.ts
+++ b/packages/place-calls/src/plan-fetch.ts
@@ -15,11 +15,12 @@
   let fetchTokens = 0;
   for (const [index, piece] of pieces.entries()) {
     const local = Math.min(piece.tokens, countLocal(piece));
+    const source = findSource(piece);
     localTokens += local;
+    // Named also where the piece is cached: the engine may have dropped it, and fetches nothing that it has.
+    sources[index] = source;
     if (local >= piece.tokens) continue;
-    const source = findSource(piece);
     if (source === undefined) break;
-    sources[index] = source;
     fetchTokens += piece.tokens - local;
   }
   return { localTokens, fetchTokens, sources };
--- a/packages/read-cache-events/src/events-reader.ts
+++ b/packages/read-cache-events/src/events-reader.ts
@@ -1,7 +1,11 @@
 /** Readers of the cache events of engines. */
 export interface EventsReader {
-  /** Starts to read the events of an engine; nothing happens when it is read already. */
-  readonly startReading: (engine: string, address: string) => void;
+  /**
+   * Starts to read the events of an engine; nothing happens when it is read already.
+   *
+   * @param pauseMs pause between two reads, milliseconds; changes gather meanwhile
+   */
+  readonly startReading: (engine: string, address: string, pauseMs: number) => void;
   readonly stopReading: (engine: string) => void;
   /** True while the events of an engine or store are followed without a failure. */
   readonly isReading: (engine: string) => boolean;
--- a/packages/read-cache-events/src/read-cache-events.ts
+++ b/packages/read-cache-events/src/read-cache-events.ts
@@ -9,8 +9,6 @@
 const FAILED_PAUSE_MS = 500;
 /** Pause when the engine answers no more readers, milliseconds; others end their reads every second. */
 const FULL_PAUSE_MS = 3000;
-/** Shortest distance of two reads, milliseconds; changes gather meanwhile. */
-const READ_PAUSE_MS = 150;
 
 /**
  * Keeps the directory of cached pieces up to date with the events of engines. Events come late and some never do, so the
@@ -24,7 +22,12 @@
   const lost = new Set<string>();
   let clock: { readonly readMs: number; readonly clockMs: number } | undefined;
 
-  const runLoop = async (engine: string, address: string, signal: AbortSignal): Promise<void> => {
+  const runLoop = async (
+    engine: string,
+    address: string,
+    pauseMs: number,
+    signal: AbortSignal,
+  ): Promise<void> => {
     const pieces = board.getPieces(engine);
     let since = 0;
     let bootId: string | undefined;
@@ -51,7 +54,7 @@
         if (isAdded || tokens > 0) pieces.addPiece(scope, piece, tokens);
         else pieces.dropPiece(scope, piece);
       }
-      await sleep(READ_PAUSE_MS, signal);
+      await sleep(pauseMs, signal);
     }
   };
   const stopReading = (engine: string): void => {
@@ -62,11 +65,11 @@
   };
 
   return {
-    startReading: (engine, address) => {
+    startReading: (engine, address, pauseMs) => {
       if (stoppers.has(engine)) return;
       const stopper = new AbortController();
       stoppers.set(engine, stopper);
-      runLoop(engine, address, stopper.signal).catch((error: unknown) => {
+      runLoop(engine, address, pauseMs, stopper.signal).catch((error: unknown) => {
         logger.error('reading events failed', { engine, detail: String(error) });
       });
     },
--- a/packages/roll-weights/src/choose-next-orders.ts
+++ b/packages/roll-weights/src/choose-next-orders.ts
@@ -1,7 +1,7 @@
 import type { OutdatedEngine } from './outdated-engine.js';
 
 /** Share of a service's engines that may be out of service for new weights at once. */
-const OUT_SHARE = 0.34;
+const OUT_SHARE = 0.5;
 
 /** Chooses engines to order next: the ones with the least work first, never so many that too few are left in service. */
 export function chooseNextOrders(
--- a/packages/roll-weights/src/roll-options.ts
+++ b/packages/roll-weights/src/roll-options.ts
@@ -1,4 +1,4 @@
-import type { EngineControl, ForwardBounds } from '@laburnumshift/forward-types';
+import type { EngineControl, ForwardBounds, OrderMark } from '@laburnumshift/forward-types';
 import type { Lease } from '@laburnumshift/hold-lease';
 import type { FleetView } from '@laburnumshift/track-fleet';
 
@@ -6,8 +6,8 @@
 export interface RollOptions {
   readonly fleet: Pick<FleetView, 'listAll' | 'getWeights' | 'listWeights' | 'getConfig' | 'getBackend'>;
   readonly control: Pick<EngineControl, 'readReport' | 'sendOrder'>;
-  /** Marks engines that are about to load, so that all hosts keep calls from them. */
-  readonly markRolling: (engine: string, version: number) => Promise<boolean>;
+  /** Writes the mark of an order, so that all hosts keep calls from the engine; false when that failed or is unknown. */
+  readonly markEngine: (engine: string, mark: OrderMark) => Promise<boolean>;
   readonly lease: Pick<Lease, 'getFencing' | 'getRemainingMs'>;
   readonly host: string;
   readonly bounds: Pick<ForwardBounds, 'leaseMs'>;
--- a/packages/roll-weights/src/roll-weights.ts
+++ b/packages/roll-weights/src/roll-weights.ts
@@ -6,6 +6,8 @@
 import type { RollOptions } from './roll-options.js';
 
 const PERIOD_MS = 60;
+/** Time from the mark to the order, milliseconds: other hosts see the mark, and what they sent before arrives. */
+const MARK_MS = 60;
 /** Pause between two looks at an engine that loads, milliseconds: a third of a load. */
 const REPORT_MS = 150;
 /** An engine that has not taken an order after this is left for another turn, milliseconds: longest run and a load. */
@@ -19,12 +21,12 @@
 
 /**
  * Brings engines to the newest weights while the lease is held. Each order names the orders that the engine has accepted, so
- * one that comes late is refused. The first holder may order at once, a later one when orders of the one before are past.
+ * one that comes late is refused. An engine that another holder marked gets orders only when that holder's are past.
  *
  * @returns a function that stops the orders
  */
 export function rollWeights(options: RollOptions): () => void {
-  const { fleet, control, lease, markRolling } = options;
+  const { fleet, control, lease, markEngine, host } = options;
   const logger = createLogger('weights');
   const active = new Map<string, Moment>();
   let fencing: number | undefined;
@@ -36,13 +38,17 @@
   };
   const orderOne = async ({ engine, model, version }: OutdatedEngine): Promise<void> => {
     const started = readMoment();
-    const isMarked = await markRolling(engine.id, version);
+    const mark = { holder: host, model, version };
+    // Without the mark the next holder would not know of this order.
+    if (!(await markEngine(engine.id, { ...mark, isDone: false }))) return;
+    await sleep(MARK_MS);
     while (computeElapsedMs(started) < ORDER_MS) {
       const known = fleet.getBackend(engine.id);
-      if (known?.bornMs !== engine.bornMs || (known.versions.get(model) ?? version) >= version) return;
+      if (known?.bornMs !== engine.bornMs) return;
       const report = await control.readReport(engine);
       const current = report?.versions.get(model) ?? 0;
       if (current >= version) {
+        await markEngine(engine.id, { ...mark, isDone: true });
         logger.info('engine has new weights', { engine: engine.id, model, version, ms: computeElapsedMs(started) });
         return;
       }
@@ -52,9 +58,9 @@
       }
       const number = getOrderFencing();
       if (number === undefined) return;
-      const order = { model, version, holder: options.host, fencing: number, expectedOrders: report.orderCount };
+      const order = { model, version, holder: host, fencing: number, expectedOrders: report.orderCount };
       const outcome = await control.sendOrder(engine, order);
-      logger.info('order sent', { engine: engine.id, ...order, outcome, isMarked });
+      logger.info('order sent', { engine: engine.id, ...order, outcome });
       if (outcome === 'refused') return;
       await sleep(outcome === 'unknown' ? UNKNOWN_MS : REPORT_MS);
     }
@@ -77,8 +83,10 @@
       heldSince = readMoment();
     }
     if (current === undefined) return;
-    if (current > 1 && computeElapsedMs(heldSince) < options.bounds.leaseMs + TURN_MARGIN_MS) return;
-    const outdated = listOutdated(fleet);
+    const isPastTurn = computeElapsedMs(heldSince) >= options.bounds.leaseMs + TURN_MARGIN_MS;
+    const outdated = listOutdated(fleet).filter(
+      ({ engine }) => isPastTurn || engine.mark === undefined || engine.mark.holder === host,
+    );
     if (outdated.length === 0) return;
     const services = new Set(outdated.map(({ engine }) => engine.service));
     for (const service of services) {
--- a/packages/run-forwarder/src/forwarder-options.ts
+++ b/packages/run-forwarder/src/forwarder-options.ts
@@ -1,4 +1,4 @@
-import type { EdgeCodec, EngineControl, ForwardSettings, ObjectSource } from '@laburnumshift/forward-types';
+import type { EdgeCodec, EngineControl, ForwardSettings, ObjectSource, OrderMark } from '@laburnumshift/forward-types';
 import type { FleetDecoder, FleetOptions } from '@laburnumshift/track-fleet';
 import type { PlatformClient } from '@laburnumshift/types';
 
@@ -11,8 +11,8 @@
   readonly kinds: FleetOptions['kinds'] & { readonly hosts: string };
   readonly codec: EdgeCodec;
   readonly control: EngineControl;
-  /** Marks an engine that is about to load weights. */
-  readonly markRolling: (engine: string, version: number) => Promise<boolean>;
+  /** Writes the mark of an order on an engine's entry; false when that failed or is unknown. */
+  readonly markEngine: (engine: string, mark: OrderMark) => Promise<boolean>;
   /** Path of the balancer's question whether this host takes connections. */
   readonly readyPath: string;
 }
--- a/packages/run-forwarder/src/forwarder-times.ts
+++ b/packages/run-forwarder/src/forwarder-times.ts
@@ -14,10 +14,13 @@
   /** Left of the grace time for the end of the process. */
   exitMs: 700,
   drainCheckMs: 50,
+  /** Pauses between reads of cache events; a call's own pieces are known without them. */
+  engineEventsMs: 1200,
+  storeEventsMs: 350,
   /** Distance of two looks for pieces of outdated weights. */
   freePauseMs: 700,
   /** Lease of orders: see `LeaseDurations`. */
-  lease: { holdMs: 1500, challengeMs: 1800, renewMs: 500, pollMs: 400 },
+  lease: { holdMs: 1200, challengeMs: 1400, renewMs: 400, pollMs: 300 },
   /** Pause between looks at the lease while no engine needs an order. */
   idlePollMs: 3000,
 } as const;
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -42,7 +42,7 @@
       events.stopReading(id);
       pool.dropBackend(id);
       board.dropServer(id);
-    } else if (entry.versions.size > 0) events.startReading(id, entry.address);
+    } else if (entry.versions.size > 0) events.startReading(id, entry.address, times.engineEventsMs);
   });
   const bornMs = readWallMs();
   const keeper = createPieceKeeper({ board, events, fleet, control: options.control });
@@ -53,7 +53,7 @@
     stores.clear();
     for (const [id, address] of ids) {
       stores.add(id);
-      events.startReading(id, address);
+      events.startReading(id, address, times.storeEventsMs);
     }
   });
   const hosts = joinHosts({
@@ -120,7 +120,7 @@
   const stopRolling = rollWeights({
     fleet,
     control: options.control,
-    markRolling: options.markRolling,
+    markEngine: options.markEngine,
     lease,
     host: settings.host,
     bounds,
