--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -20,7 +20,7 @@
 const OUTDATED_EARLY_MS = 30;
 const OUTDATED_LATE_MS = 400;
 /** Calls stop going to outdated engines so long before the bound, milliseconds: queue and clock rates. */
-const VERSION_MARGIN_MS = 1500;
+const VERSION_MARGIN_MS = 2000;
 /** An order that is under way takes about so long, milliseconds; afterwards the mark is not trusted. */
 const ROLLING_MS = 12_000;
 
@@ -75,7 +75,8 @@
   const engine = job.service.engine;
   if (engine === undefined) throw new TypeError('not a service of engines');
   const named = deps.fleet.getWeights(prompt.model);
-  const namedMs = named === undefined ? 0 : computeElapsedMs(named.learned);
+  // A version that was there at the start may have been named any time before.
+  const namedMs = named === undefined ? 0 : named.isInitial ? Infinity : computeElapsedMs(named.learned);
   const isOutdated = (server: BackendEntry): boolean =>
     named !== undefined && (server.versions.get(prompt.model) ?? named.version) < named.version;
   const mayUse = (server: BackendEntry): boolean => {
--- a/packages/forward-calls/src/forwarder.ts
+++ b/packages/forward-calls/src/forwarder.ts
@@ -3,6 +3,8 @@
   /** Answers end their connections from now on. */
   readonly startDraining: () => void;
   readonly countInFlight: () => number;
-  /** Closes the listener and idle connections; resolves when all connections are gone. */
-  readonly close: () => Promise<void>;
+  /** Takes no new connections, and closes each connection as soon as it is idle. */
+  readonly stopListening: () => void;
+  readonly closeIdle: () => void;
+
 }
--- a/packages/forward-calls/src/serve-forwards.ts
+++ b/packages/forward-calls/src/serve-forwards.ts
@@ -122,12 +122,12 @@
       isDraining = true;
     },
     countInFlight: () => inFlight,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeIdleConnections();
-      }),
+    stopListening: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    closeIdle: () => {
+      server.closeIdleConnections();
+    },
   };
 }
--- a/packages/roll-weights/src/roll-weights.ts
+++ b/packages/roll-weights/src/roll-weights.ts
@@ -40,7 +40,10 @@
     const started = readMoment();
     const mark = { holder: host, model, version };
     // Without the mark the next holder would not know of this order.
-    if (!(await markEngine(engine.id, { ...mark, isDone: false }))) return;
+    if (!(await markEngine(engine.id, { ...mark, isDone: false }))) {
+      logger.warn('engine not marked, order put off', { engine: engine.id, model, version });
+      return;
+    }
     await sleep(MARK_MS);
     while (computeElapsedMs(started) < ORDER_MS) {
       const known = fleet.getBackend(engine.id);
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -145,16 +145,20 @@
       const released = lease.release();
       const elapsed = (): number => readMonotonicMs() - startedMs;
       const endMs = bounds.graceMs - times.exitMs;
-      while (elapsed() < endMs && (elapsed() < times.rotationMs || forwarder.countInFlight() > 0))
+      while (elapsed() < times.rotationMs) await sleep(times.drainCheckMs);
+      // New connections go elsewhere by now. Closing idle ones keeps late calls from a host that can't finish them.
+      forwarder.stopListening();
+      while (elapsed() < endMs && forwarder.countInFlight() > 0) {
         await sleep(times.drainCheckMs);
-      const closed = forwarder.close();
+        forwarder.closeIdle();
+      }
       events.close();
       sharing.close();
       hosts.close();
       fleet.close();
       ready.close();
       metricsServer?.close();
-      await Promise.race([Promise.all([closed, released]), sleep(Math.min(times.drainCheckMs * 4, times.exitMs))]);
+      await Promise.race([released, sleep(times.drainCheckMs * 4)]);
       pool.close();
       logger.info('stopped', { ms: Math.round(elapsed()), inFlight: forwarder.countInFlight() });
     },
