--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 import { houseRules } from './eslint-rules/index.js';
 
-const packageFiles = ['packages/*/src/**/*.ts', 'packages/*/test/**/*.ts'];
+const packageFiles = ['packages/*/src/**/*.ts', 'packages/*/test/**/*.ts', 'platform/{src,test}/**/*.ts'];
 
 export default tseslint.config(
   { ignores: ['**/dist/**', 'node_modules/**'] },
@@ -26,12 +26,12 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
-    ignores: ['packages/*/src/**/index.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: ['packages/*/src/**/index.ts', 'platform/src/index.ts'],
     rules: { 'house/one-export': 'error' },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['packages/clock/src/**', 'packages/test-utils/src/**'],
     rules: { 'house/no-default-clock': 'error' },
   },
--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -63,7 +63,14 @@
   const chosen = placePlainCall(candidates, deps.failureDomain, deps.pickRandom());
   const server = servers.find(({ id }) => id === chosen?.id);
   if (server === undefined) return { kind: 'refuse', reason: 'no server', retryAfterMs: NO_SERVER_RETRY_MS };
-  return { kind: 'server', server, uncachedTokens: 0, expectedMs: 0, transfers: undefined, version: undefined };
+  return {
+    kind: 'server',
+    server,
+    uncachedTokens: 0,
+    expectedMs: 0,
+    transfers: undefined,
+    version: undefined,
+  };
 }
 
 function chooseEngine(
@@ -79,7 +86,7 @@
   const namedMs = named === undefined ? 0 : named.isInitial ? Infinity : computeElapsedMs(named.learned);
   const isOutdated = (server: BackendEntry): boolean =>
     named !== undefined && (server.versions.get(prompt.model) ?? named.version) < named.version;
-  const mayUse = (server: BackendEntry): boolean => {
+  const isPermitted = (server: BackendEntry): boolean => {
     if (!isOutdated(server)) return true;
     return namedMs < deps.bounds.versionMs - VERSION_MARGIN_MS;
   };
@@ -89,7 +96,7 @@
     !mark.isDone &&
     mark.version > (versions.get(mark.model) ?? 0) &&
     namedMs < ROLLING_MS;
-  const usable = servers.filter((server) => mayUse(server) && !isLoading(server));
+  const usable = servers.filter((server) => isPermitted(server) && !isLoading(server));
   if (usable.length === 0)
     return { kind: 'refuse', reason: 'weights are being replaced', retryAfterMs: NO_SERVER_RETRY_MS };
 
--- a/packages/forward-calls/src/decide-next-step.ts
+++ b/packages/forward-calls/src/decide-next-step.ts
@@ -8,14 +8,14 @@
 
 type Decide = (input: StepInput) => NextStep;
 
-const giveUp: Decide = ({ mayHaveRun, isHeadSent }) => {
+const abandonCall: Decide = ({ mayHaveRun, isHeadSent }) => {
   if (isHeadSent) return { kind: 'abort' };
   return mayHaveRun ? { kind: 'fail', status: 502 } : { kind: 'refuse' };
 };
 const sendAgain: Decide = (input) =>
   input.attempts < input.maxAttempts && input.remainingMs >= MIN_REMAINING_MS && input.takeResend()
     ? { kind: 'send' }
-    : giveUp(input);
+    : abandonCall(input);
 
 const HANDLERS: Readonly<Record<AttemptEnd['kind'], (input: StepInput, end: AttemptEnd) => NextStep>> = {
   delivered: () => ({ kind: 'done' }),
@@ -26,14 +26,19 @@
   },
   'not-run': (input, end) => {
     // Nothing was sent, so the call has not used one of its servers yet.
-    if (end.kind === 'not-run' && !end.isSent && input.remainingMs >= MIN_REMAINING_MS && input.unsent <= input.maxUnsent)
+    if (
+      end.kind === 'not-run' &&
+      !end.isSent &&
+      input.remainingMs >= MIN_REMAINING_MS &&
+      input.unsent <= input.maxUnsent
+    )
       return { kind: 'send' };
     return sendAgain(input);
   },
-  broken: (input) => (input.isRepeatable ? sendAgain(input) : giveUp(input)),
-  cut: (input) => (input.isRepeatable ? sendAgain(input) : giveUp(input)),
+  broken: (input) => (input.isRepeatable ? sendAgain(input) : abandonCall(input)),
+  cut: (input) => (input.isRepeatable ? sendAgain(input) : abandonCall(input)),
   answered: (input, end) => {
-    if (end.kind !== 'answered') return giveUp(input);
+    if (end.kind !== 'answered') return abandonCall(input);
     if (input.isHeadSent) return { kind: 'abort' };
     const isFailure = end.head.status >= FIRST_FAILURE;
     if (isFailure && input.isRepeatable) {
--- a/packages/forward-calls/src/attempt-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -14,7 +14,7 @@
 const MAX_HELD_BYTES = 4 * 1024 * 1024;
 
 /** Sends a call to one server, and passes a stream on as it comes. Other answers are held back whole for a decision. */
-export function attemptCall(deps: ForwardDeps, input: AttemptInput): Promise<AttemptEnd> {
+export function dispatchCall(deps: ForwardDeps, input: AttemptInput): Promise<AttemptEnd> {
   const { job, server, splitter, backendCall } = input;
   const { reply, route } = job;
   const tracked = deps.board.beginCall(server.id, input.work);
@@ -23,7 +23,6 @@
     const held: Buffer[] = [];
     let heldBytes = 0;
     let head: AnswerHead | undefined;
-    let sent: SentCall | undefined;
     let isOpen = true;
     let hasFirst = false;
 
@@ -37,7 +36,7 @@
       resolve(end);
     };
     const cancel = (end: AttemptEnd, result: Parameters<typeof tracked.finish>[0]): void => {
-      sent?.cancel();
+      sent.cancel();
       finish(end, result);
     };
     const handleLeft = (): void => {
@@ -51,18 +50,17 @@
       const { silentMs } = deps.board.getState(server.id);
       const startedMs = readMonotonicMs() - sentMs;
       if (Math.min(silentMs, startedMs) >= SILENCE_MS) {
-        cancel(endBroken('server is silent'), 'failed');
+        cancel(buildBrokenEnd('server is silent'), 'failed');
         return;
       }
       stopCheck = startTimer(SILENCE_CHECK_MS, checkSilence);
     };
-    const endBroken = (reason: string): AttemptEnd => {
+    const buildBrokenEnd = (reason: string): AttemptEnd => {
       splitter.clearRest();
       return reply.isHeadSent() ? { kind: 'cut', reason } : { kind: 'broken', reason };
     };
-    const isStreamAnswer = (): boolean =>
-      head !== undefined && head.status === 200 && route.kind === CALL_KINDS.stream;
-    const passEvents = (events: Buffer): void => {
+    const isStreamAnswer = (): boolean => head?.status === 200 && route.kind === CALL_KINDS.stream;
+    const relayEvents = (events: Buffer): void => {
       if (head === undefined) return;
       if (!hasFirst) {
         hasFirst = true;
@@ -71,15 +69,17 @@
       }
       if (!reply.isHeadSent()) reply.sendHead(head.status, head.passedHeaders);
       if (!reply.write(events)) {
-        sent?.pause();
-        reply.onDrain(() => sent?.resume());
+        sent.pause();
+        reply.onDrain(() => {
+          sent.resume();
+        });
       }
     };
 
     const sentMs = readMonotonicMs();
     job.left.addEventListener('abort', handleLeft);
     if (input.isRepeatable) stopCheck = startTimer(SILENCE_CHECK_MS, checkSilence);
-    sent = deps.pool.sendCall(server, input.maxConnections, backendCall, job.body, {
+    const sent: SentCall = deps.pool.sendCall(server, input.maxConnections, backendCall, job.body, {
       onHead: (received) => {
         head = received;
         tracked.observeBytes();
@@ -87,18 +87,18 @@
         if (received.isNotRun || received.isWrongServer) return;
         const isSuccess = received.status >= 200 && received.status < 300;
         if (isSuccess && (!received.isSealed || received.isEncoded))
-          cancel(endBroken('the answer is not the server’s own'), 'failed');
+          cancel(buildBrokenEnd('the answer is not the server’s own'), 'failed');
       },
       onBytes: (bytes) => {
         tracked.observeBytes();
         if (head === undefined || head.isNotRun || head.isWrongServer) return;
         if (isStreamAnswer()) {
           const events = splitter.addBytes(bytes);
-          if (events !== undefined) passEvents(events);
+          if (events !== undefined) relayEvents(events);
           return;
         }
         heldBytes += bytes.length;
-        if (heldBytes > MAX_HELD_BYTES) cancel(endBroken('the answer is too long'), 'failed');
+        if (heldBytes > MAX_HELD_BYTES) cancel(buildBrokenEnd('the answer is too long'), 'failed');
         else held.push(bytes);
       },
       onEnd: (hasLength) => {
@@ -115,10 +115,10 @@
         }
         const rest = splitter.getRest();
         if (rest.length > 0 && !hasLength) {
-          finish(endBroken('stream ended within an event'), 'failed');
+          finish(buildBrokenEnd('stream ended within an event'), 'failed');
           return;
         }
-        if (rest.length > 0) passEvents(rest);
+        if (rest.length > 0) relayEvents(rest);
         if (!reply.isHeadSent()) reply.sendHead(head.status, head.passedHeaders);
         reply.end();
         finish({ kind: 'delivered', status: head.status }, 'served');
@@ -129,7 +129,7 @@
         } else if (type === 'not-sent') {
           finish({ kind: 'not-run', reason, isSent: false }, 'failed');
         } else {
-          finish(endBroken(reason), 'failed');
+          finish(buildBrokenEnd(reason), 'failed');
         }
       },
     });
--- a/packages/forward-calls/src/forwarder.ts
+++ b/packages/forward-calls/src/forwarder.ts
@@ -6,5 +6,4 @@
   /** Takes no new connections, and closes each connection as soon as it is idle. */
   readonly stopListening: () => void;
   readonly closeIdle: () => void;
-
 }
--- a/packages/forward-calls/src/read-body.ts
+++ b/packages/forward-calls/src/read-body.ts
@@ -1,7 +1,10 @@
 import type http from 'node:http';
 
 /** Reads a whole body. `too-long` above the limit, `left` when the caller went away first. */
-export function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer | 'too-long' | 'left'> {
+export function readBody(
+  request: http.IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | 'too-long' | 'left'> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -2,7 +2,7 @@
 import { CALL_KINDS } from '@laburnumshift/forward-types';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import { createLogger } from '@laburnumshift/logger';
-import { attemptCall } from './attempt-call.js';
+import { dispatchCall } from './dispatch-call.js';
 import { chooseServer } from './choose-server.js';
 import { createEventSplitter } from './create-event-splitter.js';
 import { decideNextStep } from './decide-next-step.js';
@@ -88,10 +88,13 @@
     const remainingMs = Math.floor(job.endsMs - startedMs);
     const scope = buildCacheScope(account, call.prompt?.model ?? '', choice.version);
     attempts += 1;
-    const end = await attemptCall(deps, {
+    const end = await dispatchCall(deps, {
       job,
       server,
-      maxConnections: Math.max(MIN_CONNECTIONS, Math.floor(service.maxConnections / (deps.sharing.countHosts() + 2))),
+      maxConnections: Math.max(
+        MIN_CONNECTIONS,
+        Math.floor(service.maxConnections / (deps.sharing.countHosts() + 2)),
+      ),
       backendCall: {
         call,
         remainingMs,
@@ -127,7 +130,8 @@
     }
     if (end.kind === 'not-run' && end.isSent) deps.board.avoidServer(server.id, REFUSED_MS);
     tried.add(server.id);
-    if (end.kind === 'broken' || end.kind === 'cut' || end.kind === 'answered' || end.kind === 'ended') mayHaveRun = true;
+    if (end.kind === 'broken' || end.kind === 'cut' || end.kind === 'answered' || end.kind === 'ended')
+      mayHaveRun = true;
     trail.push({
       server: server.id,
       expectedMs: Math.round(choice.expectedMs),
--- a/packages/forward-calls/src/serve-forwards.ts
+++ b/packages/forward-calls/src/serve-forwards.ts
@@ -38,7 +38,11 @@
       target: request.url ?? '',
       headers: request.rawHeaders,
     });
-    const refuse = (status: Parameters<typeof replyRefusal>[3], reason: string, retryAfterMs?: number): void => {
+    const refuse = (
+      status: Parameters<typeof replyRefusal>[3],
+      reason: string,
+      retryAfterMs?: number,
+    ): void => {
       const id = 'id' in call ? call.id : undefined;
       request.resume();
       replyRefusal(codec, reply, id, status, retryAfterMs);
@@ -85,7 +89,17 @@
     if (body === 'left') return;
     const limitMs = Math.min(route.timeoutMs, call.deadlineMs ?? route.timeoutMs);
     const endsMs = arrivedMs + limitMs;
-    await runForward(deps, { call, route, service, account, body, reply, arrivedMs, endsMs, left: left.signal });
+    await runForward(deps, {
+      call,
+      route,
+      service,
+      account,
+      body,
+      reply,
+      arrivedMs,
+      endsMs,
+      left: left.signal,
+    });
   };
 
   const server = http.createServer(
@@ -95,7 +109,9 @@
       server.keepAliveTimeout = fleet.getConfig()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
       handleCall(request, response)
         .catch((error: unknown) => {
-          logger.error('call failed by a fault of this host', { detail: String((error as Error).stack ?? error) });
+          logger.error('call failed by a fault of this host', {
+            detail: String((error as Error).stack ?? error),
+          });
           response.destroy();
         })
         .finally(() => {
@@ -105,7 +121,8 @@
   );
   server.on('clientError', (error, socket) => {
     logger.warn('unreadable request', { detail: error.message });
-    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+    if (socket.writable)
+      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
   });
   const [host, port] = address.split(':');
   await new Promise<void>((resolve, reject) => {
--- a/packages/hold-lease/src/hold-lease.ts
+++ b/packages/hold-lease/src/hold-lease.ts
@@ -86,8 +86,7 @@
     const isWanted = options.isWanted?.() ?? true;
     if (held !== undefined && !isWanted) await releaseLease();
     else if (held === undefined && isWanted) await takeLease();
-    else if (held !== undefined && computeElapsedMs(held.sent) >= times.renewMs)
-      await renewLease(held);
+    else if (held !== undefined && computeElapsedMs(held.sent) >= times.renewMs) await renewLease(held);
   };
   const stop = runEvery(options.getPollMs ?? times.pollMs, runOnce, (error) => {
     logger.error('lease work failed', { lease: name, detail: String(error) });
--- a/packages/keep-pieces/src/create-piece-keeper.ts
+++ b/packages/keep-pieces/src/create-piece-keeper.ts
@@ -54,7 +54,9 @@
       name: store.name,
       address: store.address,
       capacityTokens: store.capacityTokens,
-      usedTokens: store.isManaged ? board.getPieces(getStoreId(store)).countTokens() + countPending(store.name) : 0,
+      usedTokens: store.isManaged
+        ? board.getPieces(getStoreId(store)).countTokens() + countPending(store.name)
+        : 0,
     }));
     const chosen = chooseKeeper(key, piece.tokens, candidates);
     if (chosen === undefined) return undefined;
--- a/packages/logger/src/create-line-sink.ts
+++ b/packages/logger/src/create-line-sink.ts
@@ -1,4 +1,5 @@
 import { write, writeSync } from 'node:fs';
+import { startTimer } from '@laburnumshift/clock';
 import type { LineSink } from './line-sink.js';
 
 /** Bytes that wait for a slow reader; further lines are dropped and counted. */
@@ -28,17 +29,20 @@
       isWriting = false;
       if (error !== null && error.code !== 'EAGAIN') return;
       const rest = bytes.subarray(error === null ? count : 0);
-      if (rest.length > 0) setTimeout(writeRest, GATHER_MS, rest);
+      if (rest.length > 0)
+        startTimer(GATHER_MS, () => {
+          writeRest(rest);
+        });
       else if (waiting.length > 0) scheduleWrite();
     });
   };
   const scheduleWrite = (): void => {
     if (isScheduled || isWriting) return;
     isScheduled = true;
-    setTimeout(() => {
+    startTimer(GATHER_MS, () => {
       isScheduled = false;
       if (!isWriting && waiting.length > 0) writeRest(Buffer.from(takeText()));
-    }, GATHER_MS).unref();
+    });
   };
   return {
     write: (line) => {
--- a/packages/place-calls/src/place-call.ts
+++ b/packages/place-calls/src/place-call.ts
@@ -35,7 +35,7 @@
     .map((engine) => ({ engine, weight: computeWeight(input.homeKey, engine.id) }))
     .sort((a, b) => b.weight - a.weight);
 
-  const rate = (engine: EngineCandidate, rank: number): Rated => {
+  const computeScore = (engine: EngineCandidate, rank: number): Rated => {
     const { localTokens, fetchTokens } = engine;
     const fetchMs = fetchTokens > 0 ? FETCH_START_MS + fetchTokens / rates.fetchPerMs : 0;
     const uncachedTokens = Math.max(0, inputTokens - localTokens - fetchTokens);
@@ -54,7 +54,7 @@
     return { id: engine.id, expectedMs, uncachedTokens, memoryShare, score };
   };
 
-  const [first, ...others] = ranked.map(({ engine }, rank) => rate(engine, rank));
+  const [first, ...others] = ranked.map(({ engine }, rank) => computeScore(engine, rank));
   if (first === undefined) throw new RangeError('no candidate to choose from');
   return others.reduce((a, b) => (b.score < a.score ? b : a), first);
 }
--- a/packages/place-calls/src/place-plain-call.ts
+++ b/packages/place-calls/src/place-plain-call.ts
@@ -16,12 +16,12 @@
   ownDomain: string,
   tieBreak: number,
 ): PlainCandidate | undefined {
-  const rate = (server: PlainCandidate): number =>
+  const computeScore = (server: PlainCandidate): number =>
     (server.calls + 1) / Math.max(1, server.slots) +
     server.failureShare * FAILURE_LOAD +
     (server.isSilent ? SILENT_LOAD : 0) +
     (server.failureDomain === ownDomain ? 0 : DOMAIN_LOAD);
-  const rated = candidates.map((server) => ({ server, score: rate(server) }));
+  const rated = candidates.map((server) => ({ server, score: computeScore(server) }));
   const least = Math.min(...rated.map(({ score }) => score));
   const equals = rated.filter(({ score }) => score <= least);
   return equals[Math.min(equals.length - 1, Math.floor(tieBreak * equals.length))]?.server;
--- a/packages/read-cache-events/src/read-cache-events.ts
+++ b/packages/read-cache-events/src/read-cache-events.ts
@@ -33,7 +33,7 @@
     let bootId: string | undefined;
     while (!signal.aborted) {
       const page = await control.readEvents(address, since, WAIT_MS);
-      if (signal.aborted) return;
+      if (!stoppers.has(engine)) return;
       if (page === undefined || page === 'full') {
         if (!lost.has(engine)) logger.warn('no events', { engine, address, reason: page ?? 'no answer' });
         lost.add(engine);
@@ -43,7 +43,8 @@
       if (lost.has(engine)) logger.info('events again', { engine, address });
       lost.delete(engine);
       if (page.bootId !== bootId) {
-        if (bootId !== undefined) logger.info('engine restarted, its cache is empty', { engine, bootId: page.bootId });
+        if (bootId !== undefined)
+          logger.info('engine restarted, its cache is empty', { engine, bootId: page.bootId });
         pieces.clear();
         bootId = page.bootId;
       } else if (page.isGap) logger.warn('events were lost', { engine, since, next: page.next });
--- a/packages/roll-weights/src/index.ts
+++ b/packages/roll-weights/src/index.ts
@@ -1,4 +1,4 @@
 /** Rollout of weights by fenced orders. */
 export { listOutdated } from './list-outdated.js';
 export type { RollOptions } from './roll-options.js';
-export { rollWeights } from './roll-weights.js';
+export { orderWeights } from './order-weights.js';
--- a/packages/roll-weights/src/roll-weights.ts
+++ b/packages/roll-weights/src/order-weights.ts
@@ -25,7 +25,7 @@
  *
  * @returns a function that stops the orders
  */
-export function rollWeights(options: RollOptions): () => void {
+export function orderWeights(options: RollOptions): () => void {
   const { fleet, control, lease, markEngine, host } = options;
   const logger = createLogger('weights');
   const active = new Map<string, Moment>();
@@ -52,7 +52,12 @@
       const current = report?.versions.get(model) ?? 0;
       if (current >= version) {
         await markEngine(engine.id, { ...mark, isDone: true });
-        logger.info('engine has new weights', { engine: engine.id, model, version, ms: computeElapsedMs(started) });
+        logger.info('engine has new weights', {
+          engine: engine.id,
+          model,
+          version,
+          ms: computeElapsedMs(started),
+        });
         return;
       }
       if (report === undefined || report.isBusy) {
@@ -95,7 +100,9 @@
     for (const service of services) {
       const ofService = outdated.filter(({ engine }) => engine.service === service);
       const engines = fleet.listAll().filter((engine) => engine.service === service && !engine.isDraining);
-      const waiting = ofService.filter(({ engine }) => !active.has(engine.id)).map((one) => ({ ...one, work: 0 }));
+      const waiting = ofService
+        .filter(({ engine }) => !active.has(engine.id))
+        .map((one) => ({ ...one, work: 0 }));
       const activeCount = engines.filter(({ id }) => active.has(id)).length;
       for (const next of chooseNextOrders(waiting, activeCount, engines.length)) startOrder(next);
     }
--- a/packages/run-forwarder/src/forwarder-options.ts
+++ b/packages/run-forwarder/src/forwarder-options.ts
@@ -1,4 +1,10 @@
-import type { EdgeCodec, EngineControl, ForwardSettings, ObjectSource, OrderMark } from '@laburnumshift/forward-types';
+import type {
+  EdgeCodec,
+  EngineControl,
+  ForwardSettings,
+  ObjectSource,
+  OrderMark,
+} from '@laburnumshift/forward-types';
 import type { FleetDecoder, FleetOptions } from '@laburnumshift/track-fleet';
 import type { PlatformClient } from '@laburnumshift/types';
 
--- a/packages/run-forwarder/src/join-hosts.ts
+++ b/packages/run-forwarder/src/join-hosts.ts
@@ -13,7 +13,7 @@
 const isAddress = (value: unknown): value is { readonly address: string } =>
   typeof value === 'object' &&
   value !== null &&
-  /^[0-9.]+:[0-9]+$/.test(String((value as Record<string, unknown>)['address']));
+  /^[0-9.]+:[0-9]+$/.test(String((value as { address?: unknown }).address));
 
 /** Registers this host in the platform's store and follows the other hosts there. */
 export function joinHosts(options: JoinOptions): HostTable {
@@ -37,7 +37,14 @@
       const read = await leases.readObject(kind, host, 'status');
       if (read.kind !== 'unavailable') {
         const version = read.kind === 'found' ? read.object.version : 0;
-        const written = await leases.writeObject(kind, host, { address, bornMs }, version, randomUUID(), 'status');
+        const written = await leases.writeObject(
+          kind,
+          host,
+          { address, bornMs },
+          version,
+          randomUUID(),
+          'status',
+        );
         if (written.kind === 'written') {
           logger.info('registered', { host, address });
           return;
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -7,8 +7,8 @@
 import { createLogger } from '@laburnumshift/logger';
 import { readCacheEvents } from '@laburnumshift/read-cache-events';
 import { createMetrics } from '@laburnumshift/record-metrics';
-import { listOutdated, rollWeights } from '@laburnumshift/roll-weights';
-import { shareLoad } from '@laburnumshift/share-load';
+import { listOutdated, orderWeights } from '@laburnumshift/roll-weights';
+import { createLoadSharing } from '@laburnumshift/share-load';
 import { createEngineBoard } from '@laburnumshift/track-engines';
 import { trackFleet } from '@laburnumshift/track-fleet';
 import type { ForwarderOptions } from './forwarder-options.js';
@@ -64,7 +64,7 @@
     address: settings.sharingAddress,
     bornMs,
   });
-  const sharing = await shareLoad({
+  const sharing = await createLoadSharing({
     address: settings.sharingAddress,
     host: settings.host,
     bornMs,
@@ -101,7 +101,8 @@
     return isReady;
   };
   const ready = await serveStatus(settings.readyAddress, {
-    [options.readyPath]: () => (checkReady() ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' }),
+    [options.readyPath]: () =>
+      checkReady() ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' },
   });
   const metricsServer =
     settings.metricsAddress === undefined
@@ -115,9 +116,12 @@
     name: LEASE_NAME,
     self: { host: settings.host, incarnation: bornMs },
     times: times.lease,
-    getPollMs: () => (lease.getFencing() !== undefined || listOutdated(fleet).length > 0 ? times.lease.pollMs : times.idlePollMs),
+    getPollMs: () =>
+      lease.getFencing() !== undefined || listOutdated(fleet).length > 0
+        ? times.lease.pollMs
+        : times.idlePollMs,
   });
-  const stopRolling = rollWeights({
+  const stopRolling = orderWeights({
     fleet,
     control: options.control,
     markEngine: options.markEngine,
@@ -127,7 +131,8 @@
   });
   const stopFreeing = runEvery(
     times.freePauseMs,
-    () => (lease.getFencing() === undefined ? undefined : keeper.freeOutdated(fleet.getConfig()?.stores ?? [])),
+    () =>
+      lease.getFencing() === undefined ? undefined : keeper.freeOutdated(fleet.getConfig()?.stores ?? []),
     (error) => {
       logger.error('freeing pieces failed', { detail: String(error) });
     },
@@ -143,12 +148,12 @@
       stopRolling();
       stopFreeing();
       const released = lease.release();
-      const elapsed = (): number => readMonotonicMs() - startedMs;
+      const computeElapsed = (): number => readMonotonicMs() - startedMs;
       const endMs = bounds.graceMs - times.exitMs;
-      while (elapsed() < times.rotationMs) await sleep(times.drainCheckMs);
+      while (computeElapsed() < times.rotationMs) await sleep(times.drainCheckMs);
       // New connections go elsewhere by now. Closing idle ones keeps late calls from a host that can't finish them.
       forwarder.stopListening();
-      while (elapsed() < endMs && forwarder.countInFlight() > 0) {
+      while (computeElapsed() < endMs && forwarder.countInFlight() > 0) {
         await sleep(times.drainCheckMs);
         forwarder.closeIdle();
       }
@@ -160,7 +165,7 @@
       metricsServer?.close();
       await Promise.race([released, sleep(times.drainCheckMs * 4)]);
       pool.close();
-      logger.info('stopped', { ms: Math.round(elapsed()), inFlight: forwarder.countInFlight() });
+      logger.info('stopped', { ms: Math.round(computeElapsed()), inFlight: forwarder.countInFlight() });
     },
   };
 }
--- a/packages/share-load/src/share-load.ts
+++ b/packages/share-load/src/create-load-sharing.ts
@@ -27,7 +27,7 @@
  * Shares the work of hosts by datagrams. Each message holds the whole state of its sender, so lost ones do no harm, and there
  * are no connections that could go silent.
  */
-export async function shareLoad(options: SharingOptions): Promise<LoadSharing> {
+export async function createLoadSharing(options: SharingOptions): Promise<LoadSharing> {
   const { host, bornMs, board, listPeers } = options;
   const logger = createLogger('sharing');
   const heard = new Map<string, Heard>();
--- a/packages/share-load/src/decode-load-message.ts
+++ b/packages/share-load/src/decode-load-message.ts
@@ -13,8 +13,12 @@
   }
   if (!Array.isArray(value)) return undefined;
   const [host, bornMs, number, loads] = value as unknown[];
-  if (typeof host !== 'string' || !isCount(bornMs) || !isCount(number) || !Array.isArray(loads)) return undefined;
+  if (typeof host !== 'string' || !isCount(bornMs) || !isCount(number) || !Array.isArray(loads))
+    return undefined;
   const isLoad = (load: unknown): boolean =>
-    Array.isArray(load) && typeof load[0] === 'string' && load.slice(1, 4).every(isCount) && load.length === 4;
+    Array.isArray(load) &&
+    typeof load[0] === 'string' &&
+    load.slice(1, 4).every(isCount) &&
+    load.length === 4;
   return loads.every(isLoad) ? (value as unknown as LoadMessage) : undefined;
 }
--- a/packages/share-load/src/index.ts
+++ b/packages/share-load/src/index.ts
@@ -1,5 +1,5 @@
 /** Work of all hosts at each backend server. */
 export type { LoadShare } from './load-share.js';
 export type { LoadSharing } from './load-sharing.js';
-export { shareLoad } from './share-load.js';
+export { createLoadSharing } from './create-load-sharing.js';
 export type { SharingOptions } from './sharing-options.js';
--- a/packages/track-engines/src/create-engine-board.ts
+++ b/packages/track-engines/src/create-engine-board.ts
@@ -65,7 +65,7 @@
       entry.heldTokens += work.totalTokens;
       let isPending = true;
       let isOpen = true;
-      const endPending = (): void => {
+      const clearPending = (): void => {
         if (isPending) entry.pendingTokens -= work.uncachedTokens;
         isPending = false;
       };
@@ -73,11 +73,11 @@
         observeBytes: () => {
           entry.heardMs = readMonotonicMs();
         },
-        observeFirstEvent: endPending,
+        observeFirstEvent: clearPending,
         finish: (result) => {
           if (!isOpen) return;
           isOpen = false;
-          endPending();
+          clearPending();
           entry.inFlight -= 1;
           entry.heldTokens -= work.totalTokens;
           if (result === 'served' || result === 'failed') recordResult(entry, result === 'failed');
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -38,7 +38,7 @@
     logger.info('backend server left', { server: id, service: entry.service, reason });
     setBackend(id, undefined);
   };
-  const lapseBackend = (id: string): void => {
+  const expireBackend = (id: string): void => {
     const entry = backends.get(id);
     if (entry === undefined) return;
     const isNearOutage = backendsView.getRecoveredMs() < lapseGraceMs;
@@ -58,7 +58,7 @@
     for (const { isRemoved, object } of changes) {
       const entry = isRemoved ? undefined : decoder.decodeBackend(object);
       if (isRemoved) {
-        lapseBackend(object.name);
+        expireBackend(object.name);
         continue;
       }
       if (entry === undefined) {
@@ -71,7 +71,13 @@
       const isNew = before?.bornMs !== entry.bornMs || before.address !== entry.address;
       if (isNew || before.isDraining !== entry.isDraining) {
         const { id, service, address, isDraining } = entry;
-        logger.info('backend server', { server: id, service, address, isDraining, revision: object.revision });
+        logger.info('backend server', {
+          server: id,
+          service,
+          address,
+          isDraining,
+          revision: object.revision,
+        });
       }
       if (isNew && before !== undefined) setBackend(entry.id, undefined);
       setBackend(entry.id, entry);
