--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
 const packageFiles = ['packages/*/src/**/*.ts', 'packages/*/test/**/*.ts', 'platform/{src,test}/**/*.ts'];
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'node_modules/**'] },
+  { ignores: ['**/dist/**', 'node_modules/**', 'target/**', 'journal/**'] },
   {
     files: packageFiles,
     extends: [
--- a/packages/roll-weights/src/order-weights.ts
+++ b/packages/roll-weights/src/order-weights.ts
@@ -8,6 +8,8 @@
 const PERIOD_MS = 60;
 /** Time from the mark to the order, milliseconds: other hosts see the mark, and what they sent before arrives. */
 const MARK_MS = 60;
+/** Pause after a mark that the store did not take, milliseconds. */
+const MARK_RETRY_MS = 300;
 /** Pause between two looks at an engine that loads, milliseconds: a third of a load. */
 const REPORT_MS = 150;
 /** An engine that has not taken an order after this is left for another turn, milliseconds: longest run and a load. */
@@ -42,6 +44,7 @@
     // Without the mark the next holder would not know of this order.
     if (!(await markEngine(engine.id, { ...mark, isDone: false }))) {
       logger.warn('engine not marked, order put off', { engine: engine.id, model, version });
+      await sleep(MARK_RETRY_MS);
       return;
     }
     await sleep(MARK_MS);
--- /dev/null
+++ b/packages/roll-weights/test/order-weights.test.ts
@@ -0,0 +1,156 @@
+import { installClock } from '@laburnumshift/test-utils';
+import { readMoment } from '@laburnumshift/clock';
+import type { BackendEntry, OrderMark, OrderOutcome, WeightOrder } from '@laburnumshift/forward-types';
+import { orderWeights } from '@laburnumshift/roll-weights';
+import test from 'ava';
+
+interface Engine {
+  version: number;
+  orders: number;
+  mark: OrderMark | undefined;
+  busyUntilMs: number;
+}
+
+/** Four engines and a holder; the engines carry out orders as the outcome says. */
+const createWorld = (outcomes: OrderOutcome[] = [], canMark = true) => {
+  const engines = new Map<string, Engine>(
+    ['a', 'b', 'c', 'd'].map((id) => [id, { version: 1, orders: 0, mark: undefined, busyUntilMs: 0 }]),
+  );
+  const sent: (WeightOrder & { readonly engine: string; readonly atMs: number })[] = [];
+  const lease = { fencing: 1 as number | undefined, remainingMs: 1000 };
+  const find = (id: string): Engine =>
+    engines.get(id) ?? { version: 0, orders: 0, mark: undefined, busyUntilMs: 0 };
+  const toEntry = (id: string): BackendEntry => ({
+    id,
+    service: 'models',
+    address: id,
+    failureDomain: 'north',
+    slots: 8,
+    isDraining: false,
+    bornMs: 1,
+    versions: new Map([['m', find(id).version]]),
+    mark: find(id).mark,
+  });
+  const stop = orderWeights({
+    fleet: {
+      listAll: () => [...engines.keys()].map(toEntry),
+      getBackend: toEntry,
+      listWeights: () => [{ model: 'm', version: 2, learned: readMoment(), isInitial: false }],
+      getWeights: () => undefined,
+      getConfig: () => undefined,
+    },
+    control: {
+      readReport: ({ id }) => {
+        const engine = find(id);
+        return Promise.resolve({
+          isBusy: performance.now() < engine.busyUntilMs,
+          orderCount: engine.orders,
+          waiting: 0,
+          running: 0,
+          versions: new Map([['m', performance.now() < engine.busyUntilMs ? 1 : engine.version]]),
+        });
+      },
+      sendOrder: ({ id }, order) => {
+        const engine = find(id);
+        sent.push({ ...order, engine: id, atMs: performance.now() });
+        const outcome = outcomes.shift() ?? 'accepted';
+        if (order.expectedOrders !== engine.orders) return Promise.resolve('conflict');
+        if (outcome === 'accepted') {
+          engine.orders += 1;
+          engine.version = order.version;
+          engine.busyUntilMs = performance.now() + 500;
+        }
+        return Promise.resolve(outcome);
+      },
+    },
+    markEngine: (id, mark) => {
+      if (canMark) find(id).mark = mark;
+      return Promise.resolve(canMark);
+    },
+    lease: { getFencing: () => lease.fencing, getRemainingMs: () => lease.remainingMs },
+    host: 'host-1',
+    bounds: { leaseMs: 3000 },
+  });
+  return {
+    engines,
+    sent,
+    lease,
+    stop,
+  };
+};
+const play = async (
+  world: () => ReturnType<typeof createWorld>,
+  check: (world: ReturnType<typeof createWorld>, clock: ReturnType<typeof installClock>) => Promise<void>,
+): Promise<void> => {
+  const clock = installClock();
+  const created = world();
+  try {
+    await check(created, clock);
+  } finally {
+    created.stop();
+    clock.uninstall();
+  }
+};
+
+test.serial('all engines get the version, never more than half at once', (t) =>
+  play(createWorld, async ({ engines, sent }, clock) => {
+    await clock.tickAsync(300);
+    t.is(sent.length, 2);
+    await clock.tickAsync(3000);
+    t.is(sent.length, 4);
+    t.true([...engines.values()].every(({ version, mark }) => version === 2 && mark?.isDone === true));
+  }),
+);
+
+test.serial('without the lease nothing is sent', (t) =>
+  play(createWorld, async ({ sent, lease }, clock) => {
+    lease.fencing = undefined;
+    await clock.tickAsync(5000);
+    t.is(sent.length, 0);
+  }),
+);
+
+test.serial('a holder whose lease is about to end sends nothing', (t) =>
+  play(createWorld, async ({ sent, lease }, clock) => {
+    lease.remainingMs = 100;
+    await clock.tickAsync(2000);
+    t.is(sent.length, 0);
+  }),
+);
+
+test.serial('an engine without a mark gets no order, as the next holder would not know of it', (t) =>
+  play(
+    () => createWorld([], false),
+    async ({ sent }, clock) => {
+      await clock.tickAsync(2000);
+      t.is(sent.length, 0);
+    },
+  ),
+);
+
+test.serial('an engine that another holder marked waits until that holder’s orders are past', (t) =>
+  play(createWorld, async ({ engines, sent, lease }, clock) => {
+    lease.fencing = 2;
+    const engine = engines.get('a');
+    if (engine !== undefined) engine.mark = { holder: 'host-9', model: 'm', version: 2, isDone: false };
+    await clock.tickAsync(2900);
+    t.false(sent.some((order) => order.engine === 'a'));
+    t.true(sent.some((order) => order.engine === 'b'));
+    await clock.tickAsync(2000);
+    t.true((sent.find((order) => order.engine === 'a')?.atMs ?? 0) >= 3000);
+  }),
+);
+
+test.serial('an order without an answer is sent again with the same count, so only one is carried out', (t) =>
+  play(
+    () => createWorld(['unknown', 'unknown']),
+    async ({ engines, sent }, clock) => {
+      await clock.tickAsync(6000);
+      t.true(sent.length > 4);
+      for (const [id, engine] of engines) {
+        t.is(engine.orders, 1);
+        t.true(sent.filter((order) => order.engine === id).every((order) => order.expectedOrders === 0));
+      }
+    },
+  ),
+);
--- /dev/null
+++ b/packages/track-engines/test/create-engine-board.test.ts
@@ -0,0 +1,67 @@
+import { installClock } from '@laburnumshift/test-utils';
+import { createEngineBoard } from '@laburnumshift/track-engines';
+import test from 'ava';
+
+const WORK = { uncachedTokens: 100, totalTokens: 300 };
+
+test('work is counted until the first event and until the end, once', (t) => {
+  const board = createEngineBoard();
+  const call = board.beginCall('a', WORK);
+  t.like(board.getState('a'), { inFlight: 1, pendingTokens: 100, heldTokens: 300 });
+  call.observeFirstEvent();
+  call.observeFirstEvent();
+  t.like(board.getState('a'), { inFlight: 1, pendingTokens: 0, heldTokens: 300 });
+  call.finish('served');
+  call.finish('cancelled');
+  t.like(board.getState('a'), { inFlight: 0, pendingTokens: 0, heldTokens: 0 });
+});
+
+test.serial('silence counts only while calls are in flight, from the last byte', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const board = createEngineBoard();
+  t.is(board.getState('a').silentMs, 0);
+  const call = board.beginCall('a', WORK);
+  await clock.tickAsync(900);
+  t.is(board.getState('a').silentMs, 900);
+  call.observeBytes();
+  t.is(board.getState('a').silentMs, 0);
+  call.finish('served');
+  await clock.tickAsync(900);
+  t.is(board.getState('a').silentMs, 0);
+});
+
+test.serial('failures raise the share and time lowers it, so that a server is tried again', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const board = createEngineBoard();
+  for (let count = 0; count < 5; count += 1) board.beginCall('a', WORK).finish('failed');
+  const share = board.getState('a').failureShare;
+  t.true(share > 0.4);
+  board.beginCall('a', WORK).finish('cancelled');
+  t.is(board.getState('a').failureShare, share);
+  await clock.tickAsync(4000);
+  t.true(board.getState('a').failureShare < share / 3);
+});
+
+test('pieces are found under their scope only, and a restart clears them', (t) => {
+  const pieces = createEngineBoard().getPieces('a');
+  pieces.addPiece('s1', 'x', 10);
+  pieces.addPiece('s1', 'x', 12);
+  pieces.addPiece('s2', 'y', 5);
+  t.is(pieces.getTokens('s1', 'x'), 12);
+  t.is(pieces.getTokens('s2', 'x'), 0);
+  t.is(pieces.countTokens(), 17);
+  t.deepEqual(
+    pieces.listPieces((scope) => scope === 's2'),
+    [{ scope: 's2', piece: 'y' }],
+  );
+  pieces.dropPiece('s1', 'x');
+  t.is(pieces.countTokens(), 5);
+  pieces.clear();
+  t.is(pieces.countTokens(), 0);
+});
--- /dev/null
+++ b/packages/track-fleet/test/track-fleet.test.ts
@@ -0,0 +1,173 @@
+import { installClock } from '@laburnumshift/test-utils';
+import type {
+  BackendEntry,
+  ForwardConfig,
+  ObjectSource,
+  StoredObject,
+  WatchOutcome,
+} from '@laburnumshift/forward-types';
+import { trackFleet, type FleetDecoder } from '@laburnumshift/track-fleet';
+import test from 'ava';
+
+const createObject = (name: string, revision: number, spec: unknown): StoredObject => ({
+  name,
+  revision,
+  spec,
+  status: null,
+});
+const createEntry = (id: string, changes: Partial<BackendEntry> = {}): BackendEntry => ({
+  id,
+  service: 'models',
+  address: '10.0.0.1:80',
+  failureDomain: 'north',
+  slots: 8,
+  isDraining: false,
+  bornMs: 1,
+  versions: new Map(),
+  mark: undefined,
+  ...changes,
+});
+const DECODER: FleetDecoder = {
+  decodeConfig: ({ spec }) => spec as ForwardConfig,
+  decodeBackend: ({ spec }) => (spec === 'damaged' ? undefined : (spec as BackendEntry)),
+  decodeWeights: ({ spec }) => spec as { model: string; version: number },
+};
+
+/** A store whose watches are answered by the test. */
+const createStore = (lists: Record<string, StoredObject[]>) => {
+  const waiting = new Map<string, (outcome: WatchOutcome) => void>();
+  let revision = 100;
+  const source: ObjectSource = {
+    listKind: (kind) => Promise.resolve({ kind: 'listed', objects: lists[kind] ?? [], revision }),
+    watchKind: (kind) =>
+      new Promise((resolve) => {
+        waiting.set(kind, resolve);
+      }),
+    writeStatus: () => Promise.resolve(true),
+  };
+  const answer = (kind: string, outcome: WatchOutcome): void => {
+    waiting.get(kind)?.(outcome);
+  };
+  const change = (kind: string, name: string, spec: unknown, isRemoved = false): void => {
+    revision += 1;
+    answer(kind, {
+      kind: 'changes',
+      revision,
+      changes: [{ isRemoved, object: createObject(name, revision, spec) }],
+    });
+  };
+  return { source, answer, change };
+};
+const start = (store: ReturnType<typeof createStore>) =>
+  trackFleet({
+    source: store.source,
+    decoder: DECODER,
+    kinds: { config: 'config', backends: 'backends', weights: 'weights' },
+    waitMs: { config: 1000, backends: 1000, weights: 1000 },
+    lapseGraceMs: 2000,
+  });
+const run = async (
+  lists: Record<string, StoredObject[]>,
+  play: (
+    fleet: ReturnType<typeof trackFleet>,
+    store: ReturnType<typeof createStore>,
+    clock: ReturnType<typeof installClock>,
+  ) => Promise<void>,
+): Promise<void> => {
+  const clock = installClock();
+  const store = createStore(lists);
+  const fleet = start(store);
+  try {
+    await clock.tickAsync(1);
+    await play(fleet, store, clock);
+  } finally {
+    fleet.close();
+    clock.uninstall();
+  }
+};
+
+test.serial('a configuration never goes back to an older version', (t) =>
+  run({ config: [createObject('main', 1, { version: 5 })] }, async (fleet, store, clock) => {
+    store.change('config', 'main', { version: 4 });
+    await clock.tickAsync(1);
+    t.is(fleet.getConfig()?.version, 5);
+    store.change('config', 'main', { version: 6 });
+    await clock.tickAsync(1);
+    t.is(fleet.getConfig()?.version, 6);
+  }),
+);
+
+test.serial('a draining server gets no calls but stays known', (t) =>
+  run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
+    t.is(fleet.listBackends('models').length, 1);
+    store.change('backends', 'a', createEntry('a', { isDraining: true }));
+    await clock.tickAsync(1);
+    t.is(fleet.listBackends('models').length, 0);
+    t.truthy(fleet.getBackend('a'));
+  }),
+);
+
+test.serial('a damaged entry names no server', (t) =>
+  run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
+    store.change('backends', 'a', 'damaged');
+    await clock.tickAsync(1);
+    t.is(fleet.listAll().length, 0);
+  }),
+);
+
+test.serial('an entry that is removed in calm is gone at once', (t) =>
+  run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
+    store.change('backends', 'a', createEntry('a'), true);
+    await clock.tickAsync(1);
+    t.is(fleet.listBackends('models').length, 0);
+  }),
+);
+
+test.serial('an entry that lapsed around an outage is kept for its grace time only', (t) =>
+  run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
+    store.answer('backends', { kind: 'unavailable', reason: 'down' });
+    await clock.tickAsync(200);
+    store.change('backends', 'a', createEntry('a'), true);
+    await clock.tickAsync(1);
+    store.answer('backends', { kind: 'changes', revision: 300, changes: [] });
+    await clock.tickAsync(1);
+    t.is(fleet.listBackends('models').length, 1);
+    await clock.tickAsync(2000);
+    t.is(fleet.listBackends('models').length, 0);
+  }),
+);
+
+test.serial('a draining server whose entry lapsed around an outage is not kept', (t) =>
+  run(
+    { backends: [createObject('a', 1, createEntry('a', { isDraining: true }))] },
+    async (fleet, store, clock) => {
+      store.answer('backends', { kind: 'unavailable', reason: 'down' });
+      await clock.tickAsync(200);
+      store.change('backends', 'a', createEntry('a'), true);
+      await clock.tickAsync(1);
+      t.is(fleet.listAll().length, 0);
+    },
+  ),
+);
+
+test.serial('a server that started again under its id is reported as gone and new', (t) =>
+  run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
+    const seen: (number | undefined)[] = [];
+    fleet.watchBackends((_, entry) => {
+      seen.push(entry?.bornMs);
+    });
+    store.change('backends', 'a', createEntry('a', { bornMs: 2 }));
+    await clock.tickAsync(1);
+    t.deepEqual(seen, [undefined, 2]);
+  }),
+);
+
+test.serial('weights that were there at the start are marked, as nobody knows when they were named', (t) =>
+  run({ weights: [createObject('m', 1, { model: 'm', version: 2 })] }, async (fleet, store, clock) => {
+    t.true(fleet.getWeights('m')?.isInitial);
+    store.change('weights', 'm', { model: 'm', version: 3 });
+    await clock.tickAsync(1);
+    t.false(fleet.getWeights('m')?.isInitial);
+    t.is(fleet.getWeights('m')?.version, 3);
+  }),
+);
--- /dev/null
+++ b/packages/watch-objects/test/watch-kind.test.ts
@@ -0,0 +1,127 @@
+import { installClock } from '@laburnumshift/test-utils';
+import type { ListOutcome, ObjectSource, StoredObject, WatchOutcome } from '@laburnumshift/forward-types';
+import { watchKind } from '@laburnumshift/watch-objects';
+import test from 'ava';
+
+const createObject = (name: string, revision: number): StoredObject => ({
+  name,
+  revision,
+  spec: {},
+  status: null,
+});
+
+/** Answers lists and watches from queues; a watch without an answer waits for ever. */
+const createSource = (lists: ListOutcome[], watches: WatchOutcome[]) => {
+  const asked: number[] = [];
+  const source: ObjectSource = {
+    listKind: () => Promise.resolve(lists.shift() ?? { kind: 'unavailable', reason: 'no more' }),
+    watchKind: (_, revision) => {
+      asked.push(revision);
+      const next = watches.shift();
+      return next === undefined ? new Promise(() => undefined) : Promise.resolve(next);
+    },
+    writeStatus: () => Promise.resolve(true),
+  };
+  return { source, asked };
+};
+const listed = (revision: number, ...objects: StoredObject[]): ListOutcome => ({
+  kind: 'listed',
+  objects,
+  revision,
+});
+const settle = (clock: ReturnType<typeof installClock>, ms = 0) => clock.tickAsync(ms);
+
+test.serial(
+  'a gap in the history leads to a list, and what vanished in the gap is reported as removed',
+  async (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const { source, asked } = createSource(
+      [listed(5, createObject('a', 3), createObject('b', 4)), listed(9, createObject('b', 8))],
+      [{ kind: 'compacted' }],
+    );
+    const seen: string[] = [];
+    const view = watchKind({
+      source,
+      kind: 'k',
+      waitMs: 1000,
+      onChanges: (changes) => {
+        for (const { isRemoved, object } of changes) seen.push(`${isRemoved ? '-' : '+'}${object.name}`);
+      },
+    });
+    await settle(clock, 10);
+    view.close();
+    t.deepEqual(seen, ['+a', '+b', '-a', '+b']);
+    t.deepEqual([...view.objects.keys()], ['b']);
+    t.deepEqual(asked, [5, 9]);
+  },
+);
+
+test.serial('an older revision that arrives late does not replace a newer one', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const late = { isRemoved: true, object: createObject('a', 4) };
+  const { source } = createSource(
+    [listed(7, createObject('a', 6))],
+    [{ kind: 'changes', changes: [late], revision: 8 }],
+  );
+  const view = watchKind({ source, kind: 'k', waitMs: 1000, onChanges: () => undefined });
+  await settle(clock, 10);
+  view.close();
+  t.is(view.objects.get('a')?.revision, 6);
+});
+
+test.serial(
+  'the age counts from the sending of the last answered call, and grows while the store is away',
+  async (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const { source } = createSource([listed(1)], [{ kind: 'unavailable', reason: 'down' }]);
+    const view = watchKind({ source, kind: 'k', waitMs: 1000, onChanges: () => undefined });
+    t.is(view.getAgeMs(), Infinity);
+    await settle(clock, 3000);
+    view.close();
+    t.is(view.getAgeMs(), 3000);
+  },
+);
+
+test.serial('a suspension that the monotonic clock does not count makes the copy old', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const { source } = createSource([listed(1)], []);
+  const view = watchKind({ source, kind: 'k', waitMs: 1000, onChanges: () => undefined });
+  await settle(clock, 0);
+  clock.setSystemTime(Date.now() + 6000);
+  t.true(view.getAgeMs() >= 6000);
+  view.close();
+});
+
+test.serial('an outage keeps the copy and the position, and its end is known', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const { source, asked } = createSource(
+    [listed(4, createObject('a', 2))],
+    [
+      { kind: 'unavailable', reason: 'down' },
+      { kind: 'unavailable', reason: 'down' },
+      { kind: 'changes', changes: [], revision: 4 },
+    ],
+  );
+  const view = watchKind({ source, kind: 'k', waitMs: 1000, onChanges: () => undefined });
+  t.is(view.getRecoveredMs(), Infinity);
+  await settle(clock, 2000);
+  view.close();
+  t.deepEqual(asked, [4, 4, 4, 4]);
+  t.is(view.objects.size, 1);
+  t.true(view.getRecoveredMs() < 2000);
+});
