Estimate memory by expected output, and count engines of an earlier holder as out of service

Held memory was counted with the most output a call may make, two to three times what is made (slider-match: 955 asked for, 275 made), so calls were refused with memory free.

--- a/packages/forward-calls/src/attempt-input.ts
+++ b/packages/forward-calls/src/attempt-input.ts
@@ -14,6 +14,8 @@
   readonly splitter: EventSplitter;
   /** The call may run again when this attempt fails. */
   readonly isRepeatable: boolean;
+  /** Events are passed on. */
+  readonly onEvents: () => void;
   /** The prompt was read; its pieces are cached at the server. */
   readonly onFirstEvent: () => void;
 }
--- a/packages/forward-calls/src/choice.ts
+++ b/packages/forward-calls/src/choice.ts
@@ -6,6 +6,8 @@
       readonly kind: 'server';
       readonly server: BackendEntry;
       readonly uncachedTokens: number;
+      /** Tokens that the engine has to read before. */
+      readonly queueTokens: number;
       readonly expectedMs: number;
       /** Share of the engine's memory that running calls hold with this one. */
       readonly memoryShare?: number;
--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -1,6 +1,6 @@
 import { computeElapsedMs, readMonotonicMs } from '@laburnumshift/clock';
 import type { BackendEntry, PromptShape } from '@laburnumshift/forward-types';
-import { admitCall, placeCall, placePlainCall } from '@laburnumshift/place-calls';
+import { admitCall, estimateHeldTokens, placeCall, placePlainCall } from '@laburnumshift/place-calls';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import type { ServerState } from '@laburnumshift/track-engines';
 import type { Choice } from './choice.js';
@@ -67,6 +67,7 @@
     kind: 'server',
     server,
     uncachedTokens: 0,
+    queueTokens: 0,
     expectedMs: 0,
     transfers: undefined,
     version: undefined,
@@ -113,6 +114,7 @@
     plans.set(version, plan);
     return plan(server.id);
   };
+  const readPerMs = deps.board.getReadRate(job.service.name);
   const candidates = usable.map((server) => {
     const state = deps.board.getState(server.id);
     const others = deps.sharing.getOthers(server.id);
@@ -120,7 +122,7 @@
     return {
       id: server.id,
       failureDomain: server.failureDomain,
-      waitMs: (state.pendingTokens + others.pendingTokens) / ENGINE_RATES.readPerMs,
+      waitMs: (state.pendingTokens + others.pendingTokens) / readPerMs,
       localTokens,
       fetchTokens,
       heldTokens: state.heldTokens + others.heldTokens,
@@ -134,11 +136,11 @@
     candidates,
     homeKey: prompt.pieces.at(-2)?.id ?? prompt.pieces[0]?.id ?? job.call.id,
     inputTokens: prompt.inputTokens,
-    needTokens: prompt.inputTokens + prompt.maxOutputTokens,
+    needTokens: estimateHeldTokens(prompt),
     ownDomain: deps.failureDomain,
     outdatedMs: namedMs < OUTDATED_FROM_MS ? OUTDATED_EARLY_MS : OUTDATED_LATE_MS,
     rates: {
-      readPerMs: ENGINE_RATES.readPerMs,
+      readPerMs,
       fetchPerMs:
         (engine.linkMbps * ENGINE_RATES.bitsPerMbpsMs) / ENGINE_RATES.bitsPerByte / engine.bytesPerToken,
     },
@@ -148,6 +150,7 @@
   const now = readMonotonicMs();
   const admission = admitCall({
     expectedMs: placement.expectedMs,
+    queueMs: placement.queueMs,
     memoryShare: placement.memoryShare,
     remainingMs: job.endsMs - now,
     waitedMs: now - job.arrivedMs,
@@ -160,6 +163,7 @@
     kind: 'server',
     server,
     uncachedTokens: placement.uncachedTokens,
+    queueTokens: placement.queueMs * readPerMs,
     expectedMs: placement.expectedMs,
     memoryShare: placement.memoryShare,
     transfers: deps.keeper.planTransfers(buildRequest(version), planFor(server)),
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -62,6 +62,7 @@
     const isStreamAnswer = (): boolean => head?.status === 200 && route.kind === CALL_KINDS.stream;
     const relayEvents = (events: Buffer): void => {
       if (head === undefined) return;
+      input.onEvents();
       if (!hasFirst) {
         hasFirst = true;
         tracked.observeFirstEvent();
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -2,6 +2,7 @@
 import { CALL_KINDS } from '@laburnumshift/forward-types';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import { createLogger } from '@laburnumshift/logger';
+import { estimateHeldTokens } from '@laburnumshift/place-calls';
 import { dispatchCall } from './dispatch-call.js';
 import { chooseServer } from './choose-server.js';
 import { createEventSplitter } from './create-event-splitter.js';
@@ -37,6 +38,8 @@
   const urgency = Math.min(MAX_URGENCY, 2 * (account?.priority ?? route.priority));
   let attempts = 0;
   let firstMs: number | undefined;
+  let lastEventMs: number | undefined;
+  let longestPauseMs = 0;
   let unsent = 0;
   let mayHaveRun = false;
 
@@ -49,6 +52,8 @@
       route: route.name,
       service: service.name,
       account: account?.name,
+      inputTokens: call.prompt?.inputTokens,
+      expectedOutputTokens: call.prompt?.expectedOutputTokens,
       outcome,
       status,
       reason,
@@ -112,12 +117,19 @@
       },
       work: {
         uncachedTokens: choice.uncachedTokens,
-        totalTokens: (call.prompt?.inputTokens ?? 0) + (call.prompt?.maxOutputTokens ?? 0),
+        totalTokens: call.prompt === undefined ? 0 : estimateHeldTokens(call.prompt),
       },
       splitter,
       isRepeatable,
+      onEvents: () => {
+        const now = readMonotonicMs();
+        if (lastEventMs !== undefined)
+          longestPauseMs = Math.max(longestPauseMs, Math.round(now - lastEventMs));
+        lastEventMs = now;
+      },
       onFirstEvent: () => {
         firstMs = Math.round(readMonotonicMs() - startedMs);
+        deps.board.observeRead(service.name, choice.queueTokens + choice.uncachedTokens, firstMs);
         deps.metrics.recordMs('first_event_ms', firstMs, { route: route.name });
         const pieces = deps.board.getPieces(server.id);
         for (const { id, tokens } of call.prompt?.pieces ?? []) pieces.addPiece(scope, id, tokens);
@@ -143,6 +155,7 @@
       end: end.kind,
       firstMs,
       lastEvent: splitter.getLastId(),
+      longestPauseMs,
       reason: 'reason' in end ? end.reason : undefined,
       ms: Math.round(readMonotonicMs() - startedMs),
     });
--- a/packages/place-calls/src/admission-input.ts
+++ b/packages/place-calls/src/admission-input.ts
@@ -2,6 +2,8 @@
 export interface AdmissionInput {
   /** Expected time to the answer's begin at the chosen engine, milliseconds. */
   readonly expectedMs: number;
+  /** Time until the chosen engine begins to read the prompt, milliseconds. */
+  readonly queueMs: number;
   /** Share of the chosen engine's memory that running calls hold with this one. */
   readonly memoryShare: number;
   /** Time that the call has left, and has waited here, milliseconds. */
--- a/packages/place-calls/src/admit-call.ts
+++ b/packages/place-calls/src/admit-call.ts
@@ -3,11 +3,12 @@
 
 /** Part of the remaining time within which an answer has to begin; the rest is for the answer itself. */
 const BEGIN_SHARE = 0.5;
-/** Part of the target that a call waits here for room. */
-const WAIT_SHARE = 0.4;
-/** Share of the memory up to which calls of each priority are sent; engines preempt calls when it runs out. */
-const MEMORY_LIMITS = [1.1, 1.02, 0.92] as const;
-const LAST_LIMIT = 0.92;
+/** Limits by priority, the most urgent first; the last one holds for all further ones. */
+const LIMITS = [
+  { memoryShare: 1.0, queueShare: 0.8, waitShare: 0.8 },
+  { memoryShare: 0.95, queueShare: 0.6, waitShare: 0.8 },
+  { memoryShare: 0.85, queueShare: 0.2, waitShare: 0.8 },
+] as const;
 /** Usual time that a call holds memory, milliseconds: output tokens at the pace of a busy engine. */
 const HOLD_MS = 3500;
 /** Shortest time after which a queue has changed enough to ask again, milliseconds. */
@@ -17,19 +18,25 @@
 
 /**
  * Decides whether a call is sent. Answers overload: when the memory of the best engine is full, further calls only make it
- * preempt others, and when its queue is longer than the call may wait, the call can't be served. Less urgent calls give way
- * first. A refused caller is told when enough calls will have ended.
+ * preempt others; when its queue is long, less urgent prompts delay the urgent ones behind them; and when the call can't begin
+ * in its time, it can't be served. Less urgent calls wait or give way first. A refused caller is told when enough calls will
+ * have ended.
  */
 export function admitCall(input: AdmissionInput): Admission {
-  const { expectedMs, memoryShare, remainingMs, targetMs, waitedMs } = input;
-  const limit = MEMORY_LIMITS[Math.max(0, Math.floor(input.priority))] ?? LAST_LIMIT;
+  const { expectedMs, queueMs, memoryShare, remainingMs, targetMs, waitedMs } = input;
+  const priority = Math.max(0, Math.floor(input.priority));
+  const limit = LIMITS[Math.min(priority, LIMITS.length - 1)] ?? LIMITS[2];
   const refuse = (reason: string, waitMs: number): Admission => ({
     kind: 'refuse',
     reason,
     retryAfterMs: Math.max(MIN_RETRY_MS, Math.min(waitMs, remainingMs * MAX_RETRY_SHARE)),
   });
   if (expectedMs > remainingMs * BEGIN_SHARE) return refuse('queue is too long', expectedMs - targetMs);
-  if (memoryShare <= limit) return { kind: 'admit' };
-  if (waitedMs + expectedMs < targetMs * WAIT_SHARE) return { kind: 'wait' };
-  return refuse('memory is full', HOLD_MS * (1 - limit / memoryShare) + targetMs * WAIT_SHARE);
+  const isMemoryFull = memoryShare > limit.memoryShare;
+  const isQueueLong = queueMs > targetMs * limit.queueShare;
+  if (!isMemoryFull && !isQueueLong) return { kind: 'admit' };
+  if (waitedMs + expectedMs < targetMs * limit.waitShare) return { kind: 'wait' };
+  return isMemoryFull
+    ? refuse('memory is full', HOLD_MS * (1 - limit.memoryShare / memoryShare) + targetMs * limit.waitShare)
+    : refuse('queue is long', queueMs);
 }
--- a/packages/place-calls/src/index.ts
+++ b/packages/place-calls/src/index.ts
@@ -4,6 +4,7 @@
 export { admitCall } from './admit-call.js';
 export { chooseKeeper } from './choose-keeper.js';
 export type { EngineCandidate } from './engine-candidate.js';
+export { estimateHeldTokens } from './estimate-held-tokens.js';
 export type { FetchPlan } from './fetch-plan.js';
 export type { KeeperCandidate } from './keeper-candidate.js';
 export { placeCall } from './place-call.js';
--- a/packages/place-calls/src/place-call.ts
+++ b/packages/place-calls/src/place-call.ts
@@ -51,7 +51,7 @@
       (engine.isSilent ? SILENT_MS : 0) +
       (engine.isOutdated ? input.outdatedMs : 0) +
       (engine.failureDomain === input.ownDomain ? 0 : DOMAIN_MS);
-    return { id: engine.id, expectedMs, uncachedTokens, memoryShare, score };
+    return { id: engine.id, expectedMs, queueMs: engine.waitMs, uncachedTokens, memoryShare, score };
   };
 
   const [first, ...others] = ranked.map(({ engine }, rank) => computeScore(engine, rank));
--- a/packages/roll-weights/src/order-weights.ts
+++ b/packages/roll-weights/src/order-weights.ts
@@ -1,5 +1,6 @@
 import { computeElapsedMs, readMoment, runEvery, sleep, type Moment } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
+import type { BackendEntry, OrderMark } from '@laburnumshift/forward-types';
 import { chooseNextOrders } from './choose-next-orders.js';
 import { listOutdated } from './list-outdated.js';
 import type { OutdatedEngine } from './outdated-engine.js';
@@ -16,11 +17,17 @@
 const ORDER_MS = 8000;
 /** After an order without an answer, the engine's count of orders tells after this whether it came, milliseconds. */
 const UNKNOWN_MS = 500;
+/** An accepted order shows in the engine's reports after this at the latest, milliseconds. */
+const ACCEPTED_MS = 1500;
 /** An order is sent only while the lease holds for so long, milliseconds: the way to the engine with room. */
 const MIN_LEASE_MS = 200;
 /** Time beyond the lease's bound between the orders of two holders, milliseconds. */
 const TURN_MARGIN_MS = 150;
 
+/** An engine that was marked for an order and is not known to have its weights takes no calls. */
+const isUnderOrder = ({ mark, versions }: BackendEntry): boolean =>
+  mark !== undefined && !mark.isDone && mark.version > (versions.get(mark.model) ?? 0);
+
 /**
  * Brings engines to the newest weights while the lease is held. Each order names the orders that the engine has accepted, so
  * one that comes late is refused. An engine that another holder marked gets orders only when that holder's are past.
@@ -38,17 +45,17 @@
     const current = lease.getFencing();
     return current === fencing && lease.getRemainingMs() >= MIN_LEASE_MS ? current : undefined;
   };
+  /** An engine with the mark of another holder gets orders when none of that holder's can be on its way. */
+  const isFreeToOrder = (mark: OrderMark | undefined): boolean =>
+    mark === undefined ||
+    mark.holder === host ||
+    computeElapsedMs(heldSince) >= options.bounds.leaseMs + TURN_MARGIN_MS;
   const orderOne = async ({ engine, model, version }: OutdatedEngine): Promise<void> => {
     const started = readMoment();
     const mark = { holder: host, model, version };
-    // Without the mark the next holder would not know of this order.
-    if (!(await markEngine(engine.id, { ...mark, isDone: false }))) {
-      logger.warn('engine not marked, order put off', { engine: engine.id, model, version });
-      await sleep(MARK_RETRY_MS);
-      return;
-    }
-    await sleep(MARK_MS);
-    while (computeElapsedMs(started) < ORDER_MS) {
+    let isMarked = false;
+    let accepted: Moment | undefined;
+    while (computeElapsedMs(started) < ORDER_MS && lease.getFencing() !== undefined) {
       const known = fleet.getBackend(engine.id);
       if (known?.bornMs !== engine.bornMs) return;
       const report = await control.readReport(engine);
@@ -63,16 +70,26 @@
         });
         return;
       }
-      if (report === undefined || report.isBusy) {
+      // Reports are late, so an accepted order shows in them only after a while.
+      const isPending = accepted !== undefined && computeElapsedMs(accepted) < ACCEPTED_MS;
+      if (report === undefined || report.isBusy || isPending || !isFreeToOrder(known.mark)) {
         await sleep(REPORT_MS);
         continue;
       }
+      if (!isMarked) {
+        // Without the mark the next holder would not know of this order.
+        isMarked = await markEngine(engine.id, { ...mark, isDone: false });
+        if (!isMarked) logger.warn('engine not marked, order put off', { engine: engine.id, model, version });
+        await sleep(isMarked ? MARK_MS : MARK_RETRY_MS);
+        continue;
+      }
       const number = getOrderFencing();
       if (number === undefined) return;
       const order = { model, version, holder: host, fencing: number, expectedOrders: report.orderCount };
       const outcome = await control.sendOrder(engine, order);
       logger.info('order sent', { engine: engine.id, ...order, outcome });
       if (outcome === 'refused') return;
+      if (outcome === 'accepted') accepted = readMoment();
       await sleep(outcome === 'unknown' ? UNKNOWN_MS : REPORT_MS);
     }
     logger.warn('engine did not take its weights in time', { engine: engine.id, model, version });
@@ -94,10 +111,7 @@
       heldSince = readMoment();
     }
     if (current === undefined) return;
-    const isPastTurn = computeElapsedMs(heldSince) >= options.bounds.leaseMs + TURN_MARGIN_MS;
-    const outdated = listOutdated(fleet).filter(
-      ({ engine }) => isPastTurn || engine.mark === undefined || engine.mark.holder === host,
-    );
+    const outdated = listOutdated(fleet);
     if (outdated.length === 0) return;
     const services = new Set(outdated.map(({ engine }) => engine.service));
     for (const service of services) {
@@ -105,8 +119,8 @@
       const engines = fleet.listAll().filter((engine) => engine.service === service && !engine.isDraining);
       const waiting = ofService
         .filter(({ engine }) => !active.has(engine.id))
-        .map((one) => ({ ...one, work: 0 }));
-      const activeCount = engines.filter(({ id }) => active.has(id)).length;
+        .map((one) => ({ ...one, isMarked: isUnderOrder(one.engine) }));
+      const activeCount = engines.filter((engine) => active.has(engine.id) || isUnderOrder(engine)).length;
       for (const next of chooseNextOrders(waiting, activeCount, engines.length)) startOrder(next);
     }
   };
--- a/packages/track-engines/src/create-engine-board.ts
+++ b/packages/track-engines/src/create-engine-board.ts
@@ -10,6 +10,16 @@
 /** The share of failures halves in this time without calls, milliseconds, so that a server is tried again. */
 const FAILURE_HALF_LIFE_MS = 2000;
 
+/** Read rate before the first call, tokens in a millisecond: an engine of middle size. */
+const START_RATE = 40;
+/** Bounds of what one call can say of the rate, tokens in a millisecond. */
+const MIN_RATE = 2;
+const MAX_RATE = 400;
+/** Shorter reads say little: fixed costs outweigh them. */
+const MIN_READ_TOKENS = 1000;
+/** Weight of one call in the rate: about the last 30 calls count. */
+const RATE_WEIGHT = 0.03;
+
 interface Entry {
   inFlight: number;
   pendingTokens: number;
@@ -28,6 +38,7 @@
 /** Creates the board. All figures are of this host's own calls, but for the loads that servers tell. */
 export function createEngineBoard(): EngineBoard {
   const entries = new Map<string, Entry>();
+  const readRates = new Map<string, number>();
 
   const getEntry = (server: string): Entry => {
     const known = entries.get(server);
@@ -99,6 +110,13 @@
         isAvoided: now < entry.avoidedUntilMs,
       };
     },
+    getReadRate: (service) => readRates.get(service) ?? START_RATE,
+    observeRead: (service, tokens, ms) => {
+      if (tokens < MIN_READ_TOKENS || ms <= 0) return;
+      const seen = Math.min(MAX_RATE, Math.max(MIN_RATE, tokens / ms));
+      const rate = readRates.get(service) ?? START_RATE;
+      readRates.set(service, rate + (seen - rate) * RATE_WEIGHT);
+    },
     observeLoad: (server, load) => {
       const entry = getEntry(server);
       entry.load = load;
--- a/packages/track-engines/src/engine-board.ts
+++ b/packages/track-engines/src/engine-board.ts
@@ -9,6 +9,10 @@
   readonly beginCall: (server: string, work: CallWork) => TrackedCall;
   readonly getState: (server: string) => ServerState;
   readonly observeLoad: (server: string, load: BackendLoad) => void;
+  /** Prompt tokens that an engine of a service reads in a millisecond, as seen lately. */
+  readonly getReadRate: (service: string) => number;
+  /** An engine of a service began to answer `ms` after it was given `tokens` to read, those before it included. */
+  readonly observeRead: (service: string, tokens: number, ms: number) => void;
   /** The server refused a connection, or reset calls: it gets no new calls for `ms`. */
   readonly avoidServer: (server: string, ms: number) => void;
   /** The cached pieces of an engine or a store. */
