Free pieces of replaced weights earlier, and keep memory for what runs

Stores were full of pieces of replaced weights until all engines had left them. A host now fetches such pieces for 3.5 s only, and only while it has looked for newer weights within 2 s, so they are freed 6.5 s after, also when a host is cut off from the platform.

--- a/packages/keep-pieces/src/create-piece-keeper.ts
+++ b/packages/keep-pieces/src/create-piece-keeper.ts
@@ -1,4 +1,4 @@
-import { computeElapsedMs, readMonotonicMs, readMoment, type Moment } from '@laburnumshift/clock';
+import { computeElapsedMs, readMoment, readMonotonicMs } from '@laburnumshift/clock';
 import type { KeptCacheStore, PromptPiece } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import { chooseKeeper, planFetch } from '@laburnumshift/place-calls';
@@ -11,8 +11,17 @@
 const SAVE_MS = 6000;
 /** Fetched pieces are not used later than this, milliseconds: transfers that wait longer than 2 s are not started. */
 const FETCH_MS = 2500;
-/** Pieces are freed so long after the last engine left their weights, milliseconds: longer than a fetch, with clock slack. */
-const FREE_AFTER_MS = 4000;
+/** Pieces of replaced weights are fetched from stores for so long, milliseconds: until most engines have the new ones. */
+const REPLACED_MS = 3500;
+/** A host fetches from stores only while it has looked for newer weights within this time, milliseconds. */
+const WEIGHTS_AGE_MS = 2000;
+/** Difference of clocks and delays between hosts, milliseconds. */
+const SLACK_MS = 500;
+/**
+ * Pieces are freed so long after their weights were replaced, milliseconds: then no host begins a fetch of them, not even one
+ * that is cut off from the platform, and fetches that had begun are not used any more.
+ */
+const FREE_AFTER_MS = Math.max(REPLACED_MS, WEIGHTS_AGE_MS) + FETCH_MS + SLACK_MS;
 /** Pieces freed by one call. */
 const FREE_BATCH = 500;
 
@@ -27,8 +36,16 @@
   const { board, events, fleet, control } = options;
   const logger = createLogger('keeper');
   const pending = new Map<string, PendingSave>();
-  /** Since when no engine has weights below the version, by model. */
-  const oldest = new Map<string, { readonly version: number; readonly since: Moment }>();
+  const createdAt = readMoment();
+
+  /** Milliseconds since the weights of a scope were replaced; 0 while they are the newest. */
+  const computeReplacedMs = (scope: string): number => {
+    const parsed = parseCacheScope(scope);
+    const successor = parsed === undefined ? undefined : fleet.findSuccessor(parsed.model, parsed.version);
+    if (successor === undefined) return 0;
+    // When weights that were there at the start were named is not known; it was before this process looked.
+    return computeElapsedMs(successor.isInitial ? createdAt : successor.learned);
+  };
 
   const listUsable = (stores: readonly KeptCacheStore[]): KeptCacheStore[] =>
     stores.filter((store) => events.isReading(getStoreId(store)));
@@ -66,7 +83,11 @@
 
   return {
     planFetches: ({ scope, pieces, engines, stores }) => {
-      const usable = events.readClockMs() === undefined ? [] : listUsable(stores);
+      const mayFetch =
+        events.readClockMs() !== undefined &&
+        fleet.getWeightsAgeMs() <= WEIGHTS_AGE_MS &&
+        computeReplacedMs(scope) <= REPLACED_MS;
+      const usable = mayFetch ? listUsable(stores) : [];
       const known = new Map<string, { readonly store: string | undefined; readonly holders: string[] }>();
       const findHolders = (piece: PromptPiece) => {
         const found = known.get(piece.id) ?? {
@@ -93,30 +114,20 @@
       dropExpired();
       const usable = listUsable(stores);
       const clockMs = events.readClockMs();
+      const isReplaced = computeReplacedMs(scope) > 0;
       return {
         fetchFrom: plan.sources,
         fetchUntilMs: clockMs === undefined ? undefined : Math.floor(clockMs + FETCH_MS),
         // The last piece belongs to one call or session, so it is not worth the room.
         saveTo: pieces.map((piece, index) =>
-          index === pieces.length - 1 || usable.some((store) => isKept(store, scope, piece))
+          isReplaced || index === pieces.length - 1 || usable.some((store) => isKept(store, scope, piece))
             ? undefined
             : findKeeper(scope, piece, usable)?.address,
         ),
       };
     },
     freeOutdated: async (stores) => {
-      for (const { model } of fleet.listWeights()) {
-        const versions = fleet.listAll().flatMap((engine) => engine.versions.get(model) ?? []);
-        const version = Math.min(...versions);
-        if (Number.isFinite(version) && oldest.get(model)?.version !== version)
-          oldest.set(model, { version, since: readMoment() });
-      }
-      const isOutdated = (scope: string): boolean => {
-        const parsed = parseCacheScope(scope);
-        const limit = parsed === undefined ? undefined : oldest.get(parsed.model);
-        if (parsed === undefined || limit === undefined) return false;
-        return parsed.version < limit.version && computeElapsedMs(limit.since) > FREE_AFTER_MS;
-      };
+      const isOutdated = (scope: string): boolean => computeReplacedMs(scope) > FREE_AFTER_MS;
       for (const store of listUsable(stores)) {
         const id = getStoreId(store);
         const bootId = events.getBootId(id);
--- a/packages/keep-pieces/src/piece-keeper.ts
+++ b/packages/keep-pieces/src/piece-keeper.ts
@@ -7,7 +7,7 @@
   readonly planFetches: (request: FetchRequest) => (engine: string) => FetchPlan;
   /** Builds the transfers of a call; saves are remembered as on their way. */
   readonly planTransfers: (request: FetchRequest, plan: FetchPlan) => CacheTransfers;
-  /** Frees pieces of weights that no engine has any more. */
+  /** Frees pieces of weights that were replaced long enough ago for no fetch of them to be under way. */
   readonly freeOutdated: (stores: readonly KeptCacheStore[]) => Promise<void>;
 }
 
--- a/packages/place-calls/src/admit-call.ts
+++ b/packages/place-calls/src/admit-call.ts
@@ -5,9 +5,9 @@
 const BEGIN_SHARE = 0.5;
 /** Limits by priority, the most urgent first; the last one holds for all further ones. */
 const LIMITS = [
-  { memoryShare: 1.1, queueShare: 0.8, waitShare: 0.8 },
-  { memoryShare: 1, queueShare: 0.6, waitShare: 0.8 },
-  { memoryShare: 0.85, queueShare: 0.2, waitShare: 0.8 },
+  { memoryShare: 1.0, queueShare: 0.8, waitShare: 0.8 },
+  { memoryShare: 0.9, queueShare: 0.6, waitShare: 0.8 },
+  { memoryShare: 0.75, queueShare: 0.2, waitShare: 0.8 },
 ] as const;
 /** Usual time that a call holds memory, milliseconds: output tokens at the pace of a busy engine. */
 const HOLD_MS = 3500;
--- a/packages/run-forwarder/src/forwarder-times.ts
+++ b/packages/run-forwarder/src/forwarder-times.ts
@@ -6,7 +6,7 @@
    */
   configWaitMs: 1200,
   backendsWaitMs: 1200,
-  weightsWaitMs: 2500,
+  weightsWaitMs: 1000,
   /** A server is back within two seconds after an outage of the store. */
   lapseGraceMs: 2000,
   /** The balancer takes a host out after two questions at one-second intervals. */
--- a/packages/track-fleet/src/fleet-view.ts
+++ b/packages/track-fleet/src/fleet-view.ts
@@ -13,6 +13,10 @@
   readonly listAll: () => readonly BackendEntry[];
   readonly getWeights: (model: string) => NamedWeights | undefined;
   readonly listWeights: () => readonly NamedWeights[];
+  /** The first weights that were named after a version; `undefined` while the version is the newest. */
+  readonly findSuccessor: (model: string, version: number) => NamedWeights | undefined;
+  /** Upper bound of the age of the named weights, milliseconds. */
+  readonly getWeightsAgeMs: () => number;
   /** True once each kind was listed. */
   readonly isComplete: () => boolean;
   /** Calls the handler when a server came, changed or left (`undefined`). */
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -6,6 +6,9 @@
 import type { FleetView } from './fleet-view.js';
 import type { NamedWeights } from './named-weights.js';
 
+/** Named weights remembered for each model; older ones are out of use. */
+const MAX_HISTORY = 16;
+
 /** Follows configuration, backend servers and weight versions in the platform's store. */
 export function trackFleet(options: FleetOptions): FleetView {
   const { source, decoder, kinds, waitMs, lapseGraceMs } = options;
@@ -15,6 +18,8 @@
   /** Entries that vanished around an outage, with the time at which that was seen. */
   const lapsed = new Map<string, Moment>();
   const weights = new Map<string, NamedWeights>();
+  /** Named weights in the order of their versions. */
+  const history = new Map<string, readonly NamedWeights[]>();
   const handlers: ((id: string, entry: BackendEntry | undefined) => void)[] = [];
   const configHandlers: ((config: ForwardConfig) => void)[] = [];
   let config: ForwardConfig | undefined;
@@ -106,7 +111,9 @@
       if (named === undefined) continue;
       if ((weights.get(named.model)?.version ?? 0) >= named.version) continue;
       logger.info('weights named', { model: named.model, version: named.version });
-      weights.set(named.model, { ...named, learned: readMoment(), isInitial: !isWeightsListed });
+      const known = { ...named, learned: readMoment(), isInitial: !isWeightsListed };
+      weights.set(named.model, known);
+      history.set(named.model, [...(history.get(named.model) ?? []), known].slice(-MAX_HISTORY));
     }
     isWeightsListed = true;
   };
@@ -126,6 +133,8 @@
     listAll: () => [...backends.values()],
     getWeights: (model) => weights.get(model),
     listWeights: () => [...weights.values()],
+    findSuccessor: (model, version) => history.get(model)?.find((named) => named.version > version),
+    getWeightsAgeMs: () => weightsView.getAgeMs(),
     isComplete: () => config !== undefined && views.every((view) => view.getAgeMs() < Infinity),
     watchBackends: (handler) => {
       handlers.push(handler);
