Pass an answer without a length on without one

Such answers now end with the caller's connection too, so nothing vouches for them; a resumed stream whose last engine gave no length is broken off.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -76,8 +76,7 @@
             return;
           }
           isOpen = false;
-          const { headers: fields } = received;
-          handlers.onEnd('content-length' in fields || 'transfer-encoding' in fields);
+          handlers.onEnd();
         });
         received.on('error', (error) => {
           fail('answering', error.message);
--- a/packages/call-backend/src/send-handlers.ts
+++ b/packages/call-backend/src/send-handlers.ts
@@ -5,7 +5,7 @@
 export interface SendHandlers {
   readonly onHead: (head: AnswerHead) => void;
   readonly onBytes: (bytes: Buffer) => void;
-  /** The whole answer was received. Without a length, the end of the connection is the only sign of that. */
-  readonly onEnd: (hasLength: boolean) => void;
+  /** The whole answer was received; without a length, the end of the connection is the only sign of that. */
+  readonly onEnd: () => void;
   readonly onFault: (fault: SendFault) => void;
 }
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -68,7 +68,7 @@
         tracked.observeFirstEvent();
         input.onFirstEvent();
       }
-      if (!reply.isHeadSent()) reply.sendHead(head.status, head.passedHeaders);
+      if (!reply.isHeadSent()) reply.sendHead(head.status, head.passedHeaders, head.hasLength);
       if (!reply.write(events)) {
         sent.pause();
         reply.onDrain(() => {
@@ -102,7 +102,7 @@
         if (heldBytes > MAX_HELD_BYTES) cancel(buildBrokenEnd('the answer is too long'), 'failed');
         else held.push(bytes);
       },
-      onEnd: (hasLength) => {
+      onEnd: () => {
         if (head === undefined) return;
         if (head.isNotRun || head.isWrongServer) {
           const reason = head.isWrongServer ? 'another process or version' : 'server is full';
@@ -115,12 +115,17 @@
           return;
         }
         const rest = splitter.getRest();
-        if (rest.length > 0 && !hasLength) {
+        if (rest.length > 0 && !head.hasLength) {
           finish(buildBrokenEnd('stream ended within an event'), 'failed');
           return;
         }
+        if (reply.isHeadSent() && reply.hasLength() && !head.hasLength) {
+          // The caller's answer would look complete on the word of an engine that gave none.
+          finish(buildBrokenEnd('the end of the resumed stream is not sure'), 'failed');
+          return;
+        }
         if (rest.length > 0) relayEvents(rest);
-        if (!reply.isHeadSent()) reply.sendHead(head.status, head.passedHeaders);
+        if (!reply.isHeadSent()) reply.sendHead(head.status, head.passedHeaders, head.hasLength);
         reply.end();
         finish({ kind: 'delivered', status: head.status }, 'served');
       },
--- a/packages/forward-calls/src/reply-refusal.ts
+++ b/packages/forward-calls/src/reply-refusal.ts
@@ -12,6 +12,10 @@
 ): void {
   const body = Buffer.from(`${REFUSAL_TEXTS[status]}\n`);
   const headers = codec.encodeRefusal(callId, retryAfterMs);
-  reply.sendHead(status, [...headers, 'Content-Type', 'text/plain', 'Content-Length', String(body.length)]);
+  reply.sendHead(
+    status,
+    [...headers, 'Content-Type', 'text/plain', 'Content-Length', String(body.length)],
+    true,
+  );
   reply.end(body);
 }
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -179,7 +179,7 @@
       if (end.kind === 'delivered') recordEnd('served', end.status, '');
       else recordEnd('left', 0, 'caller left');
     } else if (step.kind === 'pass') {
-      reply.sendHead(step.head.status, step.head.passedHeaders);
+      reply.sendHead(step.head.status, step.head.passedHeaders, step.head.hasLength);
       reply.end(step.body);
       recordEnd(step.head.status < 400 ? 'served' : 'failed', step.head.status, 'server answered');
     } else if (step.kind === 'refuse') {
--- a/packages/forward-types/src/answer-head.ts
+++ b/packages/forward-types/src/answer-head.ts
@@ -11,6 +11,8 @@
   readonly isNotRun: boolean;
   /** The server is another process than the expected one, or has other weights. */
   readonly isWrongServer: boolean;
+  /** The body has a length or chunks; else it ends with the connection, and a broken one looks like a whole one. */
+  readonly hasLength: boolean;
   /** The server closes the connection after this answer. */
   readonly isClosing: boolean;
   /** The body has a coding that the caller did not ask for. */
