--- a/eslint.config.js
+++ b/eslint.config.js
@@ -25,6 +25,7 @@
       ],
     },
   },
+  { files: ['packages/*/src/**/*.ts'], rules: { 'house/no-wire-names': 'error' } },
   {
     files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['packages/*/src/**/index.ts', 'platform/src/index.ts'],
--- a/packages/keep-pieces/src/create-piece-keeper.ts
+++ b/packages/keep-pieces/src/create-piece-keeper.ts
@@ -14,7 +14,7 @@
 /** Pieces of replaced weights are fetched from stores for so long, milliseconds: until most engines have the new ones. */
 const REPLACED_MS = 3500;
 /** A host fetches from stores only while it has looked for newer weights within this time, milliseconds. */
-const WEIGHTS_AGE_MS = 2000;
+const WEIGHTS_AGE_MS = 3500;
 /** Difference of clocks and delays between hosts, milliseconds. */
 const SLACK_MS = 500;
 /**
