--- a/eslint-rules/test/house-rules.test.js
+++ b/eslint-rules/test/house-rules.test.js
@@ -11,6 +11,13 @@
 const buildErrors = (messageId) => [{ messageId }];
 
 const cases = {
+  'no-wire-names': {
+    valid: [{ code: "const a = 'content-length';" }, { code: "const a = 'Authorization';" }],
+    invalid: [
+      { code: "const a = 'kv-store-addr';", errors: buildErrors('name') },
+      { code: "const a = 'expect-instance';", errors: buildErrors('name') },
+    ],
+  },
   'import-boundaries': {
     valid: [
       {
--- /dev/null
+++ b/packages/hold-lease/test/suspended-holder.test.ts
@@ -0,0 +1,33 @@
+import { holdLease } from '@laburnumshift/hold-lease';
+import { installClock } from '@laburnumshift/test-utils';
+import type { WriteResult } from '@laburnumshift/types';
+import test from 'ava';
+
+test.serial(
+  'a holder that was suspended does not trust its lease, although its monotonic clock stood still',
+  async (t) => {
+    const clock = installClock();
+    let version = 0;
+    const lease = holdLease({
+      name: 'orders',
+      self: { host: 'one', incarnation: 1 },
+      times: { holdMs: 1200, challengeMs: 1400, renewMs: 400, pollMs: 300 },
+      platform: {
+        readObject: () => Promise.resolve({ kind: 'absent' }),
+        writeObject: () => {
+          version += 1;
+          return Promise.resolve<WriteResult>({ kind: 'written', version });
+        },
+      },
+    });
+    t.teardown(() => {
+      lease.close();
+      clock.uninstall();
+    });
+    await clock.tickAsync(10);
+    t.is(lease.getFencing(), 1);
+    clock.setSystemTime(Date.now() + 3000);
+    t.is(lease.getFencing(), undefined);
+    t.is(lease.getRemainingMs(), 0);
+  },
+);
--- /dev/null
+++ b/packages/keep-pieces/test/create-piece-keeper.test.ts
@@ -0,0 +1,132 @@
+import { readMoment } from '@laburnumshift/clock';
+import type { KeptCacheStore, PromptPiece } from '@laburnumshift/forward-types';
+import { buildCacheScope, createPieceKeeper, getStoreId, parseCacheScope } from '@laburnumshift/keep-pieces';
+import { installClock } from '@laburnumshift/test-utils';
+import { createEngineBoard } from '@laburnumshift/track-engines';
+import type { NamedWeights } from '@laburnumshift/track-fleet';
+import test from 'ava';
+
+const STORE: KeptCacheStore = {
+  name: 's',
+  address: '10.0.0.9:80',
+  failureDomain: 'north',
+  capacityTokens: 10_000,
+  linkMbps: 1000,
+  maxEventReaders: 4,
+  isManaged: true,
+  firstMs: 1,
+};
+const PIECES: readonly PromptPiece[] = [
+  { id: 'a', tokens: 500 },
+  { id: 'b', tokens: 4000 },
+  { id: 'own', tokens: 300 },
+];
+const ENGINES = [
+  { id: 'e1', address: '10.0.0.1:80' },
+  { id: 'e2', address: '10.0.0.2:80' },
+];
+const OLD = buildCacheScope(undefined, 'm', 1);
+
+const createWorld = () => {
+  const board = createEngineBoard();
+  const state = { successor: undefined as NamedWeights | undefined, weightsAgeMs: 0, isReading: true };
+  const freed: string[] = [];
+  const keeper = createPieceKeeper({
+    board,
+    events: {
+      isReading: () => state.isReading,
+      getBootId: () => '1',
+      readClockMs: () => 1000,
+    },
+    fleet: {
+      listAll: () => [],
+      listWeights: () => [],
+      findSuccessor: (_, version) => (version < 2 ? state.successor : undefined),
+      getWeightsAgeMs: () => state.weightsAgeMs,
+    },
+    control: {
+      freePieces: (_, bootId, pieces) => {
+        freed.push(...pieces.map(({ scope, piece }) => `${bootId} ${scope} ${piece}`));
+        return Promise.resolve(true);
+      },
+    },
+  });
+  const request = { scope: OLD, pieces: PIECES, engines: ENGINES, stores: [STORE] };
+  const keep = (scope: string, piece: PromptPiece): void => {
+    board.getPieces(getStoreId(STORE)).addPiece(scope, piece.id, piece.tokens);
+  };
+  const setNewWeights = (): void => {
+    state.successor = { model: 'm', version: 2, learned: readMoment(), isInitial: false };
+  };
+  const listSources = (engine = 'e1') => keeper.planFetches(request)(engine).sources;
+  return { board, state, freed, keeper, request, keep, setNewWeights, listSources };
+};
+
+test('pieces of an isolated account and of another version have other scopes', (t) => {
+  const isolated = { name: 'anna', isIsolated: true };
+  const scopes = [
+    buildCacheScope(undefined, 'm', 1),
+    buildCacheScope({ name: 'bert', isIsolated: false }, 'm', 1),
+    buildCacheScope(isolated, 'm', 1),
+    buildCacheScope({ ...isolated, name: 'shared' }, 'm', 1),
+    buildCacheScope(undefined, 'm', 2),
+  ];
+  t.is(scopes[0], scopes[1]);
+  t.is(new Set(scopes).size, 4);
+  t.deepEqual(parseCacheScope(scopes[4] ?? ''), { model: 'm', version: 2 });
+  t.is(parseCacheScope('of another system'), undefined);
+});
+
+test('a piece is fetched from a store that has it whole, else from another engine', (t) => {
+  const { board, keep, listSources } = createWorld();
+  board.getPieces('e2').addPiece(OLD, 'a', 500);
+  board.getPieces(getStoreId(STORE)).addPiece(OLD, 'b', 3999);
+  t.deepEqual(listSources(), ['10.0.0.2:80', undefined, undefined]);
+  keep(OLD, { id: 'b', tokens: 4000 });
+  t.deepEqual(listSources(), ['10.0.0.2:80', STORE.address, undefined]);
+  t.deepEqual(listSources('e2'), [undefined, STORE.address, undefined]);
+});
+
+test('nothing is fetched from a store whose events are not followed', (t) => {
+  const { state, keep, listSources } = createWorld();
+  keep(OLD, { id: 'a', tokens: 500 });
+  state.isReading = false;
+  t.deepEqual(listSources(), [undefined, undefined, undefined]);
+});
+
+test('shared pieces are saved once, the last piece never, and no store is filled beyond its room', (t) => {
+  const { keeper, request, listSources } = createWorld();
+  const plan = { localTokens: 0, fetchTokens: 0, sources: listSources() };
+  const { saveTo } = keeper.planTransfers(request, plan);
+  t.deepEqual(saveTo, [STORE.address, STORE.address, undefined]);
+  t.deepEqual(keeper.planTransfers(request, plan).saveTo, [undefined, undefined, undefined]);
+  const large = { ...request, pieces: [{ id: 'large', tokens: 5100 }, ...PIECES.slice(2)] };
+  t.deepEqual(keeper.planTransfers(large, plan).saveTo, [undefined, undefined]);
+});
+
+test.serial('no fetch of replaced pieces can be under way when they are freed', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const { state, freed, keeper, request, keep, setNewWeights, listSources } = createWorld();
+  keep(OLD, { id: 'a', tokens: 500 });
+  keep(buildCacheScope(undefined, 'm', 2), { id: 'c', tokens: 500 });
+  setNewWeights();
+  const fetchMs = (keeper.planTransfers(request, keeper.planFetches(request)('e1')).fetchUntilMs ?? 0) - 1000;
+  const times = { lastFetchMs: 0, freedMs: 12_000 };
+  for (let now = 0; now < 12_000; now += 100) {
+    if (listSources()[0] !== undefined) times.lastFetchMs = now;
+    await keeper.freeOutdated([STORE]);
+    if (freed.length > 0) times.freedMs = Math.min(times.freedMs, now);
+    await clock.tickAsync(100);
+  }
+  const { lastFetchMs, freedMs } = times;
+  t.deepEqual(freed, [`1 ${OLD} a`]);
+  t.true(lastFetchMs > 0);
+  t.true(freedMs >= lastFetchMs + fetchMs);
+  state.successor = undefined;
+  keep(OLD, { id: 'a', tokens: 500 });
+  state.weightsAgeMs = freedMs - fetchMs;
+  t.deepEqual(listSources(), [undefined, undefined, undefined]);
+});
--- a/packages/roll-weights/test/order-weights.test.ts
+++ b/packages/roll-weights/test/order-weights.test.ts
@@ -84,7 +84,7 @@
     },
   };
 };
-const play = async (
+const runWorld = async (
   world: () => ReturnType<typeof createWorld>,
   check: (world: ReturnType<typeof createWorld>, clock: ReturnType<typeof installClock>) => Promise<void>,
 ): Promise<void> => {
@@ -99,7 +99,7 @@
 };
 
 test.serial('all engines get the version, never more than a third at once, rounded up', (t) =>
-  play(createWorld, async ({ engines, sent }, clock) => {
+  runWorld(createWorld, async ({ engines, sent }, clock) => {
     await clock.tickAsync(600);
     t.is(sent.length, 2);
     await clock.tickAsync(6000);
@@ -109,7 +109,7 @@
 );
 
 test.serial('without the lease nothing is sent', (t) =>
-  play(createWorld, async ({ sent, lease }, clock) => {
+  runWorld(createWorld, async ({ sent, lease }, clock) => {
     lease.fencing = undefined;
     await clock.tickAsync(5000);
     t.is(sent.length, 0);
@@ -117,7 +117,7 @@
 );
 
 test.serial('a holder whose lease is about to end sends nothing', (t) =>
-  play(createWorld, async ({ sent, lease }, clock) => {
+  runWorld(createWorld, async ({ sent, lease }, clock) => {
     lease.remainingMs = 100;
     await clock.tickAsync(2000);
     t.is(sent.length, 0);
@@ -125,7 +125,7 @@
 );
 
 test.serial('an engine without a mark gets no order, as the next holder would not know of it', (t) =>
-  play(
+  runWorld(
     () => createWorld([], false),
     async ({ sent }, clock) => {
       await clock.tickAsync(2000);
@@ -135,7 +135,7 @@
 );
 
 test.serial('an engine that another holder marked waits until that holder’s orders are past', (t) =>
-  play(
+  runWorld(
     () => createWorld([], true, { holder: 'host-9', model: 'm', version: 2, stage: 'ordered' }),
     async ({ sent }, clock) => {
       await clock.tickAsync(2900);
@@ -148,7 +148,7 @@
 );
 
 test.serial('an engine that another holder ordered is reported as done as soon as it is', (t) =>
-  play(
+  runWorld(
     () => createWorld([], true, { holder: 'host-9', model: 'm', version: 2, stage: 'ordered' }),
     async ({ engines, sent }, clock) => {
       const engine = engines.get('a');
@@ -163,7 +163,7 @@
 );
 
 test.serial('an order without an answer is sent again with the same count, so only one is carried out', (t) =>
-  play(
+  runWorld(
     () => createWorld(['unknown', 'unknown']),
     async ({ engines, sent }, clock) => {
       await clock.tickAsync(6000);
@@ -177,7 +177,7 @@
 );
 
 test.serial('an engine that is still draining goes straight to weights that were named meanwhile', (t) =>
-  play(createWorld, async ({ engines, sent, nameWeights }, clock) => {
+  runWorld(createWorld, async ({ engines, sent, nameWeights }, clock) => {
     await clock.tickAsync(200);
     nameWeights(3);
     await clock.tickAsync(9000);
--- a/packages/track-fleet/test/track-fleet.test.ts
+++ b/packages/track-fleet/test/track-fleet.test.ts
@@ -45,18 +45,18 @@
       }),
     writeStatus: () => Promise.resolve(true),
   };
-  const answer = (kind: string, outcome: WatchOutcome): void => {
+  const replyTo = (kind: string, outcome: WatchOutcome): void => {
     waiting.get(kind)?.(outcome);
   };
-  const change = (kind: string, name: string, spec: unknown, isRemoved = false): void => {
+  const updateObject = (kind: string, name: string, spec: unknown, isRemoved = false): void => {
     revision += 1;
-    answer(kind, {
+    replyTo(kind, {
       kind: 'changes',
       revision,
       changes: [{ isRemoved, object: createObject(name, revision, spec) }],
     });
   };
-  return { source, answer, change };
+  return { source, replyTo, updateObject };
 };
 const start = (store: ReturnType<typeof createStore>) =>
   trackFleet({
@@ -88,10 +88,10 @@
 
 test.serial('a configuration never goes back to an older version', (t) =>
   run({ config: [createObject('main', 1, { version: 5 })] }, async (fleet, store, clock) => {
-    store.change('config', 'main', { version: 4 });
+    store.updateObject('config', 'main', { version: 4 });
     await clock.tickAsync(1);
     t.is(fleet.getConfig()?.version, 5);
-    store.change('config', 'main', { version: 6 });
+    store.updateObject('config', 'main', { version: 6 });
     await clock.tickAsync(1);
     t.is(fleet.getConfig()?.version, 6);
   }),
@@ -100,7 +100,7 @@
 test.serial('a draining server gets no calls but stays known', (t) =>
   run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
     t.is(fleet.listBackends('models').length, 1);
-    store.change('backends', 'a', createEntry('a', { isDraining: true }));
+    store.updateObject('backends', 'a', createEntry('a', { isDraining: true }));
     await clock.tickAsync(1);
     t.is(fleet.listBackends('models').length, 0);
     t.truthy(fleet.getBackend('a'));
@@ -109,7 +109,7 @@
 
 test.serial('a damaged entry names no server', (t) =>
   run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
-    store.change('backends', 'a', 'damaged');
+    store.updateObject('backends', 'a', 'damaged');
     await clock.tickAsync(1);
     t.is(fleet.listAll().length, 0);
   }),
@@ -117,7 +117,7 @@
 
 test.serial('an entry that is removed in calm is gone at once', (t) =>
   run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
-    store.change('backends', 'a', createEntry('a'), true);
+    store.updateObject('backends', 'a', createEntry('a'), true);
     await clock.tickAsync(1);
     t.is(fleet.listBackends('models').length, 0);
   }),
@@ -125,11 +125,11 @@
 
 test.serial('an entry that lapsed around an outage is kept for its grace time only', (t) =>
   run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
-    store.answer('backends', { kind: 'unavailable', reason: 'down' });
+    store.replyTo('backends', { kind: 'unavailable', reason: 'down' });
     await clock.tickAsync(200);
-    store.change('backends', 'a', createEntry('a'), true);
+    store.updateObject('backends', 'a', createEntry('a'), true);
     await clock.tickAsync(1);
-    store.answer('backends', { kind: 'changes', revision: 300, changes: [] });
+    store.replyTo('backends', { kind: 'changes', revision: 300, changes: [] });
     await clock.tickAsync(1);
     t.is(fleet.listBackends('models').length, 1);
     await clock.tickAsync(2000);
@@ -141,9 +141,9 @@
   run(
     { backends: [createObject('a', 1, createEntry('a', { isDraining: true }))] },
     async (fleet, store, clock) => {
-      store.answer('backends', { kind: 'unavailable', reason: 'down' });
+      store.replyTo('backends', { kind: 'unavailable', reason: 'down' });
       await clock.tickAsync(200);
-      store.change('backends', 'a', createEntry('a'), true);
+      store.updateObject('backends', 'a', createEntry('a'), true);
       await clock.tickAsync(1);
       t.is(fleet.listAll().length, 0);
     },
@@ -156,7 +156,7 @@
     fleet.watchBackends((_, entry) => {
       seen.push(entry?.bornMs);
     });
-    store.change('backends', 'a', createEntry('a', { bornMs: 2 }));
+    store.updateObject('backends', 'a', createEntry('a', { bornMs: 2 }));
     await clock.tickAsync(1);
     t.deepEqual(seen, [undefined, 2]);
   }),
@@ -165,7 +165,7 @@
 test.serial('weights that were there at the start are marked, as nobody knows when they were named', (t) =>
   run({ weights: [createObject('m', 1, { model: 'm', version: 2 })] }, async (fleet, store, clock) => {
     t.true(fleet.getWeights('m')?.isInitial);
-    store.change('weights', 'm', { model: 'm', version: 3 });
+    store.updateObject('weights', 'm', { model: 'm', version: 3 });
     await clock.tickAsync(1);
     t.false(fleet.getWeights('m')?.isInitial);
     t.is(fleet.getWeights('m')?.version, 3);
--- a/packages/watch-objects/test/watch-kind.test.ts
+++ b/packages/watch-objects/test/watch-kind.test.ts
@@ -24,12 +24,12 @@
   };
   return { source, asked };
 };
-const listed = (revision: number, ...objects: StoredObject[]): ListOutcome => ({
+const createList = (revision: number, ...objects: StoredObject[]): ListOutcome => ({
   kind: 'listed',
   objects,
   revision,
 });
-const settle = (clock: ReturnType<typeof installClock>, ms = 0) => clock.tickAsync(ms);
+const waitIdle = (clock: ReturnType<typeof installClock>, ms = 0) => clock.tickAsync(ms);
 
 test.serial(
   'a gap in the history leads to a list, and what vanished in the gap is reported as removed',
@@ -39,7 +39,7 @@
       clock.uninstall();
     });
     const { source, asked } = createSource(
-      [listed(5, createObject('a', 3), createObject('b', 4)), listed(9, createObject('b', 8))],
+      [createList(5, createObject('a', 3), createObject('b', 4)), createList(9, createObject('b', 8))],
       [{ kind: 'compacted' }],
     );
     const seen: string[] = [];
@@ -51,7 +51,7 @@
         for (const { isRemoved, object } of changes) seen.push(`${isRemoved ? '-' : '+'}${object.name}`);
       },
     });
-    await settle(clock, 10);
+    await waitIdle(clock, 10);
     view.close();
     t.deepEqual(seen, ['+a', '+b', '-a', '+b']);
     t.deepEqual([...view.objects.keys()], ['b']);
@@ -66,11 +66,11 @@
   });
   const late = { isRemoved: true, object: createObject('a', 4) };
   const { source } = createSource(
-    [listed(7, createObject('a', 6))],
+    [createList(7, createObject('a', 6))],
     [{ kind: 'changes', changes: [late], revision: 8 }],
   );
   const view = watchKind({ source, kind: 'k', waitMs: 1000, onChanges: () => undefined });
-  await settle(clock, 10);
+  await waitIdle(clock, 10);
   view.close();
   t.is(view.objects.get('a')?.revision, 6);
 });
@@ -82,10 +82,10 @@
     t.teardown(() => {
       clock.uninstall();
     });
-    const { source } = createSource([listed(1)], [{ kind: 'unavailable', reason: 'down' }]);
+    const { source } = createSource([createList(1)], [{ kind: 'unavailable', reason: 'down' }]);
     const view = watchKind({ source, kind: 'k', waitMs: 1000, onChanges: () => undefined });
     t.is(view.getAgeMs(), Infinity);
-    await settle(clock, 3000);
+    await waitIdle(clock, 3000);
     view.close();
     t.is(view.getAgeMs(), 3000);
   },
@@ -96,9 +96,9 @@
   t.teardown(() => {
     clock.uninstall();
   });
-  const { source } = createSource([listed(1)], []);
+  const { source } = createSource([createList(1)], []);
   const view = watchKind({ source, kind: 'k', waitMs: 1000, onChanges: () => undefined });
-  await settle(clock, 0);
+  await waitIdle(clock, 0);
   clock.setSystemTime(Date.now() + 6000);
   t.true(view.getAgeMs() >= 6000);
   view.close();
@@ -110,7 +110,7 @@
     clock.uninstall();
   });
   const { source, asked } = createSource(
-    [listed(4, createObject('a', 2))],
+    [createList(4, createObject('a', 2))],
     [
       { kind: 'unavailable', reason: 'down' },
       { kind: 'unavailable', reason: 'down' },
@@ -119,7 +119,7 @@
   );
   const view = watchKind({ source, kind: 'k', waitMs: 1000, onChanges: () => undefined });
   t.is(view.getRecoveredMs(), Infinity);
-  await settle(clock, 2000);
+  await waitIdle(clock, 2000);
   view.close();
   t.deepEqual(asked, [4, 4, 4, 4]);
   t.is(view.objects.size, 1);
