Pass on a server's failure when a further try finds no server

A call that may run again and got a failure of its server was answered with a failure of the host's own when the second try found no server, so the caller lost the server's answer. The test fails without the change (502 for 500).

--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -1,8 +1,9 @@
 import { readMonotonicMs, sleep } from '@laburnumshift/clock';
-import { CALL_KINDS } from '@laburnumshift/forward-types';
+import { CALL_KINDS, type AnswerHead } from '@laburnumshift/forward-types';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import { createLogger } from '@laburnumshift/logger';
 import { estimateHeldTokens } from '@laburnumshift/place-calls';
+import type { AttemptEnd } from './attempt-end.js';
 import { dispatchCall } from './dispatch-call.js';
 import { chooseServer } from './choose-server.js';
 import { createEventSplitter } from './create-event-splitter.js';
@@ -42,6 +43,8 @@
   let longestPauseMs = 0;
   let unsent = 0;
   let mayHaveRun = false;
+  /** A server's own failure that was held back for another try. */
+  let heldAnswer: Extract<AttemptEnd, { kind: 'answered' }> | undefined;
 
   const recordEnd = (outcome: string, status: number, reason: string): void => {
     const ms = Math.round(readMonotonicMs() - job.arrivedMs);
@@ -63,12 +66,21 @@
     if (outcome === 'served') logger.info('call ended', fields);
     else logger.warn('call ended', fields);
   };
+  const relayAnswer = (head: AnswerHead, body: Buffer): void => {
+    reply.sendHead(head.status, head.passedHeaders, head.hasLength);
+    reply.end(body);
+    recordEnd(head.status < 400 ? 'served' : 'failed', head.status, 'server answered');
+  };
   const refuse = (reason: string, retryAfterMs: number): void => {
     if (reply.isHeadSent()) {
       reply.abort();
       recordEnd('aborted', 0, reason);
       return;
     }
+    if (heldAnswer !== undefined) {
+      relayAnswer(heldAnswer.head, heldAnswer.body);
+      return;
+    }
     const status = mayHaveRun ? 502 : 503;
     replyRefusal(deps.codec, reply, call.id, status, mayHaveRun ? undefined : retryAfterMs);
     recordEnd(mayHaveRun ? 'failed' : 'refused', status, reason);
@@ -142,6 +154,7 @@
     }
     if (end.kind === 'not-run' && end.isSent) deps.board.avoidServer(server.id, REFUSED_MS);
     tried.add(server.id);
+    if (end.kind === 'answered') heldAnswer = end;
     if (end.kind === 'broken' || end.kind === 'cut' || end.kind === 'answered' || end.kind === 'ended')
       mayHaveRun = true;
     trail.push({
@@ -179,11 +192,11 @@
       if (end.kind === 'delivered') recordEnd('served', end.status, '');
       else recordEnd('left', 0, 'caller left');
     } else if (step.kind === 'pass') {
-      reply.sendHead(step.head.status, step.head.passedHeaders, step.head.hasLength);
-      reply.end(step.body);
-      recordEnd(step.head.status < 400 ? 'served' : 'failed', step.head.status, 'server answered');
+      relayAnswer(step.head, step.body);
     } else if (step.kind === 'refuse') {
       refuse('servers refused the call', FULL_RETRY_MS);
+    } else if (step.kind === 'fail' && heldAnswer !== undefined && step.status !== 504) {
+      relayAnswer(heldAnswer.head, heldAnswer.body);
     } else if (step.kind === 'fail') {
       replyRefusal(deps.codec, reply, call.id, step.status, undefined);
       recordEnd('failed', step.status, step.status === 504 ? 'time is over' : 'no whole answer');
