--- a/packages/forward-calls/src/choice.ts
+++ b/packages/forward-calls/src/choice.ts
@@ -18,4 +18,10 @@
     }
   /** No room now; to be asked again soon. */
   | { readonly kind: 'wait' }
-  | { readonly kind: 'refuse'; readonly reason: string; readonly retryAfterMs: number };
+  | {
+      readonly kind: 'refuse';
+      readonly reason: string;
+      readonly retryAfterMs: number;
+      /** The best engine and the figures that decided, for the log. */
+      readonly inputs?: Readonly<Record<string, string | number>>;
+    };
--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -157,7 +157,11 @@
     targetMs: job.route.targetMs,
     priority: job.account?.priority ?? job.route.priority,
   });
-  if (admission.kind !== 'admit') return admission;
+  if (admission.kind === 'wait') return admission;
+  if (admission.kind === 'refuse') {
+    const { id, expectedMs, queueMs, memoryShare } = placement;
+    return { ...admission, inputs: { engine: id, expectedMs, queueMs, memoryShare, engines: usable.length } };
+  }
   const version = server.versions.get(prompt.model);
   return {
     kind: 'server',
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -46,7 +46,12 @@
   /** A server's own failure that was held back for another try. */
   let heldAnswer: Extract<AttemptEnd, { kind: 'answered' }> | undefined;
 
-  const recordEnd = (outcome: string, status: number, reason: string): void => {
+  const recordEnd = (
+    outcome: string,
+    status: number,
+    reason: string,
+    decision?: Readonly<Record<string, unknown>>,
+  ): void => {
     const ms = Math.round(readMonotonicMs() - job.arrivedMs);
     deps.metrics.countEvent('forwarded_calls_total', { route: route.name, outcome });
     deps.metrics.recordMs('forwarded_call_ms', ms, { route: route.name });
@@ -62,6 +67,7 @@
       reason,
       ms,
       trail,
+      decision,
     };
     if (outcome === 'served') logger.info('call ended', fields);
     else logger.warn('call ended', fields);
@@ -71,10 +77,10 @@
     reply.end(body);
     recordEnd(head.status < 400 ? 'served' : 'failed', head.status, 'server answered');
   };
-  const refuse = (reason: string, retryAfterMs: number): void => {
+  const refuse = (reason: string, retryAfterMs: number, inputs?: Readonly<Record<string, unknown>>): void => {
     if (reply.isHeadSent()) {
       reply.abort();
-      recordEnd('aborted', 0, reason);
+      recordEnd('aborted', 0, reason, inputs);
       return;
     }
     if (heldAnswer !== undefined) {
@@ -83,7 +89,7 @@
     }
     const status = mayHaveRun ? 502 : 503;
     replyRefusal(deps.codec, reply, call.id, status, mayHaveRun ? undefined : retryAfterMs);
-    recordEnd(mayHaveRun ? 'failed' : 'refused', status, reason);
+    recordEnd(mayHaveRun ? 'failed' : 'refused', status, reason, { ...inputs, retryAfterMs });
   };
 
   for (;;) {
@@ -93,7 +99,7 @@
     }
     const choice = chooseServer(deps, job, tried);
     if (choice.kind === 'refuse') {
-      refuse(choice.reason, choice.retryAfterMs);
+      refuse(choice.reason, choice.retryAfterMs, choice.inputs);
       return;
     }
     if (choice.kind === 'wait') {
