Share the check for engines under order, and drop what nothing uses

Two packages told in their own words whether an engine is under order; both call isUnderOrder now. The logger of forwarded calls was made anew for each call. Views asked for methods that were not called.

--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -1,8 +1,9 @@
 import { computeElapsedMs, readMonotonicMs } from '@laburnumshift/clock';
-import { ORDER_STAGES, type BackendEntry, type PromptShape } from '@laburnumshift/forward-types';
+import type { BackendEntry, PromptShape } from '@laburnumshift/forward-types';
 import { admitCall, estimateHeldTokens, placeCall, placePlainCall } from '@laburnumshift/place-calls';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import type { ServerState } from '@laburnumshift/track-engines';
+import { isUnderOrder } from '@laburnumshift/track-fleet';
 import type { Choice } from './choice.js';
 import { ENGINE_RATES } from './engine-rates.js';
 import type { ForwardDeps } from './forward-deps.js';
@@ -31,13 +32,12 @@
   const others = Math.max(0, state.load.running + state.load.waiting - state.inFlightAtLoad);
   return Math.max(told, others * 0.5 ** (state.loadAgeMs / LOAD_HALF_LIFE_MS));
 };
-const isUsable = (state: ServerState): boolean => !state.isAvoided;
 
 /** Chooses the server for the next attempt of a call. Servers that were tried are left out while there are others. */
 export function chooseServer(deps: ForwardDeps, job: ForwardJob, tried: ReadonlySet<string>): Choice {
   const all = deps.fleet.listBackends(job.service.name);
   const untried = all.filter(({ id }) => !tried.has(id));
-  const fresh = untried.filter(({ id }) => isUsable(deps.board.getState(id)));
+  const fresh = untried.filter(({ id }) => !deps.board.getState(id).isAvoided);
   const servers = fresh.length > 0 ? fresh : untried;
   if (servers.length === 0) {
     const reason = all.length === 0 ? 'no server' : 'no other server';
@@ -92,11 +92,7 @@
     return namedMs < deps.bounds.versionMs - VERSION_MARGIN_MS;
   };
   // A mark of an older version counts too: its order may be under way when newer weights are named.
-  const isLoading = ({ mark, versions }: BackendEntry): boolean =>
-    mark !== undefined &&
-    mark.stage !== ORDER_STAGES.done &&
-    mark.version > (versions.get(mark.model) ?? 0) &&
-    namedMs < ROLLING_MS;
+  const isLoading = (server: BackendEntry): boolean => isUnderOrder(server) && namedMs < ROLLING_MS;
   const usable = servers.filter((server) => isPermitted(server) && !isLoading(server));
   if (usable.length === 0)
     return { kind: 'refuse', reason: 'weights are being replaced', retryAfterMs: NO_SERVER_RETRY_MS };
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -1,7 +1,7 @@
 import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import { CALL_KINDS, type AnswerHead } from '@laburnumshift/forward-types';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
-import { createLogger } from '@laburnumshift/logger';
+import type { Logger } from '@laburnumshift/logger';
 import { estimateHeldTokens } from '@laburnumshift/place-calls';
 import type { AttemptEnd } from './attempt-end.js';
 import { dispatchCall } from './dispatch-call.js';
@@ -28,9 +28,8 @@
 const MAX_URGENCY = 9;
 
 /** Forwards one call until the caller has a final answer. */
-export async function runForward(deps: ForwardDeps, job: ForwardJob): Promise<void> {
+export async function runForward(deps: ForwardDeps, job: ForwardJob, logger: Logger): Promise<void> {
   const { call, route, account, service, reply } = job;
-  const logger = createLogger('forward');
   const splitter = createEventSplitter();
   const tried = new Set<string>();
   const trail: Record<string, unknown>[] = [];
--- a/packages/forward-calls/src/serve-forwards.ts
+++ b/packages/forward-calls/src/serve-forwards.ts
@@ -21,6 +21,7 @@
 /** Listens for callers on `IP:port`. */
 export async function serveForwards(address: string, deps: ForwardDeps): Promise<Forwarder> {
   const logger = createLogger('callers');
+  const callLogger = createLogger('forward');
   const { codec, fleet, bounds } = deps;
   const maxKeyAgeMs = bounds.revokeMs === undefined ? Infinity : bounds.revokeMs * KEY_AGE_SHARE;
   let isDraining = false;
@@ -89,17 +90,8 @@
     if (body === 'left') return;
     const limitMs = Math.min(route.timeoutMs, call.deadlineMs ?? route.timeoutMs);
     const endsMs = arrivedMs + limitMs;
-    await runForward(deps, {
-      call,
-      route,
-      service,
-      account,
-      body,
-      reply,
-      arrivedMs,
-      endsMs,
-      left: left.signal,
-    });
+    const job = { call, route, service, account, body, reply, arrivedMs, endsMs, left: left.signal };
+    await runForward(deps, job, callLogger);
   };
 
   const server = http.createServer(
--- a/packages/keep-pieces/src/keeper-options.ts
+++ b/packages/keep-pieces/src/keeper-options.ts
@@ -7,6 +7,6 @@
 export interface KeeperOptions {
   readonly board: Pick<EngineBoard, 'getPieces'>;
   readonly events: Pick<EventsReader, 'isReading' | 'getBootId' | 'readClockMs'>;
-  readonly fleet: Pick<FleetView, 'listAll' | 'listWeights' | 'findSuccessor' | 'getWeightsAgeMs'>;
+  readonly fleet: Pick<FleetView, 'findSuccessor' | 'getWeightsAgeMs'>;
   readonly control: Pick<EngineControl, 'freePieces'>;
 }
--- a/packages/keep-pieces/test/create-piece-keeper.test.ts
+++ b/packages/keep-pieces/test/create-piece-keeper.test.ts
@@ -39,8 +39,6 @@
       readClockMs: () => 1000,
     },
     fleet: {
-      listAll: () => [],
-      listWeights: () => [],
       findSuccessor: (_, version) => (version < 2 ? state.successor : undefined),
       getWeightsAgeMs: () => state.weightsAgeMs,
     },
--- a/packages/roll-weights/src/order-weights.ts
+++ b/packages/roll-weights/src/order-weights.ts
@@ -1,11 +1,7 @@
 import { computeElapsedMs, readMoment, runEvery, sleep, type Moment } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
-import {
-  ORDER_STAGES,
-  type BackendEntry,
-  type OrderMark,
-  type OrderStage,
-} from '@laburnumshift/forward-types';
+import { ORDER_STAGES, type OrderMark, type OrderStage } from '@laburnumshift/forward-types';
+import { isUnderOrder } from '@laburnumshift/track-fleet';
 import { chooseNextOrders } from './choose-next-orders.js';
 import { listOutdated } from './list-outdated.js';
 import type { OutdatedEngine } from './outdated-engine.js';
@@ -34,10 +30,6 @@
 /** Time beyond the lease's bound between the orders of two holders, milliseconds. */
 const TURN_MARGIN_MS = 150;
 
-/** An engine that was marked for an order and is not known to have its weights takes no calls. */
-const isUnderOrder = ({ mark, versions }: BackendEntry): boolean =>
-  mark !== undefined && mark.stage !== ORDER_STAGES.done && mark.version > (versions.get(mark.model) ?? 0);
-
 /**
  * Brings engines to the newest weights while the lease is held. Each order names the orders that the engine has accepted, so
  * one that comes late is refused. An engine that another holder marked gets orders only when that holder's are past.
@@ -47,7 +39,7 @@
 export function orderWeights(options: RollOptions): () => void {
   const { fleet, control, lease, markEngine, host } = options;
   const logger = createLogger('weights');
-  const active = new Map<string, Moment>();
+  const active = new Set<string>();
   let fencing: number | undefined;
   let heldSince = readMoment();
 
@@ -128,7 +120,7 @@
     logger.warn('engine did not take its weights in time', { engine: engine.id, model, version });
   };
   const startOrder = (next: OutdatedEngine): void => {
-    active.set(next.engine.id, readMoment());
+    active.add(next.engine.id);
     orderOne(next)
       .catch((error: unknown) => {
         logger.error('ordering failed', { engine: next.engine.id, detail: String(error) });
--- a/packages/roll-weights/src/roll-options.ts
+++ b/packages/roll-weights/src/roll-options.ts
@@ -4,7 +4,7 @@
 
 /** Options of the rollout of weights. */
 export interface RollOptions {
-  readonly fleet: Pick<FleetView, 'listAll' | 'getWeights' | 'listWeights' | 'getConfig' | 'getBackend'>;
+  readonly fleet: Pick<FleetView, 'listAll' | 'getWeights' | 'listWeights' | 'getBackend'>;
   readonly control: Pick<EngineControl, 'readReport' | 'sendOrder'>;
   /** Writes the mark of an order, so that all hosts keep calls from the engine; false when that failed or is unknown. */
   readonly markEngine: (engine: string, mark: OrderMark) => Promise<boolean>;
--- a/packages/roll-weights/test/order-weights.test.ts
+++ b/packages/roll-weights/test/order-weights.test.ts
@@ -40,7 +40,6 @@
       getBackend: toEntry,
       listWeights: () => [{ model: 'm', version: newest, learned: readMoment(), isInitial: false }],
       getWeights: () => ({ model: 'm', version: newest, learned: readMoment(), isInitial: false }),
-      getConfig: () => undefined,
     },
     control: {
       readReport: ({ id }) => {
