Relay loads and cache events in large fleets

Cause: with 60 hosts each told every other one its work 1.2 times a second and read the cache events of all 58 engines and stores. Ruled out: full rate between all hosts (700 datagrams/s and 700 KB/s a host, more than a link of 7 Mbit/s bears). Change: above 16 hosts, two relays a failure domain add up loads and return to each host those of the others; the first relay reads the events and the others follow it. Watches of server entries gather changes, and six hosts ask often for the lease.

--- a/packages/forward-types/src/forward-settings.ts
+++ b/packages/forward-types/src/forward-settings.ts
@@ -8,8 +8,11 @@
   readonly readyAddress: string;
   /** `undefined` when metrics are not served. */
   readonly metricsAddress: string | undefined;
-  /** For datagrams between hosts. */
+  /** For datagrams between hosts, and for reads of relayed cache events. */
   readonly sharingAddress: string;
+  /** Part of a core that the host has. */
+  readonly cores: number;
+  readonly linkMbps: number;
   readonly bounds: ForwardBounds;
   /** Interval at which servers renew their entries, milliseconds. */
   readonly heartbeatMs: number;
--- a/packages/read-cache-events/src/index.ts
+++ b/packages/read-cache-events/src/index.ts
@@ -1,4 +1,6 @@
 /** Directory of cached pieces from the events of engines. */
+export { applyChange } from './apply-change.js';
 export type { EventsOptions } from './events-options.js';
 export type { EventsReader } from './events-reader.js';
 export { readCacheEvents } from './read-cache-events.js';
+export type { ReadChange } from './read-change.js';
--- a/packages/read-cache-events/src/read-cache-events.ts
+++ b/packages/read-cache-events/src/read-cache-events.ts
@@ -1,5 +1,6 @@
 import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
+import { applyChange } from './apply-change.js';
 import type { EventsOptions } from './events-options.js';
 import type { EventsReader } from './events-reader.js';
 
@@ -14,7 +15,7 @@
  * Keeps the directory of cached pieces up to date with the events of engines. Events come late and some never do, so the
  * directory is a guess; a restart of the engine clears it.
  */
-export function readCacheEvents({ control, board }: EventsOptions): EventsReader {
+export function readCacheEvents({ control, board, onChange }: EventsOptions): EventsReader {
   const logger = createLogger('events');
   const stoppers = new Map<string, AbortController>();
   const bootIds = new Map<string, string>();
@@ -33,7 +34,7 @@
     let bootId: string | undefined;
     while (!signal.aborted) {
       const page = await control.readEvents(address, since, WAIT_MS);
-      if (!stoppers.has(engine)) return;
+      if (stoppers.get(engine)?.signal !== signal) return;
       if (page === undefined || page === 'full') {
         if (!lost.has(engine)) logger.warn('no events', { engine, address, reason: page ?? 'no answer' });
         lost.add(engine);
@@ -42,19 +43,18 @@
       }
       if (lost.has(engine)) logger.info('events again', { engine, address });
       lost.delete(engine);
-      if (page.bootId !== bootId) {
+      const isCleared = page.bootId !== bootId;
+      if (isCleared) {
         if (bootId !== undefined)
           logger.info('engine restarted, its cache is empty', { engine, bootId: page.bootId });
-        pieces.clear();
         bootId = page.bootId;
       } else if (page.isGap) logger.warn('events were lost', { engine, since, next: page.next });
       since = page.next;
       bootIds.set(engine, page.bootId);
       if (page.clockMs !== undefined) clock = { readMs: readMonotonicMs(), clockMs: page.clockMs };
-      for (const { isAdded, scope, piece, tokens } of page.events) {
-        if (isAdded || tokens > 0) pieces.addPiece(scope, piece, tokens);
-        else pieces.dropPiece(scope, piece);
-      }
+      const change = { engine, bootId: page.bootId, isCleared, events: page.events };
+      applyChange(pieces, change);
+      if (isCleared || page.events.length > 0) onChange?.(change);
       await sleep(pauseMs, signal);
     }
   };
--- /dev/null
+++ b/packages/relay-events/test/create-events-relay.test.ts
@@ -0,0 +1,137 @@
+import net from 'node:net';
+import type { CacheEvent, CacheEventsPage } from '@laburnumshift/forward-types';
+import { createEventsRelay } from '@laburnumshift/relay-events';
+import { waitFor } from '@laburnumshift/test-utils';
+import { createEngineBoard } from '@laburnumshift/track-engines';
+import test, { type ExecutionContext } from 'ava';
+
+const findAddress = async (): Promise<string> => {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return `127.0.0.1:${String(port)}`;
+};
+const add = (piece: string): CacheEvent => ({ isAdded: true, scope: 's', piece, tokens: 10 });
+
+/** An engine whose events a test adds; counts the readers that asked lately. */
+const createEngine = () => {
+  const events: CacheEvent[] = [];
+  let bootId = 'b1';
+  let reads = 0;
+  return {
+    addEvent: (event: CacheEvent): void => {
+      events.push(event);
+    },
+    restart: (): void => {
+      events.length = 0;
+      bootId = 'b2';
+    },
+    countReads: () => reads,
+    readEvents: async (_: string, since: number): Promise<CacheEventsPage> => {
+      reads += 1;
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      const from = since > events.length ? 0 : since;
+      return { bootId, next: events.length, isGap: false, clockMs: 1000, events: events.slice(from) };
+    },
+  };
+};
+const startHost = async (
+  t: ExecutionContext,
+  readEvents: (address: string, since: number) => Promise<CacheEventsPage | undefined>,
+  getUpstream: () => string | undefined,
+  address?: string,
+) => {
+  const board = createEngineBoard();
+  const own = address ?? (await findAddress());
+  const relay = await createEventsRelay({ control: { readEvents }, board, address: own, getUpstream });
+  relay.startReading('e', '10.0.0.1:80', 10);
+  t.teardown(relay.close);
+  const listPieces = (): string[] =>
+    board
+      .getPieces('e')
+      .listPieces(() => true)
+      .map(({ piece }) => piece);
+  return { relay, address: own, listPieces };
+};
+
+test('a follower has what the relay reads, and reads no engine', async (t) => {
+  const engine = createEngine();
+  engine.addEvent(add('x'));
+  const first = await startHost(t, engine.readEvents, () => undefined);
+  await waitFor('the first piece', () => first.listPieces().length === 1);
+  const second = await startHost(
+    t,
+    () => Promise.reject(new Error('a follower asked an engine')),
+    () => first.address,
+  );
+  await waitFor('a followed engine', () => second.relay.isReading('e'), 4000);
+  t.deepEqual(second.listPieces(), ['x']);
+  t.is(second.relay.getBootId('e'), 'b1');
+  t.true((second.relay.readClockMs() ?? 0) >= 1000);
+  engine.addEvent(add('y'));
+  engine.addEvent({ ...add('x'), isAdded: false, tokens: 0 });
+  await waitFor('the next events', () => second.listPieces().join() === 'y', 4000);
+  engine.restart();
+  engine.addEvent(add('z'));
+  await waitFor('the restart', () => second.listPieces().join() === 'z', 4000);
+  t.is(second.relay.getBootId('e'), 'b2');
+});
+
+test('a follower whose relay is gone reads by itself, and follows again when there is another', async (t) => {
+  const engine = createEngine();
+  engine.addEvent(add('x'));
+  const first = await startHost(t, engine.readEvents, () => undefined);
+  let upstream: string | undefined = first.address;
+  const second = await startHost(t, engine.readEvents, () => upstream);
+  await waitFor('a followed engine', () => second.relay.isReading('e'), 4000);
+  first.relay.close();
+  const before = engine.countReads();
+  await waitFor('own reads', () => engine.countReads() > before + 3, 8000);
+  engine.addEvent(add('y'));
+  await waitFor('own events', () => second.listPieces().length === 2, 4000);
+  const third = await startHost(t, engine.readEvents, () => undefined);
+  upstream = third.address;
+  engine.addEvent(add('w'));
+  await waitFor('events of the new relay', () => second.listPieces().length === 3, 4000);
+  t.true(second.relay.isReading('e'));
+});
+
+test('a host that is asked reads engines, whoever it would follow', async (t) => {
+  const engine = createEngine();
+  engine.addEvent(add('x'));
+  const address = await findAddress();
+  const first = await startHost(t, engine.readEvents, () => address);
+  const second = await startHost(t, engine.readEvents, () => first.address, address);
+  await waitFor(
+    'both hosts',
+    () => first.listPieces().length === 1 && second.listPieces().length === 1,
+    8000,
+  );
+  t.true(engine.countReads() > 0);
+});
+
+test('a page that is damaged changes nothing', async (t) => {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.end('HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc');
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.close();
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const engine = createEngine();
+  engine.addEvent(add('x'));
+  const host = await startHost(t, engine.readEvents, () => `127.0.0.1:${String(port)}`);
+  await waitFor('own reads in its place', () => host.listPieces().join() === 'x', 8000);
+  t.true(host.relay.isReading('e'));
+});
--- /dev/null
+++ b/packages/run-forwarder/src/decode-host-peer.ts
@@ -0,0 +1,14 @@
+import type { HostPeer } from '@laburnumshift/share-load';
+import { z } from 'zod';
+
+const SCHEMA = z.object({
+  address: z.string().regex(/^[0-9.]+:[0-9]+$/),
+  failureDomain: z.string().min(1),
+  size: z.number().nonnegative(),
+});
+
+/** Decodes a host's registration; `undefined` when it is damaged or of an earlier layout. */
+export function decodeHostPeer(host: string, spec: unknown): HostPeer | undefined {
+  const parsed = SCHEMA.safeParse(spec);
+  return parsed.success ? { host, ...parsed.data } : undefined;
+}
--- a/packages/run-forwarder/src/forwarder-times.ts
+++ b/packages/run-forwarder/src/forwarder-times.ts
@@ -7,6 +7,16 @@
   configWaitMs: 1200,
   backendsWaitMs: 1200,
   weightsWaitMs: 1000,
+  /**
+   * Changed servers are read together: each host adds to the pause, so that a fleet makes at most 200 calls a second for them.
+   * The longest pause is a fifth of the usual bound on leaving servers.
+   */
+  gatherMsPerHost: 5,
+  maxGatherMs: 400,
+  /** The list of hosts is there after this time, but for outages of the store. */
+  hostsKnownMs: 1000,
+  /** From this speed of its link on, megabits in a second, a host's size is that of its processor: traffic of a large relay. */
+  fullLinkMbps: 50,
   /** A server is back within two seconds after an outage of the store. */
   lapseGraceMs: 2000,
   /** The balancer takes a host out after two questions at one-second intervals. */
--- a/packages/run-forwarder/src/host-table.ts
+++ b/packages/run-forwarder/src/host-table.ts
@@ -1,6 +1,10 @@
+import type { HostPeer } from '@laburnumshift/share-load';
+
 /** The other hosts. */
 export interface HostTable {
-  /** `IP:port` for datagrams of each other host that registered; some may be gone. */
-  readonly listPeers: () => readonly string[];
+  /** Each other host that registered; some may be gone. */
+  readonly listPeers: () => readonly HostPeer[];
+  /** Resolves when the hosts were listed for the first time. */
+  readonly known: Promise<void>;
   readonly close: () => void;
 }
--- a/packages/run-forwarder/src/join-options.ts
+++ b/packages/run-forwarder/src/join-options.ts
@@ -1,4 +1,5 @@
 import type { ObjectSource } from '@laburnumshift/forward-types';
+import type { HostPeer } from '@laburnumshift/share-load';
 import type { PlatformClient } from '@laburnumshift/types';
 
 /** Options of the table of hosts. */
@@ -7,8 +8,6 @@
   readonly leases: Pick<PlatformClient, 'readObject' | 'writeObject'>;
   /** Kind of the hosts' objects. */
   readonly kind: string;
-  readonly host: string;
-  /** `IP:port` for datagrams. */
-  readonly address: string;
+  readonly self: HostPeer;
   readonly bornMs: number;
 }
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -1,12 +1,12 @@
 import { createBackendPool } from '@laburnumshift/call-backend';
-import { readMonotonicMs, readWallMs, runEvery, sleep } from '@laburnumshift/clock';
+import { readMonotonicMs, readWallMs, runEvery, sleep, waitAtMost } from '@laburnumshift/clock';
 import { serveForwards } from '@laburnumshift/forward-calls';
 import { holdLease } from '@laburnumshift/hold-lease';
 import { createResendBudget } from '@laburnumshift/limit-resends';
 import { createPieceKeeper, getStoreId } from '@laburnumshift/keep-pieces';
 import { createLogger } from '@laburnumshift/logger';
-import { readCacheEvents } from '@laburnumshift/read-cache-events';
 import { createMetrics } from '@laburnumshift/record-metrics';
+import { createEventsRelay } from '@laburnumshift/relay-events';
 import { listOutdated, orderWeights } from '@laburnumshift/roll-weights';
 import { createLoadSharing } from '@laburnumshift/share-load';
 import { createEngineBoard } from '@laburnumshift/track-engines';
@@ -14,6 +14,7 @@
 import type { ForwarderOptions } from './forwarder-options.js';
 import { FORWARDER_TIMES } from './forwarder-times.js';
 import { isHostReady } from './is-host-ready.js';
+import { isLeaseCandidate } from './is-lease-candidate.js';
 import { joinHosts } from './join-hosts.js';
 import type { RunningForwarder } from './running-forwarder.js';
 import { serveStatus } from './serve-status.js';
@@ -29,14 +30,37 @@
   const metrics = createMetrics();
   const board = createEngineBoard();
   const pool = createBackendPool(codec);
+  const bornMs = readWallMs();
+  const self = {
+    host: settings.host,
+    failureDomain: settings.failureDomain,
+    address: settings.sharingAddress,
+    size: settings.cores * Math.min(1, settings.linkMbps / times.fullLinkMbps),
+  };
+  const hosts = joinHosts({
+    source: options.source,
+    leases: options.leases,
+    kind: options.kinds.hosts,
+    self,
+    bornMs,
+  });
+  const sharing = await createLoadSharing({ self, bornMs, board, listPeers: hosts.listPeers });
+  // Without the other hosts this one would read every engine for a moment.
+  await waitAtMost(hosts.known, times.hostsKnownMs);
+  const events = await createEventsRelay({
+    control: options.control,
+    board,
+    address: settings.sharingAddress,
+    getUpstream: () => sharing.getPlan().upstream?.address,
+  });
   const fleet = trackFleet({
     source: options.source,
     decoder: options.decoder,
     kinds: options.kinds,
     waitMs: { config: times.configWaitMs, backends: times.backendsWaitMs, weights: times.weightsWaitMs },
+    getGatherMs: () => Math.min(times.maxGatherMs, hosts.listPeers().length * times.gatherMsPerHost),
     lapseGraceMs: times.lapseGraceMs,
   });
-  const events = readCacheEvents({ control: options.control, board });
   fleet.watchBackends((id, entry) => {
     if (entry === undefined) {
       events.stopReading(id);
@@ -44,7 +68,6 @@
       board.dropServer(id);
     } else if (entry.versions.size > 0) events.startReading(id, entry.address, times.engineEventsMs);
   });
-  const bornMs = readWallMs();
   const keeper = createPieceKeeper({ board, events, fleet, control: options.control });
   const stores = new Set<string>();
   fleet.watchConfig((config) => {
@@ -56,21 +79,6 @@
       events.startReading(id, address, times.storeEventsMs);
     }
   });
-  const hosts = joinHosts({
-    source: options.source,
-    leases: options.leases,
-    kind: options.kinds.hosts,
-    host: settings.host,
-    address: settings.sharingAddress,
-    bornMs,
-  });
-  const sharing = await createLoadSharing({
-    address: settings.sharingAddress,
-    host: settings.host,
-    bornMs,
-    board,
-    listPeers: hosts.listPeers,
-  });
   let isDraining = false;
   const forwarder = await serveForwards(settings.callerAddress, {
     codec,
@@ -117,7 +125,8 @@
     self: { host: settings.host, incarnation: bornMs },
     times: times.lease,
     getPollMs: () =>
-      lease.getFencing() !== undefined || listOutdated(fleet).length > 0
+      lease.getFencing() !== undefined ||
+      (listOutdated(fleet).length > 0 && isLeaseCandidate(LEASE_NAME, settings.host, hosts.listPeers()))
         ? times.lease.pollMs
         : times.idlePollMs,
   });
--- a/packages/share-load/src/create-load-sharing.ts
+++ b/packages/share-load/src/create-load-sharing.ts
@@ -2,66 +2,132 @@
 import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
 import { pack } from 'msgpackr';
+import { chooseRelays } from './choose-relays.js';
+import { createMessageTable } from './create-message-table.js';
 import { decodeLoadMessage } from './decode-load-message.js';
+import type { HostPeer } from './host-peer.js';
+import { listRest } from './list-rest.js';
 import type { LoadMessage } from './load-message.js';
-import type { LoadShare } from './load-share.js';
+import type { LoadPart } from './load-part.js';
 import type { LoadSharing } from './load-sharing.js';
+import type { LoadSum } from './load-sum.js';
+import { mergeLoads } from './merge-loads.js';
+import type { MessageKind } from './message-kind.js';
+import { MESSAGE_KINDS } from './message-kinds.js';
+import type { RelayPlan } from './relay-plan.js';
+import type { ServerLoad } from './server-load.js';
 import type { SharingOptions } from './sharing-options.js';
 
 /** Shortest distance of two messages to a host, milliseconds: about the time between two calls of a busy engine. */
 const MIN_PERIOD_MS = 80;
-/** Datagrams that one host sends in a second, so that the cost for each host does not grow with the fleet. */
+/** Datagrams that one host sends in a second; about 20 microseconds of processor time each. */
 const MESSAGES_PER_S = 70;
-/** A host that was not heard for so many periods counts as gone. */
-const SILENT_PERIODS = 8;
+/** Datagrams that a relay sends in a second. */
+const RELAYED_PER_S = 240;
+/** Hosts without work tell so in every so-manieth period only. */
+const IDLE_PERIODS = 4;
+/** A relay that is told this host's work and has not answered for this time is passed over, milliseconds. */
+const SUSPECT_AFTER_MS = 1500;
+/** Time for which a relay is passed over, milliseconds. */
+const SUSPECT_MS = 5000;
+/** The sum is made anew after this time without a message, milliseconds, as older ones expire. */
+const SUM_MS = 100;
 const MS_PER_S = 1000;
-
-interface Heard {
-  readonly atMs: number;
-  readonly bornMs: number;
-  readonly number: number;
-  readonly loads: ReadonlyMap<string, LoadShare>;
-}
+const NO_LOAD = { inFlight: 0, pendingTokens: 0, heldTokens: 0 };
 
 /**
- * Shares the work of hosts by datagrams. Each message holds the whole state of its sender, so lost ones do no harm, and there
- * are no connections that could go silent.
+ * Shares the work of hosts by datagrams. Each message holds the whole state of what it covers, so lost ones do no harm, and
+ * there are no connections that could go silent. In small fleets each host tells all others; in large ones it tells two relays
+ * of its failure domain, which exchange sums with the relays elsewhere and return to each host the work of all others.
  */
 export async function createLoadSharing(options: SharingOptions): Promise<LoadSharing> {
-  const { host, bornMs, board, listPeers } = options;
+  const { self, bornMs, board, listPeers } = options;
   const logger = createLogger('sharing');
-  const heard = new Map<string, Heard>();
+  const table = createMessageTable();
+  /** Since when relays have been told this host's work. */
+  const toldSince = new Map<string, number>();
+  const suspectUntil = new Map<string, number>();
   const socket = dgram.createSocket('udp4');
-  const [address, port] = options.address.split(':');
+  const [address, port] = self.address.split(':');
   let number = 0;
   let isClosed = false;
-  let wasSilent = false;
+  let sum: LoadSum = { loads: new Map(), hosts: 0 };
+  let sumMs = -Infinity;
 
-  const computePeriodMs = (): number =>
-    Math.max(MIN_PERIOD_MS, (listPeers().length * MS_PER_S) / MESSAGES_PER_S);
-  const listHeard = (): Heard[] => {
-    const since = readMonotonicMs() - SILENT_PERIODS * computePeriodMs();
-    return [...heard.values()].filter(({ atMs }) => atMs >= since);
+  const getPlan = (): RelayPlan =>
+    chooseRelays(self, listPeers(), (host) => (suspectUntil.get(host) ?? 0) > readMonotonicMs());
+  const listParts = (): LoadPart[] => {
+    const reports = table.listFresh(MESSAGE_KINDS.own);
+    const [told] = table.listFresh(MESSAGE_KINDS.others);
+    // Hosts that report to this one make it a relay, whose own view is newer than what another relay returns.
+    if (reports.length === 0 && told !== undefined) return [told];
+    const domains = new Map<string, LoadPart>();
+    for (const part of table.listFresh(MESSAGE_KINDS.domain))
+      if (part.failureDomain !== self.failureDomain && !domains.has(part.failureDomain))
+        domains.set(part.failureDomain, part);
+    return [...reports, ...domains.values()];
+  };
+  const getSum = (): LoadSum => {
+    const now = readMonotonicMs();
+    if (now - sumMs > SUM_MS) {
+      sum = mergeLoads(listParts());
+      sumMs = now;
+    }
+    return sum;
+  };
+  const sendTo = (
+    peers: readonly HostPeer[],
+    kind: MessageKind,
+    hosts: number,
+    loads: readonly ServerLoad[],
+  ): void => {
+    if (peers.length === 0) return;
+    const message = [kind, self.host, bornMs, number, self.failureDomain, hosts, loads] as const;
+    const bytes = pack(message satisfies LoadMessage);
+    for (const peer of peers) {
+      const [peerAddress, peerPort] = peer.address.split(':');
+      socket.send(bytes, Number(peerPort), peerAddress);
+    }
+  };
+  const checkRelays = (relays: readonly HostPeer[]): void => {
+    const now = readMonotonicMs();
+    for (const { host } of relays) {
+      const since = Math.max(toldSince.get(host) ?? now, table.getHeardMs(host));
+      if (!toldSince.has(host)) toldSince.set(host, now);
+      if (now - since <= SUSPECT_AFTER_MS) continue;
+      logger.warn('relay does not answer', { host, silentMs: now - since });
+      suspectUntil.set(host, now + SUSPECT_MS);
+      toldSince.delete(host);
+    }
   };
-  const sendOnce = (): void => {
-    const loads = board.listLoads();
-    // One empty message tells that the work is done; further ones are sent more rarely.
-    const isSilent = loads.length === 0;
+  /** Sends the messages of one period and returns their number. */
+  const sendOnce = (): number => {
+    const own = board.listLoads();
+    const plan = getPlan();
+    const reports = table.listFresh(MESSAGE_KINDS.own);
     number += 1;
-    if (!isSilent || !wasSilent || number % SILENT_PERIODS === 0) {
-      const bytes = pack([host, bornMs, number, loads] satisfies LoadMessage);
-      for (const peer of listPeers()) {
-        const [peerAddress, peerPort] = peer.split(':');
-        socket.send(bytes, Number(peerPort), peerAddress);
-      }
+    const isDue = own.length > 0 || number % IDLE_PERIODS === 0;
+    if (isDue) sendTo(plan.reportTo, MESSAGE_KINDS.own, 1, own);
+    if (!plan.isRelayed) return plan.reportTo.length;
+    checkRelays(plan.reportTo);
+    if (reports.length === 0) return plan.reportTo.length;
+    const ownPart = { loads: own, hosts: 1 };
+    const domain = mergeLoads([ownPart, ...reports]);
+    sendTo(plan.otherRelays, MESSAGE_KINDS.domain, domain.hosts, listRest(domain, []));
+    checkRelays(plan.otherRelays);
+    const all = mergeLoads([ownPart, ...listParts()]);
+    const addresses = new Map(listPeers().map((peer) => [peer.host, peer]));
+    for (const report of reports) {
+      const peer = addresses.get(report.host);
+      if (peer !== undefined)
+        sendTo([peer], MESSAGE_KINDS.others, all.hosts - 1, listRest(all, report.loads));
     }
-    wasSilent = isSilent;
+    return plan.reportTo.length + plan.otherRelays.length + reports.length;
   };
-  const scheduleSend = (): void => {
-    startTimer(computePeriodMs(), () => {
-      if (isClosed) return;
-      sendOnce();
-      scheduleSend();
+  const scheduleSend = (sentBefore: number): void => {
+    const perS = getPlan().isRelayed ? RELAYED_PER_S : MESSAGES_PER_S;
+    startTimer(Math.max(MIN_PERIOD_MS, (sentBefore * MS_PER_S) / perS), () => {
+      if (!isClosed) scheduleSend(sendOnce());
     });
   };
 
@@ -71,24 +137,11 @@
       logger.warn('unreadable message', { bytes: bytes.length });
       return;
     }
-    const [sender, senderBornMs, senderNumber, loads] = message;
-    const before = heard.get(sender);
-    const isOld =
-      before !== undefined &&
-      (before.bornMs > senderBornMs || (before.bornMs === senderBornMs && before.number >= senderNumber));
-    if (isOld || sender === host) return;
-    if (before?.bornMs !== senderBornMs) logger.info('heard a host', { host: sender, bornMs: senderBornMs });
-    heard.set(sender, {
-      atMs: readMonotonicMs(),
-      bornMs: senderBornMs,
-      number: senderNumber,
-      loads: new Map(
-        loads.map(([server, inFlight, pendingTokens, heldTokens]) => [
-          server,
-          { inFlight, pendingTokens, heldTokens },
-        ]),
-      ),
-    });
+    if (message[1] === self.host) return;
+    const heard = table.addMessage(message);
+    if (heard === 'new')
+      logger.info('heard a host', { host: message[1], bornMs: message[2], kind: message[0] });
+    if (heard !== 'old') sumMs = -Infinity;
   });
   socket.on('error', (error) => {
     logger.warn('datagram failed', { detail: error.message });
@@ -96,20 +149,12 @@
   await new Promise<void>((resolve) => {
     socket.bind(Number(port), address, resolve);
   });
-  scheduleSend();
+  scheduleSend(0);
 
   return {
-    getOthers: (server) => {
-      const sum = { inFlight: 0, pendingTokens: 0, heldTokens: 0 };
-      for (const { loads } of listHeard()) {
-        const load = loads.get(server);
-        sum.inFlight += load?.inFlight ?? 0;
-        sum.pendingTokens += load?.pendingTokens ?? 0;
-        sum.heldTokens += load?.heldTokens ?? 0;
-      }
-      return sum;
-    },
-    countHosts: () => listHeard().length,
+    getOthers: (server) => getSum().loads.get(server) ?? NO_LOAD,
+    countHosts: () => getSum().hosts,
+    getPlan,
     close: () => {
       isClosed = true;
       socket.close();
--- a/packages/share-load/src/decode-load-message.ts
+++ b/packages/share-load/src/decode-load-message.ts
@@ -1,6 +1,8 @@
 import { unpack } from 'msgpackr';
 import type { LoadMessage } from './load-message.js';
+import { MESSAGE_KINDS } from './message-kinds.js';
 
+const KINDS: readonly unknown[] = Object.values(MESSAGE_KINDS);
 const isCount = (value: unknown): value is number => typeof value === 'number' && value >= 0;
 
 /** Decodes a datagram; `undefined` when it is not a message of this kind. */
@@ -12,9 +14,10 @@
     return undefined;
   }
   if (!Array.isArray(value)) return undefined;
-  const [host, bornMs, number, loads] = value as unknown[];
-  if (typeof host !== 'string' || !isCount(bornMs) || !isCount(number) || !Array.isArray(loads))
+  const [kind, host, bornMs, number, failureDomain, hosts, loads] = value as unknown[];
+  if (!KINDS.includes(kind) || typeof host !== 'string' || typeof failureDomain !== 'string')
     return undefined;
+  if (!isCount(bornMs) || !isCount(number) || !isCount(hosts) || !Array.isArray(loads)) return undefined;
   const isLoad = (load: unknown): boolean =>
     Array.isArray(load) &&
     typeof load[0] === 'string' &&
--- a/packages/share-load/src/load-message.ts
+++ b/packages/share-load/src/load-message.ts
@@ -1,7 +1,13 @@
-/** Datagram: sender, its start, rising number, and server, calls, pending and held tokens of each server with work. */
+import type { MessageKind } from './message-kind.js';
+import type { ServerLoad } from './server-load.js';
+
+/** Datagram: kind, sender, its start, rising number, failure domain, hosts that the loads cover, and loads with work. */
 export type LoadMessage = readonly [
+  kind: MessageKind,
   host: string,
   bornMs: number,
   number: number,
-  loads: readonly (readonly [server: string, inFlight: number, pendingTokens: number, heldTokens: number])[],
+  failureDomain: string,
+  hosts: number,
+  loads: readonly ServerLoad[],
 ];
--- a/packages/share-load/src/load-sharing.ts
+++ b/packages/share-load/src/load-sharing.ts
@@ -1,4 +1,5 @@
 import type { LoadShare } from './load-share.js';
+import type { RelayPlan } from './relay-plan.js';
 
 /** What the other hosts told of their work. */
 export interface LoadSharing {
@@ -6,5 +7,7 @@
   readonly getOthers: (server: string) => LoadShare;
   /** Hosts that were heard lately, without this one. */
   readonly countHosts: () => number;
+  /** With whom this host shares now. */
+  readonly getPlan: () => RelayPlan;
   readonly close: () => void;
 }
--- a/packages/share-load/src/sharing-options.ts
+++ b/packages/share-load/src/sharing-options.ts
@@ -1,13 +1,12 @@
 import type { EngineBoard } from '@laburnumshift/track-engines';
+import type { HostPeer } from './host-peer.js';
 
 /** Options of the sharing of loads. */
 export interface SharingOptions {
-  /** `IP:port` for datagrams. */
-  readonly address: string;
-  readonly host: string;
+  readonly self: HostPeer;
   /** Wall-clock milliseconds of this process's start. */
   readonly bornMs: number;
   readonly board: Pick<EngineBoard, 'listLoads'>;
-  /** `IP:port` of the other hosts. */
-  readonly listPeers: () => readonly string[];
+  /** The other hosts that registered; some may be gone. */
+  readonly listPeers: () => readonly HostPeer[];
 }
--- /dev/null
+++ b/packages/share-load/test/choose-relays.test.ts
@@ -0,0 +1,52 @@
+import test from 'ava';
+import { chooseRelays } from '../src/choose-relays.js';
+import type { HostPeer } from '../src/host-peer.js';
+
+const createHosts = (count: number, domains: readonly string[]): HostPeer[] =>
+  Array.from({ length: count }, (_, index) => ({
+    host: `h${String(index)}`,
+    failureDomain: domains[index % domains.length] ?? '',
+    address: `10.0.0.${String(index)}:1`,
+    size: index % 5,
+  }));
+const planFor = (hosts: readonly HostPeer[], self: HostPeer, suspects: readonly string[] = []) =>
+  chooseRelays(
+    self,
+    hosts.filter((host) => host !== self),
+    (host) => suspects.includes(host),
+  );
+const listNames = (peers: readonly HostPeer[]): string[] => peers.map(({ host }) => host);
+
+test('hosts of a small fleet tell all others', (t) => {
+  const hosts = createHosts(16, ['a', 'b']);
+  for (const self of hosts) {
+    const plan = planFor(hosts, self);
+    t.false(plan.isRelayed);
+    t.is(plan.reportTo.length, 15);
+    t.is(plan.upstream, undefined);
+  }
+});
+
+test('all hosts of a large fleet choose the same relays, large ones of their own domain', (t) => {
+  const hosts = createHosts(60, ['a', 'b', 'c', 'd']);
+  for (const self of hosts) {
+    const ofDomain = hosts.filter(({ failureDomain }) => failureDomain === self.failureDomain);
+    const plan = planFor(hosts, self);
+    const relays = ofDomain.filter((host) => listNames(planFor(hosts, host).reportTo).length === 1);
+    t.is(relays.length, 2);
+    t.deepEqual(listNames(plan.reportTo).sort(), listNames(relays.filter((relay) => relay !== self)).sort());
+    t.true(relays.every(({ size }) => size === 4));
+    t.is(plan.otherRelays.length, 6);
+  }
+});
+
+test('one host of each domain follows nobody, and its failure moves the others to the next', (t) => {
+  const hosts = createHosts(40, ['a', 'b']);
+  const heads = hosts.filter((self) => planFor(hosts, self).upstream === undefined);
+  t.deepEqual(heads.map(({ failureDomain }) => failureDomain).sort(), ['a', 'b']);
+  const gone = listNames(heads);
+  const next = hosts.filter(
+    (self) => !gone.includes(self.host) && planFor(hosts, self, gone).upstream === undefined,
+  );
+  t.deepEqual(next.map(({ failureDomain }) => failureDomain).sort(), ['a', 'b']);
+});
--- a/packages/share-load/test/create-load-sharing.test.ts
+++ b/packages/share-load/test/create-load-sharing.test.ts
@@ -1,5 +1,5 @@
 import dgram from 'node:dgram';
-import { createLoadSharing } from '@laburnumshift/share-load';
+import { createLoadSharing, type HostPeer } from '@laburnumshift/share-load';
 import { waitFor } from '@laburnumshift/test-utils';
 import { createEngineBoard } from '@laburnumshift/track-engines';
 import { pack } from 'msgpackr';
@@ -17,25 +17,23 @@
   });
   return port;
 };
-const startHost = async (host: string, port: number, listPeers: () => readonly string[]) => {
+const createPeer = (host: string, port: number, failureDomain = 'a'): HostPeer => ({
+  host,
+  failureDomain,
+  address: `127.0.0.1:${String(port)}`,
+  size: 1,
+});
+const startHost = async (self: HostPeer, listPeers: () => readonly HostPeer[]) => {
   const board = createEngineBoard();
-  const sharing = await createLoadSharing({
-    address: `127.0.0.1:${String(port)}`,
-    host,
-    bornMs: 1,
-    board,
-    listPeers,
-  });
+  const sharing = await createLoadSharing({ self, bornMs: 1, board, listPeers });
   return { board, sharing };
 };
 const WORK = { uncachedTokens: 100, totalTokens: 300 };
 
 test('a host knows what the others have at a server, and that their work has ended', async (t) => {
-  const ports = [await findPort(), await findPort()] as const;
-  const listPeers = (own: number) => () =>
-    ports.filter((port) => port !== own).map((port) => `127.0.0.1:${String(port)}`);
-  const first = await startHost('one', ports[0], listPeers(ports[0]));
-  const second = await startHost('two', ports[1], listPeers(ports[1]));
+  const [one, two] = [createPeer('one', await findPort()), createPeer('two', await findPort())];
+  const first = await startHost(one, () => [two]);
+  const second = await startHost(two, () => [one]);
   t.teardown(() => {
     first.sharing.close();
     second.sharing.close();
@@ -51,7 +49,7 @@
 
 test('late, foreign and own messages change nothing, and a silent host is forgotten', async (t) => {
   const port = await findPort();
-  const { sharing } = await startHost('one', port, () => []);
+  const { sharing } = await startHost(createPeer('one', port), () => []);
   const socket = dgram.createSocket('udp4');
   t.teardown(() => {
     sharing.close();
@@ -60,16 +58,62 @@
   const send = (message: unknown): void => {
     socket.send(Buffer.isBuffer(message) ? message : pack(message), port, '127.0.0.1');
   };
-  send(['two', 5, 9, [['e', 2, 10, 20]]]);
+  send([0, 'two', 5, 9, 'a', 1, [['e', 2, 10, 20]]]);
   await waitFor('the message', () => sharing.getOthers('e').inFlight === 2);
-  send(['two', 5, 8, [['e', 7, 10, 20]]]);
-  send(['two', 4, 99, [['e', 7, 10, 20]]]);
-  send(['one', 5, 1, [['e', 7, 10, 20]]]);
-  send(['three', 5, 1, [['e', -7, 10, 20]]]);
+  send([0, 'two', 5, 8, 'a', 1, [['e', 7, 10, 20]]]);
+  send([0, 'two', 4, 99, 'a', 1, [['e', 7, 10, 20]]]);
+  send([0, 'one', 5, 1, 'a', 1, [['e', 7, 10, 20]]]);
+  send([0, 'three', 5, 1, 'a', 1, [['e', -7, 10, 20]]]);
+  send([7, 'three', 5, 1, 'a', 1, [['e', 7, 10, 20]]]);
   send(Buffer.from('no message'));
-  send(['four', 5, 1, [['f', 1, 0, 0]]]);
+  send([0, 'four', 5, 1, 'a', 1, [['f', 1, 0, 0]]]);
   await waitFor('the last message', () => sharing.getOthers('f').inFlight === 1);
   t.is(sharing.getOthers('e').inFlight, 2);
   await waitFor('silence', () => sharing.countHosts() === 0, 3000);
   t.is(sharing.getOthers('e').inFlight, 0);
 });
+
+test('in a large fleet a host hears of work elsewhere through relays, each call once', async (t) => {
+  const domains = ['a', 'b'];
+  const peers: HostPeer[] = [];
+  for (let index = 0; index < 18; index += 1)
+    peers.push(createPeer(`h${String(index)}`, await findPort(), domains[index % 2]));
+  const hosts = await Promise.all(
+    peers.map((self) => startHost(self, () => peers.filter((peer) => peer !== self))),
+  );
+  t.teardown(() => {
+    for (const { sharing } of hosts) sharing.close();
+  });
+  const calls = hosts.map(({ board }) => board.beginCall('e', WORK));
+  await waitFor(
+    'all loads at all hosts',
+    () => hosts.every(({ sharing }) => sharing.getOthers('e').inFlight === 17),
+    8000,
+  );
+  t.true(hosts.every(({ sharing }) => sharing.countHosts() === 17));
+  calls[0]?.finish('served');
+  await waitFor('the end of one', () =>
+    hosts.slice(1).every(({ sharing }) => sharing.getOthers('e').inFlight === 16),
+  );
+  t.is(hosts[0]?.sharing.getOthers('e').inFlight, 17);
+});
+
+test('hosts whose relays are gone choose others and hear of all work again', async (t) => {
+  const peers: HostPeer[] = [];
+  for (let index = 0; index < 18; index += 1)
+    peers.push({ ...createPeer(`h${String(index)}`, await findPort()), size: index < 2 ? 2 : 1 });
+  const living = peers.slice(2);
+  const hosts = await Promise.all(
+    living.map((self) => startHost(self, () => peers.filter((peer) => peer !== self))),
+  );
+  t.teardown(() => {
+    for (const { sharing } of hosts) sharing.close();
+  });
+  for (const { board } of hosts) board.beginCall('e', WORK);
+  await waitFor(
+    'the loads of those that live',
+    () => hosts.every(({ sharing }) => sharing.getOthers('e').inFlight === living.length - 1),
+    9000,
+  );
+  t.pass();
+});
--- a/packages/track-fleet/src/fleet-options.ts
+++ b/packages/track-fleet/src/fleet-options.ts
@@ -9,6 +9,8 @@
   readonly kinds: { readonly config: string; readonly backends: string; readonly weights: string };
   /** Longest wait of one watch call by kind, milliseconds. */
   readonly waitMs: { readonly config: number; readonly backends: number; readonly weights: number };
+  /** Pause after an answer with changed servers, milliseconds. */
+  readonly getGatherMs: () => number;
   /** An entry that vanished around an outage of the store is kept for so long, milliseconds. */
   readonly lapseGraceMs: number;
 }
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -119,7 +119,14 @@
   };
 
   const watch = (kind: keyof typeof kinds, onChanges: (changes: readonly ObjectChange[]) => void) =>
-    watchKind({ source, kind: kinds[kind], waitMs: waitMs[kind], onChanges });
+    watchKind({
+      source,
+      kind: kinds[kind],
+      waitMs: waitMs[kind],
+      // Only entries of servers change often and many at a time.
+      getGatherMs: () => (kind === 'backends' ? options.getGatherMs() : 0),
+      onChanges,
+    });
   const configView = watch('config', applyConfig);
   const backendsView = watch('backends', applyBackends);
   const weightsView = watch('weights', applyWeights);
--- a/packages/track-fleet/test/track-fleet.test.ts
+++ b/packages/track-fleet/test/track-fleet.test.ts
@@ -64,6 +64,7 @@
     decoder: DECODER,
     kinds: { config: 'config', backends: 'backends', weights: 'weights' },
     waitMs: { config: 1000, backends: 1000, weights: 1000 },
+    getGatherMs: () => 0,
     lapseGraceMs: 2000,
   });
 const run = async (
--- a/packages/watch-objects/src/watch-kind.ts
+++ b/packages/watch-objects/src/watch-kind.ts
@@ -73,6 +73,8 @@
     revision = outcome.revision;
     observeSuccess(sent);
     applyChanges(outcome.changes);
+    const gatherMs = outcome.changes.length > 0 ? (options.getGatherMs?.() ?? 0) : 0;
+    if (gatherMs > 0) await sleep(gatherMs, stopper.signal);
   };
   const runLoop = async (): Promise<void> => {
     while (!stopper.signal.aborted) {
--- a/packages/watch-objects/test/watch-kind.test.ts
+++ b/packages/watch-objects/test/watch-kind.test.ts
@@ -125,3 +125,36 @@
   t.is(view.objects.size, 1);
   t.true(view.getRecoveredMs() < 2000);
 });
+
+test.serial(
+  'changes that follow each other closely come in one answer, and are seen at once when first',
+  async (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const createChange = (revision: number): WatchOutcome => ({
+      kind: 'changes',
+      changes: [{ isRemoved: false, object: createObject('a', revision) }],
+      revision,
+    });
+    const { source, asked } = createSource([createList(1)], [createChange(2), createChange(3)]);
+    const seen: number[] = [];
+    const view = watchKind({
+      source,
+      kind: 'k',
+      waitMs: 1000,
+      getGatherMs: () => 300,
+      onChanges: (changes) => {
+        for (const { object } of changes) seen.push(object.revision);
+      },
+    });
+    await waitIdle(clock, 10);
+    t.deepEqual(seen, [2]);
+    await waitIdle(clock, 280);
+    t.deepEqual(asked, [1]);
+    await waitIdle(clock, 30);
+    view.close();
+    t.deepEqual(seen, [2, 3]);
+  },
+);
