--- a/packages/forward-types/src/forward-bounds.ts
+++ b/packages/forward-types/src/forward-bounds.ts
@@ -2,6 +2,8 @@
 export interface ForwardBounds {
   /** A key that was taken away must not work longer than this, milliseconds; `undefined` when stale views may serve. */
   readonly revokeMs: number | undefined;
+  /** A configuration must be in force so long after it was accepted, milliseconds. */
+  readonly configApplyMs: number;
   /** A leaving server may get calls for so long, milliseconds. */
   readonly drainMs: number;
   /** Time between a stop signal and the kill, milliseconds. */
--- a/packages/run-forwarder/src/forwarder-times.ts
+++ b/packages/run-forwarder/src/forwarder-times.ts
@@ -1,18 +1,9 @@
 /** Times of a forwarding host, milliseconds. */
 export const FORWARDER_TIMES = {
-  /**
-   * Waits of watch calls. The configuration's is a quarter of the usual bound on revoked keys; a silent connection is
-   * noticed after the wait, which for servers must be inside the bound on leaving ones.
-   */
-  configWaitMs: 1200,
-  backendsWaitMs: 1200,
-  weightsWaitMs: 1000,
   /**
    * Changed servers are read together: each host adds to the pause, so that a fleet makes at most 200 calls a second for them.
-   * The longest pause is a fifth of the usual bound on leaving servers.
    */
   gatherMsPerHost: 5,
-  maxGatherMs: 400,
   /** The list of hosts is there after this time, but for outages of the store. */
   hostsKnownMs: 1000,
   /** From this speed of its link on, megabits in a second, a host's size is that of its processor: traffic of a large relay. */
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -11,6 +11,7 @@
 import { createLoadSharing } from '@laburnumshift/share-load';
 import { createEngineBoard } from '@laburnumshift/track-engines';
 import { trackFleet } from '@laburnumshift/track-fleet';
+import { computeWatchWaits } from './compute-watch-waits.js';
 import type { ForwarderOptions } from './forwarder-options.js';
 import { FORWARDER_TIMES } from './forwarder-times.js';
 import { isHostReady } from './is-host-ready.js';
@@ -53,12 +54,13 @@
     address: settings.sharingAddress,
     getUpstream: () => sharing.getPlan().upstream?.address,
   });
+  const waits = computeWatchWaits(bounds);
   const fleet = trackFleet({
     source: options.source,
     decoder: options.decoder,
     kinds: options.kinds,
-    waitMs: { config: times.configWaitMs, backends: times.backendsWaitMs, weights: times.weightsWaitMs },
-    getGatherMs: () => Math.min(times.maxGatherMs, hosts.listPeers().length * times.gatherMsPerHost),
+    waitMs: waits,
+    getGatherMs: () => Math.min(waits.maxGather, hosts.listPeers().length * times.gatherMsPerHost),
     lapseGraceMs: times.lapseGraceMs,
   });
   fleet.watchBackends((id, entry) => {
