Close connections after a suspension

Ruled out: the store (other hosts were answered). Change: a gap of more than 1 s between two looks at the clocks closes the connections to the store, of control calls and the idle ones to backend servers. Tests: the gap is noticed on the wall clock alone; calls on closed connections fail at once.

--- a/packages/call-backend/src/backend-pool.ts
+++ b/packages/call-backend/src/backend-pool.ts
@@ -14,5 +14,7 @@
   ) => SentCall;
   /** Closes the connections to a server that left. */
   readonly dropBackend: (id: string) => void;
+  /** Closes idle connections; those with calls are closed after them. */
+  readonly closeIdle: () => void;
   readonly close: () => void;
 }
--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -110,6 +110,10 @@
       agents.get(id)?.closeIdle();
       agents.delete(id);
     },
+    closeIdle: () => {
+      for (const agent of agents.values()) agent.closeIdle();
+      agents.clear();
+    },
     close: () => {
       for (const agent of agents.values()) agent.destroy();
       agents.clear();
--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -8,3 +8,4 @@
 export { sleep } from './sleep.js';
 export { startTimer } from './start-timer.js';
 export { waitAtMost } from './wait-at-most.js';
+export { watchSuspension } from './watch-suspension.js';
--- a/packages/run-forwarder/src/forwarder-options.ts
+++ b/packages/run-forwarder/src/forwarder-options.ts
@@ -19,6 +19,8 @@
   readonly control: EngineControl;
   /** Writes the mark of an order on an engine's entry; false when that failed or is unknown. */
   readonly markEngine: (engine: string, mark: OrderMark) => Promise<boolean>;
+  /** Closes all connections to the store and of `control`; calls on them fail. */
+  readonly closeConnections: () => void;
   /** Path of the balancer's question whether this host takes connections. */
   readonly readyPath: string;
 }
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -1,5 +1,12 @@
 import { createBackendPool } from '@laburnumshift/call-backend';
-import { readMonotonicMs, readWallMs, runEvery, sleep, waitAtMost } from '@laburnumshift/clock';
+import {
+  readMonotonicMs,
+  readWallMs,
+  runEvery,
+  sleep,
+  waitAtMost,
+  watchSuspension,
+} from '@laburnumshift/clock';
 import { serveForwards } from '@laburnumshift/forward-calls';
 import { holdLease } from '@laburnumshift/hold-lease';
 import { createResendBudget } from '@laburnumshift/limit-resends';
@@ -140,6 +147,17 @@
     host: settings.host,
     bounds,
   });
+  // Connections are dead after a suspension, and without new ones the configuration would stay too old until calls time out.
+  const stopWatching = watchSuspension(
+    (gapMs) => {
+      logger.warn('resumed after a suspension, connections closed', { gapMs });
+      options.closeConnections();
+      pool.closeIdle();
+    },
+    (error) => {
+      logger.error('closing connections failed', { detail: String(error) });
+    },
+  );
   const stopFreeing = runEvery(
     times.freePauseMs,
     () =>
@@ -158,6 +176,7 @@
       logger.info('stopping', { inFlight: forwarder.countInFlight(), graceMs: bounds.graceMs });
       stopRolling();
       stopFreeing();
+      stopWatching();
       const released = lease.release();
       const computeElapsed = (): number => readMonotonicMs() - startedMs;
       const endMs = bounds.graceMs - times.exitMs;
