Count the age of new weights from the last answer of the store

Change: a version that comes after failed calls, a new list or a late answer may be as old as the last answer before. Calls and fetches count from then, freeing of pieces still from when the host heard of it, so both err on the safe side. Tests: age after an outage and after a late answer; a host that heard late fetches no longer than others and frees no sooner.

--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -84,7 +84,7 @@
   if (engine === undefined) throw new TypeError('not a service of engines');
   const named = deps.fleet.getWeights(prompt.model);
   // A version that was there at the start may have been named any time before.
-  const namedMs = named === undefined ? 0 : named.isInitial ? Infinity : computeElapsedMs(named.learned);
+  const namedMs = named === undefined ? 0 : named.isInitial ? Infinity : computeElapsedMs(named.earliest);
   const isOutdated = (server: BackendEntry): boolean =>
     named !== undefined && (server.versions.get(prompt.model) ?? named.version) < named.version;
   const isPermitted = (server: BackendEntry): boolean => {
--- a/packages/keep-pieces/src/create-piece-keeper.ts
+++ b/packages/keep-pieces/src/create-piece-keeper.ts
@@ -38,12 +38,21 @@
   const pending = new Map<string, PendingSave>();
   const createdAt = readMoment();
 
-  /** Milliseconds since the weights of a scope were replaced; 0 while they are the newest. */
-  const computeReplacedMs = (scope: string): number => {
+  const findReplacement = (scope: string) => {
     const parsed = parseCacheScope(scope);
-    const successor = parsed === undefined ? undefined : fleet.findSuccessor(parsed.model, parsed.version);
+    return parsed === undefined ? undefined : fleet.findSuccessor(parsed.model, parsed.version);
+  };
+  /** Most milliseconds since the weights of a scope were replaced; 0 while they are the newest. */
+  const computeReplacedMs = (scope: string): number => {
+    const successor = findReplacement(scope);
     if (successor === undefined) return 0;
     // When weights that were there at the start were named is not known; it was before this process looked.
+    return computeElapsedMs(successor.isInitial ? createdAt : successor.earliest);
+  };
+  /** Fewest milliseconds since the weights of a scope were replaced. */
+  const computeKnownMs = (scope: string): number => {
+    const successor = findReplacement(scope);
+    if (successor === undefined) return 0;
     return computeElapsedMs(successor.isInitial ? createdAt : successor.learned);
   };
 
@@ -127,7 +136,7 @@
       };
     },
     freeOutdated: async (stores) => {
-      const isOutdated = (scope: string): boolean => computeReplacedMs(scope) > FREE_AFTER_MS;
+      const isOutdated = (scope: string): boolean => computeKnownMs(scope) > FREE_AFTER_MS;
       for (const store of listUsable(stores)) {
         const id = getStoreId(store);
         const bootId = events.getBootId(id);
--- a/packages/keep-pieces/test/create-piece-keeper.test.ts
+++ b/packages/keep-pieces/test/create-piece-keeper.test.ts
@@ -54,7 +54,13 @@
     board.getPieces(getStoreId(STORE)).addPiece(scope, piece.id, piece.tokens);
   };
   const setNewWeights = (): void => {
-    state.successor = { model: 'm', version: 2, learned: readMoment(), isInitial: false };
+    state.successor = {
+      model: 'm',
+      version: 2,
+      learned: readMoment(),
+      earliest: readMoment(),
+      isInitial: false,
+    };
   };
   const listSources = (engine = 'e1') => keeper.planFetches(request)(engine).sources;
   return { board, state, freed, keeper, request, keep, setNewWeights, listSources };
@@ -128,3 +134,25 @@
   state.weightsAgeMs = freedMs - fetchMs;
   t.deepEqual(listSources(), [undefined, undefined, undefined]);
 });
+
+test.serial(
+  'a host that heard late of weights fetches no longer than others, and frees no sooner',
+  async (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const { state, freed, keeper, keep, listSources } = createWorld();
+    keep(OLD, { id: 'a', tokens: 500 });
+    const earliest = readMoment();
+    await clock.tickAsync(4000);
+    state.successor = { model: 'm', version: 2, learned: readMoment(), earliest, isInitial: false };
+    t.is(listSources()[0], undefined);
+    await clock.tickAsync(6000);
+    await keeper.freeOutdated([STORE]);
+    t.deepEqual(freed, []);
+    await clock.tickAsync(1000);
+    await keeper.freeOutdated([STORE]);
+    t.is(freed.length, 1);
+  },
+);
--- a/packages/roll-weights/test/order-weights.test.ts
+++ b/packages/roll-weights/test/order-weights.test.ts
@@ -38,8 +38,16 @@
     fleet: {
       listAll: () => [...engines.keys()].map(toEntry),
       getBackend: toEntry,
-      listWeights: () => [{ model: 'm', version: newest, learned: readMoment(), isInitial: false }],
-      getWeights: () => ({ model: 'm', version: newest, learned: readMoment(), isInitial: false }),
+      listWeights: () => [
+        { model: 'm', version: newest, learned: readMoment(), earliest: readMoment(), isInitial: false },
+      ],
+      getWeights: () => ({
+        model: 'm',
+        version: newest,
+        learned: readMoment(),
+        earliest: readMoment(),
+        isInitial: false,
+      }),
     },
     control: {
       readReport: ({ id }) => {
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -1,4 +1,4 @@
-import { readMoment, startTimer, type Moment } from '@laburnumshift/clock';
+import { computeElapsedMs, readMoment, startTimer, type Moment } from '@laburnumshift/clock';
 import type { BackendEntry, ForwardConfig, ObjectChange } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import { watchKind } from '@laburnumshift/watch-objects';
@@ -110,8 +110,13 @@
       const named = isRemoved ? undefined : decoder.decodeWeights(object);
       if (named === undefined) continue;
       if ((weights.get(named.model)?.version ?? 0) >= named.version) continue;
-      logger.info('weights named', { model: named.model, version: named.version });
-      const known = { ...named, learned: readMoment(), isInitial: !isWeightsListed };
+      const earliest = weightsView.getChangedSince();
+      const known = { ...named, learned: readMoment(), earliest, isInitial: !isWeightsListed };
+      logger.info('weights named', {
+        model: named.model,
+        version: named.version,
+        mayBeOldMs: computeElapsedMs(earliest),
+      });
       weights.set(named.model, known);
       history.set(named.model, [...(history.get(named.model) ?? []), known].slice(-MAX_HISTORY));
     }
--- a/packages/track-fleet/test/track-fleet.test.ts
+++ b/packages/track-fleet/test/track-fleet.test.ts
@@ -1,3 +1,4 @@
+import { computeElapsedMs, readMoment } from '@laburnumshift/clock';
 import { installClock } from '@laburnumshift/test-utils';
 import type {
   BackendEntry,
@@ -172,3 +173,30 @@
     t.is(fleet.getWeights('m')?.version, 3);
   }),
 );
+
+test.serial('weights named while the store could not be asked may be as old as the last answer', (t) =>
+  run({ weights: [createObject('m', 1, { model: 'm', version: 2 })] }, async (fleet, store, clock) => {
+    store.updateObject('weights', 'm', { model: 'm', version: 3 });
+    await clock.tickAsync(1);
+    t.true(computeElapsedMs(fleet.getWeights('m')?.earliest ?? readMoment()) < 10);
+    for (let failures = 0; failures < 10; failures += 1) {
+      store.replyTo('weights', { kind: 'unavailable', reason: 'no answer in time' });
+      await clock.tickAsync(500);
+    }
+    store.updateObject('weights', 'm', { model: 'm', version: 4 });
+    await clock.tickAsync(1);
+    const named = fleet.getWeights('m');
+    t.is(named?.version, 4);
+    t.true(computeElapsedMs(named?.learned ?? readMoment()) < 10);
+    t.true(computeElapsedMs(named?.earliest ?? readMoment()) >= 5000);
+  }),
+);
+
+test.serial('weights in an answer that was held up may be as old as its question', (t) =>
+  run({ weights: [createObject('m', 1, { model: 'm', version: 2 })] }, async (fleet, store, clock) => {
+    await clock.tickAsync(3000);
+    store.updateObject('weights', 'm', { model: 'm', version: 3 });
+    await clock.tickAsync(1);
+    t.true(computeElapsedMs(fleet.getWeights('m')?.earliest ?? readMoment()) >= 3000);
+  }),
+);
--- a/packages/watch-objects/src/kind-view.ts
+++ b/packages/watch-objects/src/kind-view.ts
@@ -1,3 +1,4 @@
+import type { Moment } from '@laburnumshift/clock';
 import type { StoredObject } from '@laburnumshift/forward-types';
 
 /** The copy of one kind of objects. */
@@ -7,5 +8,7 @@
   readonly getAgeMs: () => number;
   /** Milliseconds since the store answered again after an outage; infinite when there was none. */
   readonly getRecoveredMs: () => number;
+  /** For handlers of changes: none of the changes in hand was made before this. */
+  readonly getChangedSince: () => Moment;
   readonly close: () => void;
 }
--- a/packages/watch-objects/src/watch-kind.ts
+++ b/packages/watch-objects/src/watch-kind.ts
@@ -8,6 +8,8 @@
 /** Pause after a failed call, milliseconds; doubled up to the maximum. A tenth of the usual bound of a configuration. */
 const MIN_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 400;
+/** The store answers a watch at once when there is a change; an answer this much after its wait was held up, milliseconds. */
+const LATE_MS = 300;
 
 /**
  * Keeps a copy of all objects of a kind: lists once, then follows the changes. A gap in the history leads to a new list. The
@@ -22,8 +24,11 @@
   let recovered: Moment | undefined;
   let revision: number | undefined;
   let failures = 0;
+  let changedSince = readMoment();
 
-  const observeSuccess = (sent: Moment): void => {
+  const observeSuccess = (sent: Moment, isList: boolean): void => {
+    if (failures > 0 || isList) changedSince = confirmed ?? sent;
+    else changedSince = computeElapsedMs(sent) > waitMs + LATE_MS ? sent : readMoment();
     if (failures > 0) {
       recovered = readMoment();
       logger.info('store answers again', { kind, failures, revision });
@@ -56,7 +61,7 @@
       else objects.set(object.name, object);
     }
     revision = outcome.revision;
-    observeSuccess(sent);
+    observeSuccess(sent, true);
     logger.info('listed', { kind, revision, count: objects.size, changes: changes.length });
     onChanges(changes);
   };
@@ -71,7 +76,7 @@
       return;
     }
     revision = outcome.revision;
-    observeSuccess(sent);
+    observeSuccess(sent, false);
     applyChanges(outcome.changes);
     const gatherMs = outcome.changes.length > 0 ? (options.getGatherMs?.() ?? 0) : 0;
     if (gatherMs > 0) await sleep(gatherMs, stopper.signal);
@@ -92,6 +97,7 @@
     objects,
     getAgeMs: () => (confirmed === undefined ? Infinity : computeElapsedMs(confirmed)),
     getRecoveredMs: () => (recovered === undefined ? Infinity : computeElapsedMs(recovered)),
+    getChangedSince: () => changedSince,
     close: () => {
       stopper.abort();
     },
