Place calls by the slots of engines

Ruled out: memory (share 0.15 to 0.44). Change: calls of all hosts at an engine beyond its slots count as a wait by the time of a run, which is learned for each service. Test: a load of one popular prompt; callers wait at most the time of reading it elsewhere, ten times that without the slots.

--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -118,6 +118,8 @@
     return {
       id: server.id,
       failureDomain: server.failureDomain,
+      calls: state.inFlight + countOthers(deps, server.id, state),
+      slots: engine.slots,
       waitMs: (state.pendingTokens + others.pendingTokens) / readPerMs,
       localTokens,
       fetchTokens,
@@ -137,6 +139,7 @@
     outdatedMs: namedMs < OUTDATED_FROM_MS ? OUTDATED_EARLY_MS : OUTDATED_LATE_MS,
     rates: {
       readPerMs,
+      runMs: deps.board.getRunMs(job.service.name),
       fetchPerMs:
         (engine.linkMbps * ENGINE_RATES.bitsPerMbpsMs) / ENGINE_RATES.bitsPerByte / engine.bytesPerToken,
     },
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -152,6 +152,10 @@
         for (const { id, tokens } of call.prompt?.pieces ?? []) pieces.addPiece(scope, id, tokens);
       },
     });
+    if (end.kind === 'delivered' && firstMs !== undefined) {
+      const readMs = choice.uncachedTokens / deps.board.getReadRate(service.name);
+      deps.board.observeRun(service.name, readMs + readMonotonicMs() - startedMs - firstMs);
+    }
     if (end.kind === 'not-run' && !end.isSent) {
       attempts -= 1;
       unsent += 1;
--- a/packages/place-calls/src/engine-candidate.ts
+++ b/packages/place-calls/src/engine-candidate.ts
@@ -4,6 +4,10 @@
   readonly failureDomain: string;
   /** Time until the engine begins with a new prompt, milliseconds. */
   readonly waitMs: number;
+  /** Calls that the engine runs or has waiting, of all hosts. */
+  readonly calls: number;
+  /** Calls that it runs at once; further ones wait. */
+  readonly slots: number;
   /** Tokens of this prompt's beginning that are in the engine's cache. */
   readonly localTokens: number;
   /** Further tokens that the engine can fetch. */
--- a/packages/place-calls/src/place-call.ts
+++ b/packages/place-calls/src/place-call.ts
@@ -18,16 +18,17 @@
 /** Above this share of its memory an engine preempts calls; each further part of 1 counts for so many milliseconds. */
 const MEMORY_SHARE = 0.8;
 const MEMORY_MS = 4000;
-/** Cost of a full memory below that share, milliseconds: spreads calls before memory binds. */
-const MEMORY_SLOPE_MS = 60;
+/** Cost of an engine whose memory or slots are full, milliseconds, in proportion before: spreads calls before either binds. */
+const FULL_SLOPE_MS = 60;
 
 interface Rated extends Placement {
   readonly score: number;
 }
 
 /**
- * Chooses the engine with the least expected delay: its queue, its memory, reading what nobody has, and fetching what others
- * have. Answers load of all levels: with short queues reuse decides, with long ones the queue, near the limit memory.
+ * Chooses the engine with the least expected delay: its queue, its slots, its memory, reading what nobody has, and fetching
+ * what others have. Answers load of all levels: with short queues reuse decides, with long ones the queue, near their limits
+ * slots and memory. A prompt that everybody asks for spreads as soon as the engine that has it is full.
  */
 export function placeCall(input: PlaceInput): Placement {
   const { candidates, inputTokens, needTokens, rates } = input;
@@ -39,19 +40,23 @@
     const { localTokens, fetchTokens } = engine;
     const fetchMs = fetchTokens > 0 ? FETCH_START_MS + fetchTokens / rates.fetchPerMs : 0;
     const uncachedTokens = Math.max(0, inputTokens - localTokens - fetchTokens);
-    const expectedMs = engine.waitMs + fetchMs + uncachedTokens / rates.readPerMs;
+    // Calls end evenly spread, so each one ahead of this one beyond the slots takes this part of a run.
+    const slotWaitMs = (Math.max(0, engine.calls + 1 - engine.slots) * rates.runMs) / engine.slots;
+    const queueMs = engine.waitMs + slotWaitMs;
+    const expectedMs = queueMs + fetchMs + uncachedTokens / rates.readPerMs;
+    const slotShare = Math.min(1, (engine.calls + 1) / engine.slots);
     const memoryShare = (engine.heldTokens + needTokens) / engine.capacityTokens;
     const score =
       expectedMs +
       fetchMs * (FETCH_FACTOR - 1) +
       (rank === 0 ? 0 : AWAY_MS) +
-      memoryShare * MEMORY_SLOPE_MS +
+      Math.max(memoryShare, slotShare) * FULL_SLOPE_MS +
       Math.max(0, memoryShare - MEMORY_SHARE) * MEMORY_MS +
       engine.failureShare * FAILURE_MS +
       (engine.isSilent ? SILENT_MS : 0) +
       (engine.isOutdated ? input.outdatedMs : 0) +
       (engine.failureDomain === input.ownDomain ? 0 : DOMAIN_MS);
-    return { id: engine.id, expectedMs, queueMs: engine.waitMs, uncachedTokens, memoryShare, score };
+    return { id: engine.id, expectedMs, queueMs, uncachedTokens, memoryShare, score };
   };
 
   const [first, ...others] = ranked.map(({ engine }, rank) => computeScore(engine, rank));
--- a/packages/place-calls/src/place-input.ts
+++ b/packages/place-calls/src/place-input.ts
@@ -19,6 +19,8 @@
 interface PlaceRates {
   /** Prompt tokens that an engine reads in a millisecond. */
   readonly readPerMs: number;
+  /** Time for which a call takes a slot, milliseconds. */
+  readonly runMs: number;
   /** Tokens of KV cache that a link carries in a millisecond. */
   readonly fetchPerMs: number;
 }
--- a/packages/place-calls/test/place-call.test.ts
+++ b/packages/place-calls/test/place-call.test.ts
@@ -5,6 +5,8 @@
   id,
   failureDomain: 'north',
   waitMs: 0,
+  calls: 0,
+  slots: 12,
   localTokens: 0,
   fetchTokens: 0,
   heldTokens: 0,
@@ -22,7 +24,7 @@
     needTokens: 12_400,
     ownDomain: 'north',
     outdatedMs,
-    rates: { readPerMs: 50, fetchPerMs: 400 },
+    rates: { readPerMs: 50, fetchPerMs: 400, runMs: 1000 },
   });
 const other = createEngine('b');
 
@@ -39,6 +41,7 @@
 const WORSE: readonly (readonly [name: string, worse: Partial<EngineCandidate>])[] = [
   ['a long queue outweighs cached pieces', { localTokens: 9000, waitMs: 900 }],
   ['a full memory outweighs cached pieces', { localTokens: 9000, heldTokens: 95_000 }],
+  ['calls that wait for a slot outweigh cached pieces', { localTokens: 9000, calls: 15 }],
   ['a silent engine is avoided', { localTokens: 9000, isSilent: true }],
   ['a failing engine is avoided', { localTokens: 9000, failureShare: 0.3 }],
   ['outdated weights outweigh cached pieces', { localTokens: 9000, isOutdated: true }],
@@ -76,3 +79,49 @@
   t.is(placePlainCall([far, { ...near, isSilent: true }], 'north', 0)?.id, 'far');
   t.is(placePlainCall([], 'north', 0), undefined);
 });
+
+/**
+ * Plays calls for one popular prompt, 120 a second, on 8 engines of 4 slots; each takes a slot for 200 ms. Three quarters of the
+ * slots are needed. Returns the wait of each caller for a slot.
+ *
+ * @param slots what the placement believes
+ */
+const measurePopularPrompt = (slots: number): number[] => {
+  const ends = Array.from({ length: 8 }, () => [0, 0, 0, 0]);
+  const waits: number[] = [];
+  for (let now = 0; now < 5000; now += 1000 / 120) {
+    const candidates = ends.map((engine, index) =>
+      createEngine(`e${String(index)}`, {
+        // The first engines have the prompt.
+        localTokens: index < 2 ? 11_000 : 0,
+        calls: engine.filter((end) => end > now).length,
+        slots,
+      }),
+    );
+    const { id } = placeCall({
+      candidates,
+      homeKey: 'popular',
+      inputTokens: 12_000,
+      needTokens: 100,
+      ownDomain: 'north',
+      outdatedMs: 400,
+      rates: { readPerMs: 50, fetchPerMs: 400, runMs: 200 },
+    });
+    const engine = ends[Number(id.slice(1))] ?? [];
+    // The slot that is free first; queued calls are counted by their ends.
+    const running = engine.filter((end) => end > now).sort((a, b) => a - b);
+    const startMs = running.length < 4 ? now : (running.at(-4) ?? now);
+    engine.push(startMs + 200);
+    waits.push(startMs - now);
+  }
+  return waits.sort((a, b) => a - b);
+};
+
+test('callers of a prompt that everybody asks for wait less than it takes to read it elsewhere', (t) => {
+  const waits = measurePopularPrompt(4);
+  const readMs = 11_000 / 50;
+  t.true((waits.at(-1) ?? Infinity) <= readMs + 60);
+  t.true((waits[Math.floor(waits.length * 0.95)] ?? Infinity) <= readMs);
+  const unaware = measurePopularPrompt(1e9);
+  t.true((unaware.at(-1) ?? 0) > 10 * readMs);
+});
--- a/packages/track-engines/src/create-engine-board.ts
+++ b/packages/track-engines/src/create-engine-board.ts
@@ -19,6 +19,8 @@
 const MIN_READ_TOKENS = 1000;
 /** Weight of one call in the rate: about the last 30 calls count. */
 const RATE_WEIGHT = 0.03;
+/** Time of a run before the first one ended, milliseconds: a short answer at the pace of an engine of middle size. */
+const START_RUN_MS = 800;
 
 interface Entry {
   inFlight: number;
@@ -39,6 +41,7 @@
 export function createEngineBoard(): EngineBoard {
   const entries = new Map<string, Entry>();
   const readRates = new Map<string, number>();
+  const runTimes = new Map<string, number>();
 
   const getEntry = (server: string): Entry => {
     const known = entries.get(server);
@@ -117,6 +120,11 @@
       const rate = readRates.get(service) ?? START_RATE;
       readRates.set(service, rate + (seen - rate) * RATE_WEIGHT);
     },
+    getRunMs: (service) => runTimes.get(service) ?? START_RUN_MS,
+    observeRun: (service, ms) => {
+      const known = runTimes.get(service) ?? START_RUN_MS;
+      runTimes.set(service, known + (ms - known) * RATE_WEIGHT);
+    },
     observeLoad: (server, load) => {
       const entry = getEntry(server);
       entry.load = load;
--- a/packages/track-engines/src/engine-board.ts
+++ b/packages/track-engines/src/engine-board.ts
@@ -13,6 +13,9 @@
   readonly getReadRate: (service: string) => number;
   /** An engine of a service began to answer `ms` after it was given `tokens` to read, those before it included. */
   readonly observeRead: (service: string, tokens: number, ms: number) => void;
+  /** Time for which a call of a service takes a slot of its engine, milliseconds, as seen lately. */
+  readonly getRunMs: (service: string) => number;
+  readonly observeRun: (service: string, ms: number) => void;
   /** The server refused a connection, or reset calls: it gets no new calls for `ms`. */
   readonly avoidServer: (server: string, ms: number) => void;
   /** The cached pieces of an engine or a store. */
