Pass over lost relays for longer, until they are heard

Registrations of hosts that are gone stay in the store; with 5 s a domain whose first two relays are gone had no loads for 1.5 s of each 6.5 s. A relay that cannot be read is logged once.

--- a/packages/relay-events/src/create-events-relay.ts
+++ b/packages/relay-events/src/create-events-relay.ts
@@ -45,6 +45,8 @@
     { readonly page: RelayPage; readonly bootIds: Map<string, string>; readonly atMs: number } | undefined;
   let followed: string | undefined;
   let followedSinceMs = 0;
+  /** The last read of the relay failed. */
+  let isLost = false;
 
   const listAll = (): ReadChange[] =>
     [...sources.keys()].flatMap((engine) => {
@@ -109,9 +111,12 @@
     if (upstream === undefined || isAsked()) return;
     const page = await readChanges(agent, upstream, told?.page.life ?? '', told?.page.next ?? 0);
     if (typeof page === 'string') {
-      logger.warn('no page from the relay', { upstream, reason: page });
+      if (!isLost) logger.warn('no page from the relay', { upstream, reason: page });
+      isLost = true;
       return;
     }
+    if (isLost) logger.info('relay answers again', { upstream });
+    isLost = false;
     if (isAsked()) return;
     setDirect(false, 'relay answers');
     applyPage(page);
--- a/packages/share-load/src/create-load-sharing.ts
+++ b/packages/share-load/src/create-load-sharing.ts
@@ -30,8 +30,8 @@
 const IDLE_PERIODS = 4;
 /** A relay that is told this host's work and has not answered for this time is passed over, milliseconds. */
 const SUSPECT_AFTER_MS = 1500;
-/** Time for which a relay is passed over, milliseconds. */
-const SUSPECT_MS = 5000;
+/** Time for which a relay is passed over unless it is heard, milliseconds: registrations of hosts that are gone stay. */
+const SUSPECT_MS = 20_000;
 /** The sum is made anew after this time without a message, milliseconds, as older ones expire. */
 const SUM_MS = 100;
 const MS_PER_S = 1000;
@@ -145,7 +145,9 @@
     const heard = table.addMessage(message);
     if (heard === 'new')
       logger.info('heard a host', { host: message[1], bornMs: message[2], kind: message[0] });
-    if (heard !== 'old') sumMs = -Infinity;
+    if (heard === 'old') return;
+    sumMs = -Infinity;
+    suspectUntil.delete(message[1]);
   });
   socket.on('error', (error) => {
     logger.warn('datagram failed', { detail: error.message });
