Weigh fetches by the use of their source's link

Ruled out: memory (0.24 like that of served ones). Change: each host meters what its calls fetch from each source, takes the others to fetch as much, and counts the queue of the link; a source that is slower than reading is passed over, for another engine or for reading.

--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -1,6 +1,12 @@
 import { computeElapsedMs, readMonotonicMs } from '@laburnumshift/clock';
 import type { BackendEntry, PromptShape } from '@laburnumshift/forward-types';
-import { admitCall, estimateHeldTokens, placeCall, placePlainCall } from '@laburnumshift/place-calls';
+import {
+  admitCall,
+  estimateHeldTokens,
+  estimateSlowdown,
+  placeCall,
+  placePlainCall,
+} from '@laburnumshift/place-calls';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import type { ServerState } from '@laburnumshift/track-engines';
 import { isUnderOrder } from '@laburnumshift/track-fleet';
@@ -97,11 +103,19 @@
   if (usable.length === 0)
     return { kind: 'refuse', reason: 'weights are being replaced', retryAfterMs: NO_SERVER_RETRY_MS };
 
+  const readPerMs = deps.board.getReadRate(job.service.name);
+  const fetchPerMs =
+    (engine.linkMbps * ENGINE_RATES.bitsPerMbpsMs) / ENGINE_RATES.bitsPerByte / engine.bytesPerToken;
+  // The other hosts are taken to fetch as much as this one.
+  const hosts = deps.sharing.countHosts() + 1;
   const buildRequest = (version: number | undefined) => ({
     scope: buildCacheScope(job.account, prompt.model, version),
     pieces: prompt.pieces,
     engines: usable.filter((server) => server.versions.get(prompt.model) === version),
     stores: deps.fleet.getConfig()?.stores ?? [],
+    estimateSlowdown: (source: string) =>
+      estimateSlowdown(deps.board.getFetchRate(source) * hosts, fetchPerMs),
+    maxSlowdown: fetchPerMs / readPerMs,
   });
   const plans = new Map<number | undefined, ReturnType<typeof deps.keeper.planFetches>>();
   const planFor = (server: BackendEntry) => {
@@ -110,11 +124,10 @@
     plans.set(version, plan);
     return plan(server.id);
   };
-  const readPerMs = deps.board.getReadRate(job.service.name);
   const candidates = usable.map((server) => {
     const state = deps.board.getState(server.id);
     const others = deps.sharing.getOthers(server.id);
-    const { localTokens, fetchTokens } = planFor(server);
+    const { localTokens, fetchTokens, slowdown } = planFor(server);
     return {
       id: server.id,
       failureDomain: server.failureDomain,
@@ -123,6 +136,7 @@
       waitMs: (state.pendingTokens + others.pendingTokens) / readPerMs,
       localTokens,
       fetchTokens,
+      fetchSlowdown: slowdown,
       heldTokens: state.heldTokens + others.heldTokens,
       capacityTokens: engine.capacityTokens,
       failureShare: state.failureShare,
@@ -140,8 +154,7 @@
     rates: {
       readPerMs,
       runMs: deps.board.getRunMs(job.service.name),
-      fetchPerMs:
-        (engine.linkMbps * ENGINE_RATES.bitsPerMbpsMs) / ENGINE_RATES.bitsPerByte / engine.bytesPerToken,
+      fetchPerMs,
     },
   });
   const server = usable.find(({ id }) => id === placement.id);
@@ -162,6 +175,16 @@
     return { ...admission, inputs: { engine: id, expectedMs, queueMs, memoryShare, engines: usable.length } };
   }
   const version = server.versions.get(prompt.model);
+  const plan = planFor(server);
+  for (const [index, piece] of prompt.pieces.entries()) {
+    const source = plan.sources[index];
+    const missing =
+      piece.tokens -
+      deps.board
+        .getPieces(server.id)
+        .getTokens(buildCacheScope(job.account, prompt.model, version), piece.id);
+    if (source !== undefined && missing > 0) deps.board.observeFetch(source, missing);
+  }
   return {
     kind: 'server',
     server,
@@ -169,7 +192,7 @@
     queueTokens: placement.queueMs * readPerMs,
     expectedMs: placement.expectedMs,
     memoryShare: placement.memoryShare,
-    transfers: deps.keeper.planTransfers(buildRequest(version), planFor(server)),
+    transfers: deps.keeper.planTransfers(buildRequest(version), plan),
     version,
   };
 }
--- a/packages/keep-pieces/src/create-piece-keeper.ts
+++ b/packages/keep-pieces/src/create-piece-keeper.ts
@@ -91,33 +91,40 @@
   };
 
   return {
-    planFetches: ({ scope, pieces, engines, stores }) => {
+    planFetches: ({ scope, pieces, engines, stores, estimateSlowdown, maxSlowdown }) => {
       const mayFetch =
         events.readClockMs() !== undefined &&
         fleet.getWeightsAgeMs() <= WEIGHTS_AGE_MS &&
         computeReplacedMs(scope) <= REPLACED_MS;
       const usable = mayFetch ? listUsable(stores) : [];
+      const isFast = (address: string): boolean => estimateSlowdown(address) < maxSlowdown;
       const known = new Map<string, { readonly store: string | undefined; readonly holders: string[] }>();
       const findHolders = (piece: PromptPiece) => {
         const found = known.get(piece.id) ?? {
-          store: usable.find((store) => isKept(store, scope, piece))?.address,
+          store: usable.find((store) => isKept(store, scope, piece) && isFast(store.address))?.address,
           holders: engines
-            .filter(({ id }) => board.getPieces(id).getTokens(scope, piece.id) >= piece.tokens)
-            .map(({ id }) => id),
+            .filter(
+              ({ id, address }) =>
+                board.getPieces(id).getTokens(scope, piece.id) >= piece.tokens && isFast(address),
+            )
+            .sort((a, b) => estimateSlowdown(a.address) - estimateSlowdown(b.address))
+            .map(({ address }) => address),
         };
         known.set(piece.id, found);
         return found;
       };
-      return (engine) =>
-        planFetch(
+      return (engine) => {
+        const own = engines.find(({ id }) => id === engine)?.address;
+        return planFetch(
           pieces,
           (piece) => board.getPieces(engine).getTokens(scope, piece.id),
           (piece) => {
             const { store, holders } = findHolders(piece);
-            const holder = holders.find((id) => id !== engine);
-            return store ?? engines.find(({ id }) => id === holder)?.address;
+            return store ?? holders.find((address) => address !== own);
           },
+          estimateSlowdown,
         );
+      };
     },
     planTransfers: ({ scope, pieces, stores }, plan) => {
       dropExpired();
--- a/packages/keep-pieces/src/piece-keeper.ts
+++ b/packages/keep-pieces/src/piece-keeper.ts
@@ -17,4 +17,8 @@
   readonly pieces: readonly PromptPiece[];
   readonly engines: readonly { readonly id: string; readonly address: string }[];
   readonly stores: readonly KeptCacheStore[];
+  /** How many times longer a fetch from an address takes than on an idle link. */
+  readonly estimateSlowdown: (source: string) => number;
+  /** From this on reading is faster than a fetch. */
+  readonly maxSlowdown: number;
 }
--- a/packages/keep-pieces/test/create-piece-keeper.test.ts
+++ b/packages/keep-pieces/test/create-piece-keeper.test.ts
@@ -29,7 +29,12 @@
 
 const createWorld = () => {
   const board = createEngineBoard();
-  const state = { successor: undefined as NamedWeights | undefined, weightsAgeMs: 0, isReading: true };
+  const state = {
+    successor: undefined as NamedWeights | undefined,
+    weightsAgeMs: 0,
+    isReading: true,
+    slowdowns: {} as Record<string, number>,
+  };
   const freed: string[] = [];
   const keeper = createPieceKeeper({
     board,
@@ -49,7 +54,14 @@
       },
     },
   });
-  const request = { scope: OLD, pieces: PIECES, engines: ENGINES, stores: [STORE] };
+  const request = {
+    scope: OLD,
+    pieces: PIECES,
+    engines: ENGINES,
+    stores: [STORE],
+    estimateSlowdown: (source: string) => state.slowdowns[source] ?? 1,
+    maxSlowdown: 6,
+  };
   const keep = (scope: string, piece: PromptPiece): void => {
     board.getPieces(getStoreId(STORE)).addPiece(scope, piece.id, piece.tokens);
   };
@@ -100,7 +112,7 @@
 
 test('shared pieces are saved once, the last piece never, and no store is filled beyond its room', (t) => {
   const { keeper, request, listSources } = createWorld();
-  const plan = { localTokens: 0, fetchTokens: 0, sources: listSources() };
+  const plan = { localTokens: 0, fetchTokens: 0, slowdown: 1, sources: listSources() };
   const { saveTo } = keeper.planTransfers(request, plan);
   t.deepEqual(saveTo, [STORE.address, STORE.address, undefined]);
   t.deepEqual(keeper.planTransfers(request, plan).saveTo, [undefined, undefined, undefined]);
@@ -156,3 +168,15 @@
     t.is(freed.length, 1);
   },
 );
+
+test('a source whose link is full is passed over for another engine, and reading goes before all slow ones', (t) => {
+  const { board, state, keep, listSources } = createWorld();
+  keep(OLD, { id: 'a', tokens: 500 });
+  board.getPieces('e2').addPiece(OLD, 'a', 500);
+  t.is(listSources()[0], STORE.address);
+  state.slowdowns[STORE.address] = 8;
+  t.is(listSources()[0], '10.0.0.2:80');
+  t.is(listSources('e2')[0], undefined);
+  state.slowdowns['10.0.0.2:80'] = 8;
+  t.is(listSources()[0], undefined);
+});
--- a/packages/place-calls/src/engine-candidate.ts
+++ b/packages/place-calls/src/engine-candidate.ts
@@ -12,6 +12,8 @@
   readonly localTokens: number;
   /** Further tokens that the engine can fetch. */
   readonly fetchTokens: number;
+  /** How many times longer that takes than on idle links. */
+  readonly fetchSlowdown: number;
   /** Tokens in the engine's memory for running calls. */
   readonly heldTokens: number;
   readonly capacityTokens: number;
--- a/packages/place-calls/src/fetch-plan.ts
+++ b/packages/place-calls/src/fetch-plan.ts
@@ -4,6 +4,8 @@
   readonly localTokens: number;
   /** Tokens that can be fetched. */
   readonly fetchTokens: number;
+  /** How many times longer the fetch takes than on links without other traffic. */
+  readonly slowdown: number;
   /** Address for each piece of the prompt, `undefined` where nothing is fetched. */
   readonly sources: readonly (string | undefined)[];
 }
--- a/packages/place-calls/src/index.ts
+++ b/packages/place-calls/src/index.ts
@@ -5,6 +5,7 @@
 export { chooseKeeper } from './choose-keeper.js';
 export type { EngineCandidate } from './engine-candidate.js';
 export { estimateHeldTokens } from './estimate-held-tokens.js';
+export { estimateSlowdown } from './estimate-slowdown.js';
 export type { FetchPlan } from './fetch-plan.js';
 export type { KeeperCandidate } from './keeper-candidate.js';
 export { placeCall } from './place-call.js';
--- a/packages/place-calls/src/place-call.ts
+++ b/packages/place-calls/src/place-call.ts
@@ -37,8 +37,8 @@
     .sort((a, b) => b.weight - a.weight);
 
   const computeScore = (engine: EngineCandidate, rank: number): Rated => {
-    const { localTokens, fetchTokens } = engine;
-    const fetchMs = fetchTokens > 0 ? FETCH_START_MS + fetchTokens / rates.fetchPerMs : 0;
+    const { localTokens, fetchTokens, fetchSlowdown } = engine;
+    const fetchMs = fetchTokens > 0 ? FETCH_START_MS + (fetchTokens * fetchSlowdown) / rates.fetchPerMs : 0;
     const uncachedTokens = Math.max(0, inputTokens - localTokens - fetchTokens);
     // Calls end evenly spread, so each one ahead of this one beyond the slots takes this part of a run.
     const slotWaitMs = (Math.max(0, engine.calls + 1 - engine.slots) * rates.runMs) / engine.slots;
--- a/packages/place-calls/src/plan-fetch.ts
+++ b/packages/place-calls/src/plan-fetch.ts
@@ -9,10 +9,12 @@
   pieces: readonly PromptPiece[],
   countLocal: (piece: PromptPiece) => number,
   findSource: (piece: PromptPiece) => string | undefined,
+  estimateSlowdown: (source: string) => number = () => 1,
 ): FetchPlan {
   const sources: (string | undefined)[] = pieces.map(() => undefined);
   let localTokens = 0;
   let fetchTokens = 0;
+  let slowTokens = 0;
   for (const [index, piece] of pieces.entries()) {
     const local = Math.min(piece.tokens, countLocal(piece));
     const source = findSource(piece);
@@ -22,6 +24,7 @@
     if (local >= piece.tokens) continue;
     if (source === undefined) break;
     fetchTokens += piece.tokens - local;
+    slowTokens += (piece.tokens - local) * estimateSlowdown(source);
   }
-  return { localTokens, fetchTokens, sources };
+  return { localTokens, fetchTokens, slowdown: fetchTokens > 0 ? slowTokens / fetchTokens : 1, sources };
 }
--- a/packages/place-calls/test/place-call.test.ts
+++ b/packages/place-calls/test/place-call.test.ts
@@ -9,6 +9,7 @@
   slots: 12,
   localTokens: 0,
   fetchTokens: 0,
+  fetchSlowdown: 1,
   heldTokens: 0,
   capacityTokens: 100_000,
   failureShare: 0,
@@ -40,6 +41,7 @@
 
 const WORSE: readonly (readonly [name: string, worse: Partial<EngineCandidate>])[] = [
   ['a long queue outweighs cached pieces', { localTokens: 9000, waitMs: 900 }],
+  ['reading is better than a fetch over a full link', { fetchTokens: 9000, fetchSlowdown: 20 }],
   ['a full memory outweighs cached pieces', { localTokens: 9000, heldTokens: 95_000 }],
   ['calls that wait for a slot outweigh cached pieces', { localTokens: 9000, calls: 15 }],
   ['a silent engine is avoided', { localTokens: 9000, isSilent: true }],
--- a/packages/place-calls/test/plan-fetch.test.ts
+++ b/packages/place-calls/test/plan-fetch.test.ts
@@ -17,6 +17,7 @@
   t.deepEqual(plan({ a: 500 }, { b: 'store-1' }), {
     localTokens: 500,
     fetchTokens: 4000,
+    slowdown: 1,
     sources: [undefined, 'store-1', undefined],
   });
 });
@@ -25,6 +26,7 @@
   t.deepEqual(plan({ a: 500, b: 4000 }, { a: 'store-1', b: 'store-2' }), {
     localTokens: 4500,
     fetchTokens: 0,
+    slowdown: 1,
     sources: ['store-1', 'store-2', undefined],
   });
 });
@@ -33,6 +35,7 @@
   t.deepEqual(plan({}, { b: 'store-1', c: 'store-1' }), {
     localTokens: 0,
     fetchTokens: 0,
+    slowdown: 1,
     sources: [undefined, undefined, undefined],
   });
 });
--- a/packages/track-engines/src/create-engine-board.ts
+++ b/packages/track-engines/src/create-engine-board.ts
@@ -21,6 +21,8 @@
 const RATE_WEIGHT = 0.03;
 /** Time of a run before the first one ended, milliseconds: a short answer at the pace of an engine of middle size. */
 const START_RUN_MS = 800;
+/** Fetches count in the rate of their source for about this time, milliseconds: a host of a large fleet makes few a second. */
+const FETCH_RATE_MS = 5000;
 
 interface Entry {
   inFlight: number;
@@ -42,6 +44,11 @@
   const entries = new Map<string, Entry>();
   const readRates = new Map<string, number>();
   const runTimes = new Map<string, number>();
+  const fetchRates = new Map<string, { readonly perMs: number; readonly atMs: number }>();
+  const getFetchRate = (source: string): number => {
+    const rate = fetchRates.get(source);
+    return rate === undefined ? 0 : rate.perMs * Math.exp((rate.atMs - readMonotonicMs()) / FETCH_RATE_MS);
+  };
 
   const getEntry = (server: string): Entry => {
     const known = entries.get(server);
@@ -125,6 +132,11 @@
       const known = runTimes.get(service) ?? START_RUN_MS;
       runTimes.set(service, known + (ms - known) * RATE_WEIGHT);
     },
+    getFetchRate,
+    observeFetch: (source, tokens) => {
+      const perMs = getFetchRate(source) + tokens / FETCH_RATE_MS;
+      fetchRates.set(source, { perMs, atMs: readMonotonicMs() });
+    },
     observeLoad: (server, load) => {
       const entry = getEntry(server);
       entry.load = load;
--- a/packages/track-engines/src/engine-board.ts
+++ b/packages/track-engines/src/engine-board.ts
@@ -16,6 +16,9 @@
   /** Time for which a call of a service takes a slot of its engine, milliseconds, as seen lately. */
   readonly getRunMs: (service: string) => number;
   readonly observeRun: (service: string, ms: number) => void;
+  /** Tokens of cached pieces that this host's calls fetch from an address in a millisecond, as seen lately. */
+  readonly getFetchRate: (source: string) => number;
+  readonly observeFetch: (source: string, tokens: number) => void;
   /** The server refused a connection, or reset calls: it gets no new calls for `ms`. */
   readonly avoidServer: (server: string, ms: number) => void;
   /** The cached pieces of an engine or a store. */
