Weigh a part of the engines for each call where there are many

Change: of more than 16 engines a call weighs one of four homes, four that have its beginning and eight others, at random. Test: a load of 620 calls a second with loads 300 ms old; the 95th percentile of waits is below half of the target, and less than half of that with all engines weighed. Small sites have fewer engines, so nothing changes there.

--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -6,6 +6,7 @@
   estimateSlowdown,
   placeCall,
   placePlainCall,
+  pickCandidates,
 } from '@laburnumshift/place-calls';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import type { ServerState } from '@laburnumshift/track-engines';
@@ -124,7 +125,15 @@
     plans.set(version, plan);
     return plan(server.id);
   };
-  const candidates = usable.map((server) => {
+  const homeKey = prompt.pieces.at(-2)?.id ?? prompt.pieces[0]?.id ?? job.call.id;
+  const [firstPiece] = prompt.pieces;
+  const getScope = (server: BackendEntry): string =>
+    buildCacheScope(job.account, prompt.model, server.versions.get(prompt.model));
+  const isHolder = (server: BackendEntry): boolean =>
+    firstPiece !== undefined &&
+    deps.board.getPieces(server.id).getTokens(getScope(server), firstPiece.id) > 0;
+  const weighed = pickCandidates(usable, homeKey, isHolder, deps.pickRandom);
+  const candidates = weighed.map((server) => {
     const state = deps.board.getState(server.id);
     const others = deps.sharing.getOthers(server.id);
     const { localTokens, fetchTokens, slowdown } = planFor(server);
@@ -146,7 +155,7 @@
   });
   const placement = placeCall({
     candidates,
-    homeKey: prompt.pieces.at(-2)?.id ?? prompt.pieces[0]?.id ?? job.call.id,
+    homeKey,
     inputTokens: prompt.inputTokens,
     needTokens: estimateHeldTokens(prompt),
     ownDomain: deps.failureDomain,
@@ -178,11 +187,7 @@
   const plan = planFor(server);
   for (const [index, piece] of prompt.pieces.entries()) {
     const source = plan.sources[index];
-    const missing =
-      piece.tokens -
-      deps.board
-        .getPieces(server.id)
-        .getTokens(buildCacheScope(job.account, prompt.model, version), piece.id);
+    const missing = piece.tokens - deps.board.getPieces(server.id).getTokens(getScope(server), piece.id);
     if (source !== undefined && missing > 0) deps.board.observeFetch(source, missing);
   }
   return {
--- a/packages/place-calls/src/index.ts
+++ b/packages/place-calls/src/index.ts
@@ -8,6 +8,7 @@
 export { estimateSlowdown } from './estimate-slowdown.js';
 export type { FetchPlan } from './fetch-plan.js';
 export type { KeeperCandidate } from './keeper-candidate.js';
+export { pickCandidates } from './pick-candidates.js';
 export { placeCall } from './place-call.js';
 export type { PlaceInput } from './place-input.js';
 export type { Placement } from './placement.js';
--- /dev/null
+++ b/packages/place-calls/test/pick-candidates.test.ts
@@ -0,0 +1,84 @@
+import { pickCandidates, placeCall } from '@laburnumshift/place-calls';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import test from 'ava';
+
+const ENGINES = Array.from({ length: 98 }, (_, index) => ({ id: `e${String(index)}` }));
+const createRandom = (): (() => number) => {
+  const generator = xoroshiro128plus(7);
+  return () => uniformFloat64(generator);
+};
+
+test('all engines of a small service are weighed', (t) => {
+  t.is(pickCandidates(ENGINES.slice(0, 16), 'k', () => false, createRandom()).length, 16);
+});
+
+test('of many engines a home of the prompt and engines that have it are weighed, each once', (t) => {
+  const random = createRandom();
+  const picked = Array.from({ length: 200 }, () =>
+    pickCandidates(ENGINES, 'k', ({ id }) => id === 'e50', random),
+  );
+  for (const engines of picked) {
+    t.true(engines.length <= 13);
+    t.is(new Set(engines).size, engines.length);
+    t.true(engines.some(({ id }) => id === 'e50'));
+  }
+  const always = ENGINES.filter((engine) => picked.every((engines) => engines.includes(engine)));
+  t.deepEqual(always, [{ id: 'e50' }]);
+  t.is(new Set(picked.flat()).size, ENGINES.length);
+});
+
+/** Plays 620 calls a second on engines that read 64 tokens in a millisecond, with loads that are 300 ms old; waits of callers. */
+const measureWaits = (
+  pick: (engines: typeof ENGINES, key: string) => readonly (typeof ENGINES)[number][],
+) => {
+  const random = createRandom();
+  const freeMs = new Map(ENGINES.map(({ id }) => [id, 0]));
+  let known = new Map<string, number>();
+  let knownMs = -Infinity;
+  const waits: number[] = [];
+  for (let call = 0; call < 4000; call += 1) {
+    const now = (call * 1000) / 620;
+    if (now - knownMs > 300) {
+      known = new Map([...freeMs].map(([id, free]) => [id, Math.max(0, free - now)]));
+      knownMs = now;
+    }
+    const key = `prompt-${String(Math.floor(random() * 40))}`;
+    const { id } = placeCall({
+      candidates: pick(ENGINES, key).map((engine) => ({
+        id: engine.id,
+        failureDomain: 'north',
+        waitMs: known.get(engine.id) ?? 0,
+        calls: 0,
+        slots: 12,
+        localTokens: 0,
+        fetchTokens: 0,
+        fetchSlowdown: 1,
+        heldTokens: 0,
+        capacityTokens: 81_390,
+        failureShare: 0,
+        isSilent: false,
+        isOutdated: false,
+      })),
+      homeKey: key,
+      inputTokens: 5000,
+      needTokens: 5000,
+      ownDomain: 'north',
+      outdatedMs: 0,
+      rates: { readPerMs: 64, fetchPerMs: 400, runMs: 800 },
+    });
+    const startMs = Math.max(now, freeMs.get(id) ?? 0);
+    freeMs.set(id, startMs + 5000 / 64);
+    waits.push(startMs - now);
+  }
+  waits.sort((a, b) => a - b);
+  return waits[Math.floor(waits.length * 0.95)] ?? Infinity;
+};
+
+test('callers wait less when hosts with old loads do not all take the same best engines', (t) => {
+  const random = createRandom();
+  const some = measureWaits((engines, key) => pickCandidates(engines, key, () => false, random));
+  const all = measureWaits((engines) => engines);
+  t.true(some < 500, `${String(some)} ms, all engines weighed ${String(all)} ms`);
+  t.true(some < all / 2, `${String(some)} ms, all engines weighed ${String(all)} ms`);
+});
