Refuse a call only when no engine at all has room

Cause: found while reading the change: where a call weighs a part of many engines, it could wait or be refused while others had room. Change: all engines are weighed before a call waits or is refused. Test: the one engine with room is found, whichever it is; it fails without the second look.

--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -132,52 +132,59 @@
   const isHolder = (server: BackendEntry): boolean =>
     firstPiece !== undefined &&
     deps.board.getPieces(server.id).getTokens(getScope(server), firstPiece.id) > 0;
-  const weighed = pickCandidates(usable, homeKey, isHolder, deps.pickRandom);
-  const candidates = weighed.map((server) => {
-    const state = deps.board.getState(server.id);
-    const others = deps.sharing.getOthers(server.id);
-    const { localTokens, fetchTokens, slowdown } = planFor(server);
-    return {
-      id: server.id,
-      failureDomain: server.failureDomain,
-      calls: state.inFlight + countOthers(deps, server.id, state),
-      slots: engine.slots,
-      waitMs: (state.pendingTokens + others.pendingTokens) / readPerMs,
-      localTokens,
-      fetchTokens,
-      fetchSlowdown: slowdown,
-      heldTokens: state.heldTokens + others.heldTokens,
-      capacityTokens: engine.capacityTokens,
-      failureShare: state.failureShare,
-      isSilent: state.silentMs >= SILENT_MS,
-      isOutdated: isOutdated(server),
-    };
-  });
-  const placement = placeCall({
-    candidates,
-    homeKey,
-    inputTokens: prompt.inputTokens,
-    needTokens: estimateHeldTokens(prompt),
-    ownDomain: deps.failureDomain,
-    outdatedMs: namedMs < OUTDATED_FROM_MS ? OUTDATED_EARLY_MS : OUTDATED_LATE_MS,
-    rates: {
-      readPerMs,
-      runMs: deps.board.getRunMs(job.service.name),
-      fetchPerMs,
-    },
-  });
+  const rankEngines = (engines: readonly BackendEntry[]) => {
+    const candidates = engines.map((server) => {
+      const state = deps.board.getState(server.id);
+      const others = deps.sharing.getOthers(server.id);
+      const { localTokens, fetchTokens, slowdown } = planFor(server);
+      return {
+        id: server.id,
+        failureDomain: server.failureDomain,
+        calls: state.inFlight + countOthers(deps, server.id, state),
+        slots: engine.slots,
+        waitMs: (state.pendingTokens + others.pendingTokens) / readPerMs,
+        localTokens,
+        fetchTokens,
+        fetchSlowdown: slowdown,
+        heldTokens: state.heldTokens + others.heldTokens,
+        capacityTokens: engine.capacityTokens,
+        failureShare: state.failureShare,
+        isSilent: state.silentMs >= SILENT_MS,
+        isOutdated: isOutdated(server),
+      };
+    });
+    const placement = placeCall({
+      candidates,
+      homeKey,
+      inputTokens: prompt.inputTokens,
+      needTokens: estimateHeldTokens(prompt),
+      ownDomain: deps.failureDomain,
+      outdatedMs: namedMs < OUTDATED_FROM_MS ? OUTDATED_EARLY_MS : OUTDATED_LATE_MS,
+      rates: {
+        readPerMs,
+        runMs: deps.board.getRunMs(job.service.name),
+        fetchPerMs,
+      },
+    });
+    const now = readMonotonicMs();
+    const admission = admitCall({
+      expectedMs: placement.expectedMs,
+      queueMs: placement.queueMs,
+      memoryShare: placement.memoryShare,
+      remainingMs: job.endsMs - now,
+      waitedMs: now - job.arrivedMs,
+      targetMs: job.route.targetMs,
+      priority: job.account?.priority ?? job.route.priority,
+    });
+    return { placement, admission };
+  };
+  const some = pickCandidates(usable, homeKey, isHolder, deps.pickRandom);
+  const first = rankEngines(some);
+  // A call waits or is refused only when no engine at all has room.
+  const isDecided = first.admission.kind === 'admit' || some.length === usable.length;
+  const { placement, admission } = isDecided ? first : rankEngines(usable);
   const server = usable.find(({ id }) => id === placement.id);
   if (server === undefined) return { kind: 'refuse', reason: 'no server', retryAfterMs: NO_SERVER_RETRY_MS };
-  const now = readMonotonicMs();
-  const admission = admitCall({
-    expectedMs: placement.expectedMs,
-    queueMs: placement.queueMs,
-    memoryShare: placement.memoryShare,
-    remainingMs: job.endsMs - now,
-    waitedMs: now - job.arrivedMs,
-    targetMs: job.route.targetMs,
-    priority: job.account?.priority ?? job.route.priority,
-  });
   if (admission.kind === 'wait') return admission;
   if (admission.kind === 'refuse') {
     const { id, expectedMs, queueMs, memoryShare } = placement;
