Count the bound on old weights from their first successor

The lease had changed hands five times, so the engine had not been ordered. Version 3 was named at 37.12 s, and hosts measured the age of the newest version alone, so the engine was permitted again for 6.7 s. Ruled out: the age of version 2 (4.4 to 5.4 s old when heard of), and a host that had just started: a running one sent such calls too. Change: a server may be used until the bound after the first version that replaced its own. Test: weights that are named later give no more time; it fails without the change.

--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -94,9 +94,14 @@
   const namedMs = named === undefined ? 0 : named.isInitial ? Infinity : computeElapsedMs(named.earliest);
   const isOutdated = (server: BackendEntry): boolean =>
     named !== undefined && (server.versions.get(prompt.model) ?? named.version) < named.version;
+  // The bound counts from the first version after the server's: a newer one that is named later gives it no more time.
   const isPermitted = (server: BackendEntry): boolean => {
-    if (!isOutdated(server)) return true;
-    return namedMs < deps.bounds.versionMs - VERSION_MARGIN_MS;
+    const successor = isOutdated(server)
+      ? deps.fleet.findSuccessor(prompt.model, server.versions.get(prompt.model) ?? 0)
+      : undefined;
+    if (successor === undefined) return true;
+    const replacedMs = successor.isInitial ? Infinity : computeElapsedMs(successor.earliest);
+    return replacedMs < deps.bounds.versionMs - VERSION_MARGIN_MS;
   };
   // A mark of an older version counts too: its order may be under way when newer weights are named.
   const isLoading = (server: BackendEntry): boolean => isUnderOrder(server) && namedMs < ROLLING_MS;
--- a/packages/forward-calls/test/choose-server.test.ts
+++ b/packages/forward-calls/test/choose-server.test.ts
@@ -1,3 +1,4 @@
+import { readMoment } from '@laburnumshift/clock';
 import type { BackendEntry } from '@laburnumshift/forward-types';
 import { createEngineBoard } from '@laburnumshift/track-engines';
 import test from 'ava';
@@ -45,7 +46,10 @@
   const board = createEngineBoard();
   for (const { id } of ENGINES)
     if (id !== freeId) board.beginCall(id, { uncachedTokens: 0, totalTokens: CAPACITY_TOKENS });
-  const deps = {
+  return chooseServer(createDeps(board), JOB, new Set());
+};
+const createDeps = (board: ReturnType<typeof createEngineBoard>): ForwardDeps =>
+  ({
     board,
     fleet: { listBackends: () => ENGINES, getWeights: () => undefined, getConfig: () => undefined },
     keeper: {
@@ -56,9 +60,7 @@
     bounds: { versionMs: 10_000 },
     failureDomain: 'north',
     pickRandom: () => 0,
-  } as unknown as ForwardDeps;
-  return chooseServer(deps, JOB, new Set());
-};
+  }) as unknown as ForwardDeps;
 
 test('a call goes to the one engine with room, also when it is not among those weighed first', (t) => {
   for (const { id } of ENGINES) {
@@ -70,3 +72,31 @@
 test('a call waits when no engine has room and its target allows it', (t) => {
   t.is(chooseWithOneFree(undefined).kind, 'wait');
 });
+
+test('weights that are named later give engines on older ones no more time', (t) => {
+  const now = readMoment();
+  const createNamed = (version: number, ageMs: number) => {
+    const moment = { steadyMs: now.steadyMs - ageMs, wallMs: now.wallMs - ageMs };
+    return { model: 'model', version, learned: moment, earliest: moment, isInitial: false };
+  };
+  const history = [createNamed(2, 9000), createNamed(3, 100)];
+  const chooseWith = (versions: readonly number[]) => {
+    const servers = versions.map((version, index) => ({
+      ...ENGINES[index],
+      versions: new Map([['model', version]]),
+    }));
+    const deps = {
+      ...createDeps(createEngineBoard()),
+      fleet: {
+        listBackends: () => servers,
+        getWeights: () => history[1],
+        findSuccessor: (_: string, version: number) => history.find((named) => named.version > version),
+        getConfig: () => undefined,
+      },
+    } as unknown as ForwardDeps;
+    return chooseServer(deps, JOB, new Set());
+  };
+  t.like(chooseWith([1]), { kind: 'refuse', reason: 'weights are being replaced' });
+  const choice = chooseWith([1, 2]);
+  t.is(choice.kind === 'server' ? choice.version : choice.kind, 2);
+});
