Share what listeners, addresses and header sets had twice

Read in the change: IP:port was taken apart in six places beside run-node's splitAddress, and three listeners wrapped listen alike; they call the new addresses package, where splitAddress moved. platform/ and serve-callers share the header fields of a connection. The period of loads is returned where it is known, in place of a flag kept for it. AnswerHead.idleMs was decoded for each answer and read by nobody. Behaviour is unchanged.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { splitAddress } from '@laburnumshift/addresses';
 import { startTimer } from '@laburnumshift/clock';
 import type { EdgeCodec } from '@laburnumshift/forward-types';
 import { BackendAgent } from './backend-agent.js';
@@ -23,15 +24,13 @@
   return {
     sendCall: (backend, maxConnections, backendCall, body, handlers): SentCall => {
       const { call } = backendCall;
-      const [address = '', port = ''] = backend.address.split(':');
       let phase: SendFault['type'] = 'not-sent';
       let isOpen = true;
       let response: http.IncomingMessage | undefined;
       const headers = codec.encodeCall(backendCall);
       if (body.length > 0 || call.method !== 'GET') headers.push('Content-Length', String(body.length));
       const request = http.request({
-        host: address,
-        port: Number(port),
+        ...splitAddress(backend.address),
         method: call.method,
         path: call.target,
         headers,
--- a/packages/forward-calls/src/serve-forwards.ts
+++ b/packages/forward-calls/src/serve-forwards.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { openListener } from '@laburnumshift/addresses';
 import { readMonotonicMs } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
 import { createCallerReply } from './create-caller-reply.js';
@@ -12,6 +13,8 @@
 
 /** Largest head that is parsed at all, bytes; the configured limit is below. */
 const MAX_HEAD_BYTES = 65_536;
+/** Connections that wait to be accepted: those of a burst while the process is busy. */
+const BACKLOG = 1024;
 const DEFAULT_IDLE_MS = 15_000;
 /** Retry-After while the host knows no current configuration, milliseconds. */
 const NO_CONFIG_RETRY_MS = 500;
@@ -116,14 +119,7 @@
     if (socket.writable)
       socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
   });
-  const [host, port] = address.split(':');
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(Number(port), host, 1024, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
+  await openListener(server, address, BACKLOG);
   logger.info('listening for callers', { address });
 
   return {
--- a/packages/forward-types/src/answer-head.ts
+++ b/packages/forward-types/src/answer-head.ts
@@ -20,8 +20,6 @@
   readonly load: BackendLoad | undefined;
   /** Weight version that made the answer. */
   readonly version: number | undefined;
-  /** How long the server keeps an idle connection, milliseconds. */
-  readonly idleMs: number | undefined;
   /** Header fields for the caller: names and values in turn, without those of the connection. */
   readonly passedHeaders: readonly string[];
 }
--- /dev/null
+++ b/packages/place-calls/test/create-engine.ts
@@ -0,0 +1,19 @@
+import type { EngineCandidate } from '@laburnumshift/place-calls';
+
+/** An idle engine without anything cached. */
+export const createEngine = (id: string, changes: Partial<EngineCandidate> = {}): EngineCandidate => ({
+  id,
+  failureDomain: 'north',
+  waitMs: 0,
+  calls: 0,
+  slots: 12,
+  localTokens: 0,
+  fetchTokens: 0,
+  fetchSlowdown: 1,
+  heldTokens: 0,
+  capacityTokens: 100_000,
+  failureShare: 0,
+  isSilent: false,
+  isOutdated: false,
+  ...changes,
+});
--- a/packages/place-calls/test/pick-candidates.test.ts
+++ b/packages/place-calls/test/pick-candidates.test.ts
@@ -2,6 +2,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import test from 'ava';
+import { createEngine } from './create-engine.js';
 
 const ENGINES = Array.from({ length: 98 }, (_, index) => ({ id: `e${String(index)}` }));
 const createRandom = (): (() => number) => {
@@ -45,21 +46,9 @@
     }
     const key = `prompt-${String(Math.floor(random() * 40))}`;
     const { id } = placeCall({
-      candidates: pick(ENGINES, key).map((engine) => ({
-        id: engine.id,
-        failureDomain: 'north',
-        waitMs: known.get(engine.id) ?? 0,
-        calls: 0,
-        slots: 12,
-        localTokens: 0,
-        fetchTokens: 0,
-        fetchSlowdown: 1,
-        heldTokens: 0,
-        capacityTokens: 81_390,
-        failureShare: 0,
-        isSilent: false,
-        isOutdated: false,
-      })),
+      candidates: pick(ENGINES, key).map((engine) =>
+        createEngine(engine.id, { waitMs: known.get(engine.id) ?? 0, capacityTokens: 81_390 }),
+      ),
       homeKey: key,
       inputTokens: 5000,
       needTokens: 5000,
--- a/packages/place-calls/test/place-call.test.ts
+++ b/packages/place-calls/test/place-call.test.ts
@@ -1,22 +1,7 @@
 import { placeCall, placePlainCall, type EngineCandidate } from '@laburnumshift/place-calls';
 import test from 'ava';
+import { createEngine } from './create-engine.js';
 
-const createEngine = (id: string, changes: Partial<EngineCandidate> = {}): EngineCandidate => ({
-  id,
-  failureDomain: 'north',
-  waitMs: 0,
-  calls: 0,
-  slots: 12,
-  localTokens: 0,
-  fetchTokens: 0,
-  fetchSlowdown: 1,
-  heldTokens: 0,
-  capacityTokens: 100_000,
-  failureShare: 0,
-  isSilent: false,
-  isOutdated: false,
-  ...changes,
-});
 const place = (candidates: readonly EngineCandidate[], outdatedMs = 400) =>
   placeCall({
     candidates,
--- a/packages/relay-events/src/serve-changes.ts
+++ b/packages/relay-events/src/serve-changes.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { openListener } from '@laburnumshift/addresses';
 import { pack } from 'msgpackr';
 import type { RelayPage } from './relay-page.js';
 
@@ -14,13 +15,6 @@
     response.writeHead(200, { 'content-type': 'application/msgpack', 'content-length': bytes.length });
     response.end(bytes);
   });
-  const [host, port] = address.split(':');
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(Number(port), host, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
+  await openListener(server, address);
   return server;
 }
--- a/packages/run-forwarder/src/serve-status.ts
+++ b/packages/run-forwarder/src/serve-status.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { openListener } from '@laburnumshift/addresses';
 import { createLogger } from '@laburnumshift/logger';
 import type { StatusPages } from './status-pages.js';
 
@@ -12,14 +13,7 @@
     response.writeHead(page.status, { 'content-type': 'text/plain' });
     response.end(page.text);
   });
-  const [host, port] = address.split(':');
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(Number(port), host, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
+  await openListener(server, address);
   createLogger('status').info('listening', { address, paths: Object.keys(pages) });
   return server;
 }
--- a/packages/run-node/src/run-node.ts
+++ b/packages/run-node/src/run-node.ts
@@ -1,5 +1,6 @@
 import { randomInt } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
+import { splitAddress } from '@laburnumshift/addresses';
 import { createRunRegistry } from '@laburnumshift/attach-runs';
 import { createNodeMesh } from '@laburnumshift/call-node';
 import { createPlatformClient } from '@laburnumshift/call-platform';
@@ -31,7 +32,6 @@
 import { registerHandlers } from './register-handlers.js';
 import type { RunningNode } from './running-node.js';
 import { setGauges } from './set-gauges.js';
-import { splitAddress } from './split-address.js';
 import { stopNode } from './stop-node.js';
 
 const MAX_SEED = 2 ** 31;
--- a/packages/share-load/src/create-load-sharing.ts
+++ b/packages/share-load/src/create-load-sharing.ts
@@ -1,4 +1,5 @@
 import dgram from 'node:dgram';
+import { splitAddress } from '@laburnumshift/addresses';
 import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
 import { pack } from 'msgpackr';
@@ -26,7 +27,7 @@
 const MESSAGES_PER_S = 70;
 /** Datagrams that a relay sends in a second. */
 const RELAYED_PER_S = 240;
-/** Hosts without work tell so in every so-manieth period only. */
+/** Periods between two messages of a host without work. */
 const IDLE_PERIODS = 4;
 /** A relay that is told this host's work and has not answered for this time is passed over, milliseconds. */
 const SUSPECT_AFTER_MS = 1500;
@@ -50,9 +51,7 @@
   const toldSince = new Map<string, number>();
   const suspectUntil = new Map<string, number>();
   const socket = dgram.createSocket('udp4');
-  const [address, port] = self.address.split(':');
   let number = 0;
-  let isRelayed = false;
   let isClosed = false;
   let sum: LoadSum = { loads: new Map(), hosts: 0 };
   let sumMs = -Infinity;
@@ -88,8 +87,8 @@
     const message = [kind, self.host, bornMs, number, self.failureDomain, hosts, loads] as const;
     const bytes = pack(message satisfies LoadMessage);
     for (const peer of peers) {
-      const [peerAddress, peerPort] = peer.address.split(':');
-      socket.send(bytes, Number(peerPort), peerAddress);
+      const { host, port } = splitAddress(peer.address);
+      socket.send(bytes, port, host);
     }
   };
   const checkRelays = (relays: readonly HostPeer[]): void => {
@@ -103,18 +102,21 @@
       toldSince.delete(host);
     }
   };
-  /** Sends the messages of one period and returns their number. */
+  const computeMeshPauseMs = (sent: number): number =>
+    Math.max(MIN_PERIOD_MS, (sent * MS_PER_S) / MESSAGES_PER_S);
+  const computeRelayPauseMs = (sent: number): number =>
+    Math.max(RELAYED_PERIOD_MS, (sent * MS_PER_S) / RELAYED_PER_S);
+  /** Sends the messages of one period and returns the pause until the next, milliseconds. */
   const sendOnce = (): number => {
     const own = board.listLoads();
     const plan = getPlan();
-    isRelayed = plan.isRelayed;
     const reports = table.listFresh(MESSAGE_KINDS.own);
     number += 1;
     const isDue = own.length > 0 || number % IDLE_PERIODS === 0;
     if (isDue) sendTo(plan.reportTo, MESSAGE_KINDS.own, 1, own);
-    if (!plan.isRelayed) return plan.reportTo.length;
+    if (!plan.isRelayed) return computeMeshPauseMs(plan.reportTo.length);
     checkRelays(plan.reportTo);
-    if (reports.length === 0) return plan.reportTo.length;
+    if (reports.length === 0) return computeRelayPauseMs(plan.reportTo.length);
     const ownPart = { loads: own, hosts: 1 };
     const domain = mergeLoads([ownPart, ...reports]);
     sendTo(plan.otherRelays, MESSAGE_KINDS.domain, domain.hosts, listRest(domain, []));
@@ -126,11 +128,10 @@
       if (peer !== undefined)
         sendTo([peer], MESSAGE_KINDS.others, all.hosts - 1, listRest(all, report.loads));
     }
-    return plan.reportTo.length + plan.otherRelays.length + reports.length;
+    return computeRelayPauseMs(plan.reportTo.length + plan.otherRelays.length + reports.length);
   };
-  const scheduleSend = (sentBefore: number): void => {
-    const [perS, leastMs] = isRelayed ? [RELAYED_PER_S, RELAYED_PERIOD_MS] : [MESSAGES_PER_S, MIN_PERIOD_MS];
-    startTimer(Math.max(leastMs, (sentBefore * MS_PER_S) / perS), () => {
+  const scheduleSend = (pauseMs: number): void => {
+    startTimer(pauseMs, () => {
       if (!isClosed) scheduleSend(sendOnce());
     });
   };
@@ -153,9 +154,10 @@
     logger.warn('datagram failed', { detail: error.message });
   });
   await new Promise<void>((resolve) => {
-    socket.bind(Number(port), address, resolve);
+    const { host, port } = splitAddress(self.address);
+    socket.bind(port, host, resolve);
   });
-  scheduleSend(0);
+  scheduleSend(MIN_PERIOD_MS);
 
   return {
     getOthers: (server) => getSum().loads.get(server) ?? NO_LOAD,
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -14,6 +14,7 @@
 export type { ConfigHead } from './config-head.js';
 export type { ConfigSegment } from './config-segment.js';
 export type { ConfigUpdate } from './config-update.js';
+export { CONNECTION_HEADERS } from './connection-headers.js';
 export type { ConvictionNotice } from './conviction-notice.js';
 export type { CutoverConfig } from './cutover-config.js';
 export type { EngineClient } from './engine-client.js';
