Refuse senseless questions to a relay, and fail when the datagram port is taken

Found while reading the change: a question to a relay's port with the path // ended the process (Invalid URL in the handler), and a position that is no number got everything. A datagram port that was taken left the start waiting for ever. Tests: such questions get 400 or are harmless; the start rejects.

--- a/packages/relay-events/src/serve-changes.ts
+++ b/packages/relay-events/src/serve-changes.ts
@@ -9,8 +9,13 @@
   buildPage: (life: string, since: number) => RelayPage,
 ): Promise<http.Server> {
   const server = http.createServer((request, response) => {
-    const { searchParams } = new URL(request.url ?? '/', 'http://relay');
-    const page = buildPage(searchParams.get('life') ?? '', Number(searchParams.get('since') ?? 0));
+    const query = new URLSearchParams((request.url ?? '').split('?', 2)[1]);
+    const since = Number(query.get('since'));
+    if (!Number.isInteger(since) || since < 0) {
+      response.writeHead(400).end();
+      return;
+    }
+    const page = buildPage(query.get('life') ?? '', since);
     const bytes = pack(page);
     response.writeHead(200, { 'content-type': 'application/msgpack', 'content-length': bytes.length });
     response.end(bytes);
--- a/packages/relay-events/test/create-events-relay.test.ts
+++ b/packages/relay-events/test/create-events-relay.test.ts
@@ -1,3 +1,4 @@
+import http from 'node:http';
 import net from 'node:net';
 import type { CacheEvent, CacheEventsPage } from '@laburnumshift/forward-types';
 import { createEventsRelay } from '@laburnumshift/relay-events';
@@ -135,3 +136,21 @@
   await waitFor('own reads in its place', () => host.listPieces().join() === 'x', 8000);
   t.true(host.relay.isReading('e'));
 });
+
+test('questions that make no sense are refused and harm nobody', async (t) => {
+  const engine = createEngine();
+  engine.addEvent(add('x'));
+  const host = await startHost(t, engine.readEvents, () => undefined);
+  for (const path of ['//', '/?since=x', '/?since=-1', '/?life=a&since=1.5']) {
+    const status = await new Promise<number | undefined>((resolve, reject) => {
+      const [ip, port] = host.address.split(':');
+      http
+        .get({ host: ip, port, path, agent: false }, (response) => {
+          response.resume();
+          resolve(response.statusCode);
+        })
+        .on('error', reject);
+    });
+    t.is(status, path === '//' ? 200 : 400);
+  }
+});
--- a/packages/share-load/src/create-load-sharing.ts
+++ b/packages/share-load/src/create-load-sharing.ts
@@ -39,7 +39,7 @@
 const NO_LOAD = { inFlight: 0, pendingTokens: 0, heldTokens: 0 };
 
 /**
- * Shares the work of hosts by datagrams. Each message holds the whole state of what it covers, so lost ones do no harm, and
+ * Shares the work of hosts by datagrams; rejects when the port is taken. Each message holds the whole state of what it covers, so lost ones do no harm, and
  * there are no connections that could go silent. In small fleets each host tells all others; in large ones it tells two relays
  * of its failure domain, which exchange sums with the relays elsewhere and return to each host the work of all others.
  */
@@ -150,13 +150,17 @@
     sumMs = -Infinity;
     suspectUntil.delete(message[1]);
   });
+  await new Promise<void>((resolve, reject) => {
+    const { host, port } = splitAddress(self.address);
+    socket.once('error', reject);
+    socket.bind(port, host, () => {
+      socket.off('error', reject);
+      resolve();
+    });
+  });
   socket.on('error', (error) => {
     logger.warn('datagram failed', { detail: error.message });
   });
-  await new Promise<void>((resolve) => {
-    const { host, port } = splitAddress(self.address);
-    socket.bind(port, host, resolve);
-  });
   scheduleSend(MIN_PERIOD_MS);
 
   return {
--- a/packages/share-load/test/create-load-sharing.test.ts
+++ b/packages/share-load/test/create-load-sharing.test.ts
@@ -117,3 +117,11 @@
   );
   t.pass();
 });
+
+test('a port that is taken rejects', async (t) => {
+  const port = await findPort();
+  const { sharing } = await startHost(createPeer('one', port), () => []);
+  t.teardown(sharing.close);
+  const error = await t.throwsAsync(startHost(createPeer('two', port), () => []));
+  t.is((error as NodeJS.ErrnoException).code, 'EADDRINUSE');
+});
