Follow platform objects by way of the relay that tells cache events

Ruled out: longer waits alone, as they bound the age of keys and the drain of servers. Change: a page of a relay, read every 400 ms anyway, also holds the changes of configuration, servers and weights after the follower's revisions, with upper bounds of their ages. Copies keep their bounds: ages add up, an old or silent relay sends the watch to the store at once, a gap leads to a list. Hosts that others follow wait 0.7 s at most. Also fewer wake-ups: one timer for all checks for silent servers and one for calls that wait for room, the second relay of a domain answers a quarter as often, idle pauses are longer, hosts far from the lease look every 6 s. Tests: bounds of age, lost changes by an older question, removals found by a list, a silent or old relay, a relay without history.

--- a/packages/clock/src/watch-suspension.ts
+++ b/packages/clock/src/watch-suspension.ts
@@ -2,7 +2,7 @@
 import { readMoment } from './read-moment.js';
 import { runEvery } from './run-every.js';
 
-const PERIOD_MS = 200;
+const PERIOD_MS = 400;
 /** A gap longer than this, milliseconds, is a suspension: other hosts give up calls and close connections in such a time. */
 const GAP_MS = 1000;
 
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -5,8 +5,6 @@
 import type { AttemptInput } from './attempt-input.js';
 import type { ForwardDeps } from './forward-deps.js';
 
-/** How often a call that may be repeated looks whether its server went silent, milliseconds. */
-const SILENCE_CHECK_MS = 250;
 /** A server with calls that sends nothing for so long is taken for dead, milliseconds; see the pauses that streams allow. */
 const SILENCE_MS = 1200;
 /** Time over the end of the call that the server's own answer to the deadline gets, milliseconds. */
@@ -49,11 +47,7 @@
     const checkSilence = (): void => {
       const { silentMs } = deps.board.getState(server.id);
       const startedMs = readMonotonicMs() - sentMs;
-      if (Math.min(silentMs, startedMs) >= SILENCE_MS) {
-        cancel(buildBrokenEnd('server is silent'), 'failed');
-        return;
-      }
-      stopCheck = startTimer(SILENCE_CHECK_MS, checkSilence);
+      if (Math.min(silentMs, startedMs) >= SILENCE_MS) cancel(buildBrokenEnd('server is silent'), 'failed');
     };
     const buildBrokenEnd = (reason: string): AttemptEnd => {
       splitter.clearRest();
@@ -79,7 +73,7 @@
 
     const sentMs = readMonotonicMs();
     job.left.addEventListener('abort', handleLeft);
-    if (input.isRepeatable) stopCheck = startTimer(SILENCE_CHECK_MS, checkSilence);
+    if (input.isRepeatable) stopCheck = deps.watchSilence(checkSilence);
     const sent: SentCall = deps.pool.sendCall(server, input.maxConnections, backendCall, job.body, {
       onHead: (received) => {
         head = received;
--- a/packages/forward-calls/src/forward-deps.ts
+++ b/packages/forward-calls/src/forward-deps.ts
@@ -21,4 +21,8 @@
   readonly failureDomain: string;
   /** 0 to 1; decides among equals. */
   readonly pickRandom: () => number;
+  /** Calls a handler at each check for silent servers until it is stopped. */
+  readonly watchSilence: (check: () => void) => () => void;
+  /** Calls a handler each time at which waiting calls look for room until it is stopped. */
+  readonly watchRoom: (check: () => void) => () => void;
 }
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -1,4 +1,4 @@
-import { readMonotonicMs, sleep } from '@laburnumshift/clock';
+import { readMonotonicMs } from '@laburnumshift/clock';
 import { CALL_KINDS, type AnswerHead } from '@laburnumshift/forward-types';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import type { Logger } from '@laburnumshift/logger';
@@ -11,6 +11,7 @@
 import type { ForwardDeps } from './forward-deps.js';
 import type { ForwardJob } from './forward-job.js';
 import { replyRefusal } from './reply-refusal.js';
+import { waitRoom } from './wait-room.js';
 
 /** Attempts whose connection failed before anything was sent; each takes another server. */
 const MAX_UNSENT = 3;
@@ -22,8 +23,6 @@
 const MIN_CONNECTIONS = 4;
 /** Retry-After when servers refused the call, milliseconds: a short queue has changed by then. */
 const FULL_RETRY_MS = 400;
-/** Pause before a call that waits for room asks again, milliseconds: about the time between two ends of calls. */
-const ROOM_MS = 30;
 const DEFAULT_PRIORITY = 5;
 const MAX_URGENCY = 9;
 
@@ -102,7 +101,7 @@
       return;
     }
     if (choice.kind === 'wait') {
-      await sleep(ROOM_MS, job.left);
+      await waitRoom(deps, job.left);
       continue;
     }
     const { server } = choice;
--- a/packages/relay-events/src/create-events-relay.ts
+++ b/packages/relay-events/src/create-events-relay.ts
@@ -1,15 +1,11 @@
 import { randomUUID } from 'node:crypto';
 import http from 'node:http';
-import { readMonotonicMs, runEvery } from '@laburnumshift/clock';
+import { computeElapsedMs, readMoment, readMonotonicMs, runEvery } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
-import {
-  applyChange,
-  readCacheEvents,
-  type EventsReader,
-  type ReadChange,
-} from '@laburnumshift/read-cache-events';
+import { applyChange, readCacheEvents, type ReadChange } from '@laburnumshift/read-cache-events';
 import { createChangeLog } from './create-change-log.js';
 import { readChanges } from './read-changes.js';
+import type { EventsRelay } from './events-relay.js';
 import type { RelayOptions } from './relay-options.js';
 import type { RelayPage } from './relay-page.js';
 import { serveChanges } from './serve-changes.js';
@@ -27,11 +23,11 @@
 }
 
 /**
- * Creates a reader of cache events that is shared among hosts. Positions in the log of a relay are valid in one life of it;
+ * Creates a reader of cache events that is shared among hosts, with the platform objects that they follow. Positions in the log of a relay are valid in one life of it;
  * with another life or a gap, a page holds all pieces.
  */
-export async function createEventsRelay(options: RelayOptions): Promise<EventsReader> {
-  const { board, getUpstream } = options;
+export async function createEventsRelay(options: RelayOptions): Promise<EventsRelay> {
+  const { board, getUpstream, objects } = options;
   const logger = createLogger('relay');
   const life = randomUUID();
   const log = createChangeLog();
@@ -58,7 +54,23 @@
         .map((piece) => ({ ...piece, isAdded: true, tokens: pieces.getTokens(piece.scope, piece.piece) }));
       return [{ engine, bootId, isCleared: true, events }];
     });
-  const buildPage = (knownLife: string, since: number): RelayPage => {
+  const readObjects = (kind: string, after: number): RelayPage['objects'][string] => {
+    const known = options.readObjects(kind, after);
+    if (known === undefined) return null;
+    const { changes, recoveredMs, ageMs, ...rest } = known;
+    if (!Number.isFinite(ageMs)) return null;
+    return {
+      ...rest,
+      changes: [...changes],
+      ageMs,
+      recoveredMs: Number.isFinite(recoveredMs) ? recoveredMs : null,
+    };
+  };
+  const buildPage = (
+    knownLife: string,
+    since: number,
+    wanted: readonly (readonly [string, number])[],
+  ): RelayPage => {
     askedMs = readMonotonicMs();
     const changes = (knownLife === life ? log.listSince(since) : undefined) ?? listAll();
     return {
@@ -72,6 +84,7 @@
         isCleared,
         events.map(({ isAdded, scope, piece, tokens }) => [isAdded, scope, piece, tokens]),
       ]),
+      objects: Object.fromEntries(wanted.map(([kind, after]) => [kind, readObjects(kind, after)])),
     };
   };
   const applyPage = (page: RelayPage): void => {
@@ -108,9 +121,15 @@
     else if (upstream === undefined) setDirect(true, 'no relay before this host');
     else if (!isTold() && readMonotonicMs() - followedSinceMs > STALE_MS)
       setDirect(true, 'relay does not answer');
-    if (upstream === undefined || isAsked()) return;
-    const page = await readChanges(agent, upstream, told?.page.life ?? '', told?.page.next ?? 0);
+    if (upstream === undefined || isAsked()) {
+      objects.stopFollowing('this host reads itself');
+      return;
+    }
+    const sent = readMoment();
+    const position = [told?.page.life ?? '', told?.page.next ?? 0] as const;
+    const page = await readChanges(agent, upstream, ...position, objects.listWanted());
     if (typeof page === 'string') {
+      objects.stopFollowing('no page from the relay');
       if (!isLost) logger.warn('no page from the relay', { upstream, reason: page });
       isLost = true;
       return;
@@ -120,6 +139,11 @@
     if (isAsked()) return;
     setDirect(false, 'relay answers');
     applyPage(page);
+    const answers = Object.entries(page.objects).map(([kind, known]) => {
+      const recoveredMs = known?.recoveredMs ?? Infinity;
+      return [kind, known === null ? undefined : { ...known, recoveredMs }] as const;
+    });
+    objects.applyAnswers(new Map(answers), computeElapsedMs(sent));
   };
   const server = await serveChanges(options.address, buildPage);
   const stopFollowing = runEvery(POLL_MS, pollOnce, (error) => {
@@ -144,6 +168,7 @@
       const { page, atMs } = told;
       return page.clockMs === null ? undefined : page.clockMs + readMonotonicMs() - atMs;
     },
+    isAsked,
     close: () => {
       stopFollowing();
       direct.close();
--- a/packages/relay-events/src/read-changes.ts
+++ b/packages/relay-events/src/read-changes.ts
@@ -15,9 +15,11 @@
   address: string,
   life: string,
   since: number,
+  wanted: readonly (readonly [kind: string, after: number])[],
 ): Promise<RelayPage | string> {
   return new Promise((resolve) => {
     const query = new URLSearchParams({ life, since: String(since) });
+    for (const [kind, after] of wanted) query.append('kind', `${kind}:${String(after)}`);
     const request = http.get(`http://${address}/?${query.toString()}`, { agent }, (response) => {
       const parts: Buffer[] = [];
       let bytes = 0;
--- a/packages/relay-events/src/relay-options.ts
+++ b/packages/relay-events/src/relay-options.ts
@@ -1,4 +1,5 @@
-import type { EngineControl } from '@laburnumshift/forward-types';
+import type { EngineControl, RelayedChanges } from '@laburnumshift/forward-types';
+import type { RelayedSource } from '@laburnumshift/relay-objects';
 import type { EngineBoard } from '@laburnumshift/track-engines';
 
 /** Options of the relay of cache events. */
@@ -9,4 +10,8 @@
   readonly address: string;
   /** Address of the host to follow; `undefined` when this one reads itself. */
   readonly getUpstream: () => string | undefined;
+  /** Platform objects that are followed with the events. */
+  readonly objects: Pick<RelayedSource, 'listWanted' | 'applyAnswers' | 'stopFollowing'>;
+  /** Changes of platform objects that this host knows, for those that follow it. */
+  readonly readObjects: (kind: string, after: number) => RelayedChanges | undefined;
 }
--- a/packages/relay-events/src/relay-page-schema.ts
+++ b/packages/relay-events/src/relay-page-schema.ts
@@ -7,6 +7,22 @@
   z.array(z.tuple([z.boolean(), z.string(), z.string(), z.number().nonnegative()])),
 ]);
 
+const OBJECT_CHANGE = z.object({
+  isRemoved: z.boolean(),
+  object: z.object({ name: z.string(), revision: z.number(), spec: z.unknown(), status: z.unknown() }),
+});
+
+/** Changes of platform objects; absent where the relay does not know what changed since the position. */
+const KIND_CHANGES = z.object({
+  after: z.number(),
+  changes: z.array(OBJECT_CHANGE),
+  revision: z.number(),
+  ageMs: z.number().nonnegative(),
+  changedMs: z.number().nonnegative(),
+  /** Null when there was no outage. */
+  recoveredMs: z.number().nonnegative().nullable(),
+});
+
 /** Answer of a relay: changes after the position that was asked for. */
 export const RELAY_PAGE = z.object({
   /** Changes when the relay restarted. */
@@ -17,4 +33,6 @@
   /** Engines and stores that the relay follows without a failure now. */
   reading: z.array(z.string()),
   changes: z.array(CHANGE),
+  /** Changes of platform objects by kind. */
+  objects: z.record(z.string(), KIND_CHANGES.nullable()),
 });
--- a/packages/relay-events/src/serve-changes.ts
+++ b/packages/relay-events/src/serve-changes.ts
@@ -6,7 +6,7 @@
 /** Serves pages of changes to other hosts; each question names the life and the position that it knows. */
 export async function serveChanges(
   address: string,
-  buildPage: (life: string, since: number) => RelayPage,
+  buildPage: (life: string, since: number, wanted: readonly (readonly [string, number])[]) => RelayPage,
 ): Promise<http.Server> {
   const server = http.createServer((request, response) => {
     const query = new URLSearchParams((request.url ?? '').split('?', 2)[1]);
@@ -15,7 +15,15 @@
       response.writeHead(400).end();
       return;
     }
-    const page = buildPage(query.get('life') ?? '', since);
+    const wanted = query.getAll('kind').map((text): readonly [string, number] => {
+      const at = text.lastIndexOf(':');
+      return [text.slice(0, at), Number(text.slice(at + 1))];
+    });
+    if (wanted.some(([, after]) => !Number.isInteger(after) || after < 0)) {
+      response.writeHead(400).end();
+      return;
+    }
+    const page = buildPage(query.get('life') ?? '', since, wanted);
     const bytes = pack(page);
     response.writeHead(200, { 'content-type': 'application/msgpack', 'content-length': bytes.length });
     response.end(bytes);
--- a/packages/relay-events/test/create-events-relay.test.ts
+++ b/packages/relay-events/test/create-events-relay.test.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import type { CacheEvent, CacheEventsPage } from '@laburnumshift/forward-types';
-import { createEventsRelay } from '@laburnumshift/relay-events';
+import { createEventsRelay, type RelayOptions } from '@laburnumshift/relay-events';
 import { waitFor } from '@laburnumshift/test-utils';
 import { createEngineBoard } from '@laburnumshift/track-engines';
 import test, { type ExecutionContext } from 'ava';
@@ -46,10 +46,19 @@
   readEvents: (address: string, since: number) => Promise<CacheEventsPage | undefined>,
   getUpstream: () => string | undefined,
   address?: string,
+  objects: Partial<Pick<RelayOptions, 'objects' | 'readObjects'>> = {},
 ) => {
   const board = createEngineBoard();
   const own = address ?? (await findAddress());
-  const relay = await createEventsRelay({ control: { readEvents }, board, address: own, getUpstream });
+  const relay = await createEventsRelay({
+    control: { readEvents },
+    board,
+    address: own,
+    getUpstream,
+    objects: { listWanted: () => [], applyAnswers: () => undefined, stopFollowing: () => undefined },
+    readObjects: () => undefined,
+    ...objects,
+  });
   relay.startReading('e', '10.0.0.1:80', 10);
   t.teardown(relay.close);
   const listPieces = (): string[] =>
@@ -141,7 +150,7 @@
   const engine = createEngine();
   engine.addEvent(add('x'));
   const host = await startHost(t, engine.readEvents, () => undefined);
-  for (const path of ['//', '/?since=x', '/?since=-1', '/?life=a&since=1.5']) {
+  for (const path of ['//', '/?since=x', '/?since=-1', '/?life=a&since=1.5', '/?kind=a:x', '/?kind=a:-1']) {
     const status = await new Promise<number | undefined>((resolve, reject) => {
       const [ip, port] = host.address.split(':');
       http
@@ -154,3 +163,64 @@
     t.is(status, path === '//' ? 200 : 400);
   }
 });
+
+test('a follower gets the changes of platform objects that the relay knows, with their ages', async (t) => {
+  const engine = createEngine();
+  const object = { name: 'a', revision: 12, spec: { x: 1 }, status: null };
+  const asked: (readonly [string, number])[] = [];
+  const first = await startHost(t, engine.readEvents, () => undefined, undefined, {
+    readObjects: (kind, after) => {
+      asked.push([kind, after]);
+      if (kind === 'unknown') return undefined;
+      const changes = after < 12 ? [{ isRemoved: false, object }] : [];
+      return { after, changes, revision: 15, ageMs: 40, changedMs: 90, recoveredMs: Infinity };
+    },
+  });
+  const received: Parameters<RelayOptions['objects']['applyAnswers']>[] = [];
+  await startHost(t, engine.readEvents, () => first.address, undefined, {
+    objects: {
+      listWanted: () => [
+        ['servers', 9],
+        ['unknown', 3],
+      ],
+      applyAnswers: (...answer) => received.push(answer),
+      stopFollowing: () => undefined,
+    },
+  });
+  await waitFor('an answer', () => received.length > 0, 4000);
+  t.deepEqual(asked.slice(0, 2), [
+    ['servers', 9],
+    ['unknown', 3],
+  ]);
+  const [answers, elapsedMs] = received[0] ?? [new Map(), -1];
+  t.deepEqual(answers.get('servers'), {
+    after: 9,
+    changes: [{ isRemoved: false, object }],
+    revision: 15,
+    ageMs: 40,
+    changedMs: 90,
+    recoveredMs: Infinity,
+  });
+  t.is(answers.get('unknown'), undefined);
+  t.true(answers.has('unknown'));
+  t.true(elapsedMs >= 0);
+});
+
+test('a follower stops following objects when its relay is gone', async (t) => {
+  const engine = createEngine();
+  const first = await startHost(t, engine.readEvents, () => undefined);
+  let stops = 0;
+  let answers = 0;
+  await startHost(t, engine.readEvents, () => first.address, undefined, {
+    objects: {
+      listWanted: () => [],
+      applyAnswers: () => (answers += 1),
+      stopFollowing: () => (stops += 1),
+    },
+  });
+  await waitFor('an answer', () => answers > 0, 4000);
+  const before = stops;
+  first.relay.close();
+  await waitFor('the end', () => stops > before, 4000);
+  t.pass();
+});
--- /dev/null
+++ b/packages/relay-objects/src/index.ts
@@ -0,0 +1,3 @@
+/** Platform objects by way of another host. */
+export { createRelayedSource } from './create-relayed-source.js';
+export type { RelayedSource } from './relayed-source.js';
--- a/packages/roll-weights/src/order-weights.ts
+++ b/packages/roll-weights/src/order-weights.ts
@@ -8,8 +8,9 @@
 import type { RollOptions } from './roll-options.js';
 
 const PERIOD_MS = 60;
-/** Pause of hosts without the lease, milliseconds: a quarter of the shortest time in which it is taken over. */
-const IDLE_PERIOD_MS = 300;
+/** Pauses of hosts without the lease, milliseconds; the first is a quarter of the shortest time in which it is taken over. */
+const WAITING_PERIOD_MS = 300;
+const IDLE_PERIOD_MS = 1000;
 /**
  * Longest time for which an engine finishes its runs without new calls before it is ordered, milliseconds. Most runs end in it;
  * the few longer ones go on under the new weights, as waiting for the longest would cost all others the engine.
@@ -151,11 +152,11 @@
       for (const next of chooseNextOrders(waiting, activeCount, engines.length)) startOrder(next);
     }
   };
-  return runEvery(
-    () => (lease.getFencing() === undefined ? IDLE_PERIOD_MS : PERIOD_MS),
-    runOnce,
-    (error) => {
-      logger.error('rollout failed', { detail: String(error) });
-    },
-  );
+  const computePauseMs = (): number => {
+    if (lease.getFencing() !== undefined) return PERIOD_MS;
+    return listOutdated(fleet).length > 0 ? WAITING_PERIOD_MS : IDLE_PERIOD_MS;
+  };
+  return runEvery(computePauseMs, runOnce, (error) => {
+    logger.error('rollout failed', { detail: String(error) });
+  });
 }
--- a/packages/run-forwarder/src/forwarder-times.ts
+++ b/packages/run-forwarder/src/forwarder-times.ts
@@ -4,6 +4,8 @@
    * Changed servers are read together: each host adds to the pause, so that a fleet makes at most 200 calls a second for them.
    */
   gatherMsPerHost: 5,
+  /** Wait of a watch of a host that others follow: with their own pause, copies stay younger than those of direct watches. */
+  relayWatchMs: 700,
   /** The list of hosts is there after this time, but for outages of the store. */
   hostsKnownMs: 1000,
   /** From this speed of its link on, megabits in a second, a host's size is that of its processor: traffic of a large relay. */
@@ -22,6 +24,11 @@
   freePauseMs: 700,
   /** Lease of orders: see `LeaseDurations`. */
   lease: { holdMs: 1200, challengeMs: 1400, renewMs: 400, pollMs: 300 },
-  /** Pause between looks at the lease while no engine needs an order. */
+  /** Pause between looks at the lease while no engine needs an order, and of hosts that take it only when all candidates are lost. */
   idlePollMs: 3000,
+  farPollMs: 6000,
+  /** How often calls that may be repeated look whether their servers went silent. */
+  silenceCheckMs: 250,
+  /** How often waiting calls look for room: about the time between two ends of calls. */
+  roomCheckMs: 30,
 } as const;
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -1,5 +1,6 @@
 import { createBackendPool } from '@laburnumshift/call-backend';
 import {
+  createSharedTimer,
   readMonotonicMs,
   readWallMs,
   runEvery,
@@ -14,6 +15,7 @@
 import { createLogger } from '@laburnumshift/logger';
 import { createMetrics } from '@laburnumshift/record-metrics';
 import { createEventsRelay } from '@laburnumshift/relay-events';
+import { createRelayedSource } from '@laburnumshift/relay-objects';
 import { listOutdated, orderWeights } from '@laburnumshift/roll-weights';
 import { createLoadSharing } from '@laburnumshift/share-load';
 import { createEngineBoard } from '@laburnumshift/track-engines';
@@ -31,7 +33,7 @@
 
 /** Runs a forwarding host; resolves when it listens. */
 export async function runForwarder(options: ForwarderOptions): Promise<RunningForwarder> {
-  const { settings, codec } = options;
+  const { settings, codec, kinds } = options;
   const { bounds } = settings;
   const times = FORWARDER_TIMES;
   const logger = createLogger('host');
@@ -48,24 +50,29 @@
   const hosts = joinHosts({
     source: options.source,
     leases: options.leases,
-    kind: options.kinds.hosts,
+    kind: kinds.hosts,
     self,
     bornMs,
   });
   const sharing = await createLoadSharing({ self, bornMs, board, listPeers: hosts.listPeers });
   // Without the other hosts this one would read every engine for a moment.
   await waitAtMost(hosts.known, times.hostsKnownMs);
+  const objects = createRelayedSource(options.source, [kinds.config, kinds.backends, kinds.weights], () =>
+    events.isAsked() ? times.relayWatchMs : Infinity,
+  );
   const events = await createEventsRelay({
     control: options.control,
     board,
     address: settings.sharingAddress,
     getUpstream: () => sharing.getPlan().upstream?.address,
+    objects,
+    readObjects: (kind, after) => fleet.readObjects(kind, after),
   });
   const waits = computeWatchWaits(bounds);
   const fleet = trackFleet({
-    source: options.source,
+    source: objects,
     decoder: options.decoder,
-    kinds: options.kinds,
+    kinds,
     waitMs: waits,
     getGatherMs: () => Math.min(waits.maxGather, hosts.listPeers().length * times.gatherMsPerHost),
     lapseGraceMs: times.lapseGraceMs,
@@ -105,6 +112,8 @@
     bounds,
     failureDomain: settings.failureDomain,
     pickRandom: Math.random,
+    watchSilence: createSharedTimer(times.silenceCheckMs),
+    watchRoom: createSharedTimer(times.roomCheckMs),
   });
   metrics.setGauge('calls_in_flight', forwarder.countInFlight);
   metrics.setGauge('config_age_ms', fleet.getConfigAgeMs);
@@ -128,16 +137,18 @@
           '/metrics': () => ({ status: 200, text: metrics.renderMetrics() }),
         });
 
+  const isCandidate = (): boolean => isLeaseCandidate(LEASE_NAME, settings.host, hosts.listPeers());
   const lease = holdLease({
     platform: options.leases,
     name: LEASE_NAME,
     self: { host: settings.host, incarnation: bornMs },
     times: times.lease,
     getPollMs: () =>
-      lease.getFencing() !== undefined ||
-      (listOutdated(fleet).length > 0 && isLeaseCandidate(LEASE_NAME, settings.host, hosts.listPeers()))
+      lease.getFencing() !== undefined || (listOutdated(fleet).length > 0 && isCandidate())
         ? times.lease.pollMs
-        : times.idlePollMs,
+        : isCandidate()
+          ? times.idlePollMs
+          : times.farPollMs,
   });
   const stopRolling = orderWeights({
     fleet,
@@ -159,7 +170,7 @@
     },
   );
   const stopFreeing = runEvery(
-    times.freePauseMs,
+    () => (lease.getFencing() === undefined ? times.idlePollMs : times.freePauseMs),
     () =>
       lease.getFencing() === undefined ? undefined : keeper.freeOutdated(fleet.getConfig()?.stores ?? []),
     (error) => {
--- a/packages/share-load/src/create-load-sharing.ts
+++ b/packages/share-load/src/create-load-sharing.ts
@@ -29,6 +29,8 @@
 const RELAYED_PER_S = 240;
 /** Periods between two messages of a host without work. */
 const IDLE_PERIODS = 4;
+/** Periods between two answers of a relay to hosts whose first relay is another one; they need it only when that one is lost. */
+const SPARE_PERIODS = 4;
 /** A relay that is told this host's work and has not answered for this time is passed over, milliseconds. */
 const SUSPECT_AFTER_MS = 1500;
 /** Time for which a relay is passed over unless it is heard, milliseconds: registrations of hosts that are gone stay. */
@@ -121,6 +123,8 @@
     const domain = mergeLoads([ownPart, ...reports]);
     sendTo(plan.otherRelays, MESSAGE_KINDS.domain, domain.hosts, listRest(domain, []));
     checkRelays(plan.otherRelays);
+    if (plan.upstream !== undefined && number % SPARE_PERIODS !== 0)
+      return computeRelayPauseMs(plan.reportTo.length + plan.otherRelays.length);
     const all = mergeLoads([ownPart, ...listParts()]);
     const addresses = new Map(listPeers().map((peer) => [peer.host, peer]));
     for (const report of reports) {
--- a/packages/track-fleet/src/fleet-view.ts
+++ b/packages/track-fleet/src/fleet-view.ts
@@ -1,4 +1,4 @@
-import type { BackendEntry, ForwardConfig } from '@laburnumshift/forward-types';
+import type { BackendEntry, ForwardConfig, RelayedChanges } from '@laburnumshift/forward-types';
 import type { NamedWeights } from './named-weights.js';
 
 /** What a host knows of the fleet. Objects are replaced, never changed. */
@@ -23,5 +23,7 @@
   readonly watchBackends: (handler: (id: string, entry: BackendEntry | undefined) => void) => void;
   /** Calls the handler when a configuration came into force. */
   readonly watchConfig: (handler: (config: ForwardConfig) => void) => void;
+  /** Changes of a kind of the store's objects after a revision; `undefined` when they are not known. */
+  readonly readObjects: (kind: string, after: number) => RelayedChanges | undefined;
   readonly close: () => void;
 }
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -136,6 +136,11 @@
   const backendsView = watch('backends', applyBackends);
   const weightsView = watch('weights', applyWeights);
   const views = [configView, backendsView, weightsView];
+  const viewsByKind = new Map([
+    [kinds.config, configView],
+    [kinds.backends, backendsView],
+    [kinds.weights, weightsView],
+  ]);
 
   return {
     getConfig: () => config,
@@ -154,6 +159,7 @@
     watchConfig: (handler) => {
       configHandlers.push(handler);
     },
+    readObjects: (kind, after) => viewsByKind.get(kind)?.readSince(after),
     close: () => {
       for (const view of views) view.close();
     },
--- a/packages/watch-objects/src/watch-kind.ts
+++ b/packages/watch-objects/src/watch-kind.ts
@@ -1,6 +1,7 @@
-import { computeElapsedMs, readMoment, sleep, type Moment } from '@laburnumshift/clock';
-import type { ObjectChange, StoredObject } from '@laburnumshift/forward-types';
+import { computeElapsedMs, readMoment, moveMoment, sleep, type Moment } from '@laburnumshift/clock';
+import type { ChangeAges, ObjectChange, StoredObject } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
+import { createChangeHistory } from './create-change-history.js';
 import { diffObjects } from './diff-objects.js';
 import type { KindView } from './kind-view.js';
 import type { WatchOptions } from './watch-options.js';
@@ -19,6 +20,7 @@
   const { source, kind, waitMs, onChanges } = options;
   const logger = createLogger('watch');
   const objects = new Map<string, StoredObject>();
+  const history = createChangeHistory(objects);
   const stopper = new AbortController();
   let confirmed: Moment | undefined;
   let recovered: Moment | undefined;
@@ -26,15 +28,21 @@
   let failures = 0;
   let changedSince = readMoment();
 
-  const observeSuccess = (sent: Moment, isList: boolean): void => {
+  const computeSinceMs = (moment: Moment | undefined): number =>
+    moment === undefined ? Infinity : computeElapsedMs(moment);
+  const observeSuccess = (sent: Moment, isList: boolean, ages?: ChangeAges): void => {
     if (failures > 0 || isList) changedSince = confirmed ?? sent;
+    else if (ages !== undefined) changedSince = moveMoment(readMoment(), -ages.changedMs);
     else changedSince = computeElapsedMs(sent) > waitMs + LATE_MS ? sent : readMoment();
     if (failures > 0) {
       recovered = readMoment();
       logger.info('store answers again', { kind, failures, revision });
-    }
+    } else if (ages !== undefined && ages.recoveredMs < computeSinceMs(recovered))
+      recovered = moveMoment(readMoment(), -ages.recoveredMs);
     failures = 0;
-    confirmed = sent;
+    // The copy of another host may be older than this one.
+    if (ages === undefined) confirmed = sent;
+    else if (ages.ageMs < computeSinceMs(confirmed)) confirmed = moveMoment(readMoment(), -ages.ageMs);
   };
   const observeFailure = async (call: string, reason: string): Promise<void> => {
     failures += 1;
@@ -48,6 +56,7 @@
       if (isRemoved) objects.delete(object.name);
       else objects.set(object.name, object);
     }
+    history.addChanges(newer, changedSince);
     if (newer.length > 0) onChanges(newer);
   };
   const listOnce = async (): Promise<void> => {
@@ -62,6 +71,7 @@
     }
     revision = outcome.revision;
     observeSuccess(sent, true);
+    history.addList(changes, outcome.revision, changedSince);
     logger.info('listed', { kind, revision, count: objects.size, changes: changes.length });
     onChanges(changes);
   };
@@ -75,8 +85,8 @@
       revision = undefined;
       return;
     }
-    revision = outcome.revision;
-    observeSuccess(sent, false);
+    revision = Math.max(from, outcome.revision);
+    observeSuccess(sent, false, outcome.ages);
     applyChanges(outcome.changes);
     const gatherMs = outcome.changes.length > 0 ? (options.getGatherMs?.() ?? 0) : 0;
     if (gatherMs > 0) await sleep(gatherMs, stopper.signal);
@@ -95,9 +105,15 @@
 
   return {
     objects,
-    getAgeMs: () => (confirmed === undefined ? Infinity : computeElapsedMs(confirmed)),
-    getRecoveredMs: () => (recovered === undefined ? Infinity : computeElapsedMs(recovered)),
+    getAgeMs: () => computeSinceMs(confirmed),
+    getRecoveredMs: () => computeSinceMs(recovered),
     getChangedSince: () => changedSince,
+    readSince: (after) => {
+      const since = revision === undefined ? undefined : history.readSince(after);
+      if (revision === undefined || since === undefined) return undefined;
+      const recoveredMs = computeSinceMs(recovered);
+      return { ...since, after, revision, ageMs: computeSinceMs(confirmed), recoveredMs };
+    },
     close: () => {
       stopper.abort();
     },
