--- a/packages/logger/src/create-line-sink.ts
+++ b/packages/logger/src/create-line-sink.ts
@@ -4,8 +4,8 @@
 
 /** Bytes that wait for a slow reader; further lines are dropped and counted. */
 const MAX_WAITING_BYTES = 1_048_576;
-/** Lines gather for so long before they are written, milliseconds. */
-const GATHER_MS = 20;
+/** Lines gather for so long before they are written, milliseconds: each write wakes the process and a thread. */
+const GATHER_MS = 200;
 
 /** Writes lines to a file descriptor without blocking. Drops lines while its reader is too slow, and tells how many. */
 export function createLineSink(descriptor: number): LineSink {
