Send pages of cache events without pieces of single calls, in columns

Cause: on the grown walk site followers received some 100 kB/s of events on links of 7 Mbit/s, in bursts of 40 kB each 400 ms, and parsed them with processors of a third of a core: of the plain calls 7% were late (p99 222 ms, target 149) although their servers were a quarter busy, and 186 calls took half of their target to the first server. Ruled out: hosts that all choose the least loaded plain server; a play of that load with loads 140 ms old shows no late calls. Change: the last piece of a prompt is only ever at one engine, so a relay passes a piece on when a second engine or a store has it, with both places; a page names scopes once and holds the events in columns.

--- a/packages/place-calls/src/pick-candidates.ts
+++ b/packages/place-calls/src/pick-candidates.ts
@@ -4,12 +4,12 @@
 const ALL_ENGINES = 16;
 /** Weighed of more: one of the first in rendezvous order of the prompt, some that have its beginning, and some of all. */
 const HOMES = 4;
-const HOLDERS = 4;
-const OTHERS = 8;
+const HOLDERS = 2;
+const OTHERS = 2;
 
 /**
- * Picks the engines that one call weighs. Loads of other hosts are some 0.3 s old in large fleets: if each call took the best of
- * all engines, the calls of that time would meet at the same few.
+ * Picks the engines that one call weighs. Loads of other hosts are some 0.3 s old in large fleets: the more engines each call
+ * weighs, the more calls of that time meet at those that were idle.
  *
  * @param pickRandom returns 0 to 1
  */
--- a/packages/relay-events/src/create-events-relay.ts
+++ b/packages/relay-events/src/create-events-relay.ts
@@ -4,6 +4,9 @@
 import { createLogger } from '@laburnumshift/logger';
 import { applyChange, readCacheEvents, type ReadChange } from '@laburnumshift/read-cache-events';
 import { createChangeLog } from './create-change-log.js';
+import { createRepeatFilter } from './create-repeat-filter.js';
+import { decodeChanges } from './decode-changes.js';
+import { encodeChanges } from './encode-changes.js';
 import { readChanges } from './read-changes.js';
 import type { EventsRelay } from './events-relay.js';
 import type { RelayOptions } from './relay-options.js';
@@ -31,7 +34,14 @@
   const logger = createLogger('relay');
   const life = randomUUID();
   const log = createChangeLog();
-  const direct = readCacheEvents({ control: options.control, board, onChange: log.addChange });
+  const filter = createRepeatFilter();
+  const direct = readCacheEvents({
+    control: options.control,
+    board,
+    onChange: (change) => {
+      for (const passed of filter.filterChange(change)) log.addChange(passed);
+    },
+  });
   const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
   const sources = new Map<string, Source>();
   let isDirect = false;
@@ -51,6 +61,7 @@
       const pieces = board.getPieces(engine);
       const events = pieces
         .listPieces(() => true)
+        .filter(({ scope, piece }) => filter.isRepeated(scope, piece))
         .map((piece) => ({ ...piece, isAdded: true, tokens: pieces.getTokens(piece.scope, piece.piece) }));
       return [{ engine, bootId, isCleared: true, events }];
     });
@@ -78,25 +89,15 @@
       next: log.getNext(),
       clockMs: direct.readClockMs() ?? null,
       reading: [...sources.keys()].filter(direct.isReading),
-      changes: changes.map(({ engine, bootId, isCleared, events }) => [
-        engine,
-        bootId,
-        isCleared,
-        events.map(({ isAdded, scope, piece, tokens }) => [isAdded, scope, piece, tokens]),
-      ]),
+      ...encodeChanges(changes),
       objects: Object.fromEntries(wanted.map(([kind, after]) => [kind, readObjects(kind, after)])),
     };
   };
-  const applyPage = (page: RelayPage): void => {
+  const applyPage = (page: RelayPage, changes: readonly ReadChange[]): void => {
     const bootIds = told?.page.life === page.life ? told.bootIds : new Map<string, string>();
-    for (const [engine, bootId, isCleared, events] of page.changes) {
-      bootIds.set(engine, bootId);
-      applyChange(board.getPieces(engine), {
-        engine,
-        bootId,
-        isCleared,
-        events: events.map(([isAdded, scope, piece, tokens]) => ({ isAdded, scope, piece, tokens })),
-      });
+    for (const change of changes) {
+      bootIds.set(change.engine, change.bootId);
+      applyChange(board.getPieces(change.engine), change);
     }
     told = { page, bootIds, atMs: readMonotonicMs() };
   };
@@ -128,9 +129,11 @@
     const sent = readMoment();
     const position = [told?.page.life ?? '', told?.page.next ?? 0] as const;
     const page = await readChanges(agent, upstream, ...position, objects.listWanted());
-    if (typeof page === 'string') {
+    const changes = typeof page === 'string' ? undefined : decodeChanges(page);
+    if (typeof page === 'string' || changes === undefined) {
       objects.stopFollowing('no page from the relay');
-      if (!isLost) logger.warn('no page from the relay', { upstream, reason: page });
+      const reason = typeof page === 'string' ? page : 'the parts of the page do not fit together';
+      if (!isLost) logger.warn('no page from the relay', { upstream, reason });
       isLost = true;
       return;
     }
@@ -138,7 +141,7 @@
     isLost = false;
     if (isAsked()) return;
     setDirect(false, 'relay answers');
-    applyPage(page);
+    applyPage(page, changes);
     const answers = Object.entries(page.objects).map(([kind, known]) => {
       const recoveredMs = known?.recoveredMs ?? Infinity;
       return [kind, known === null ? undefined : { ...known, recoveredMs }] as const;
--- /dev/null
+++ b/packages/relay-events/src/decode-changes.ts
@@ -0,0 +1,25 @@
+import type { ReadChange } from '@laburnumshift/read-cache-events';
+import type { RelayPage } from './relay-page.js';
+
+const SEPARATOR = '\n';
+
+/** Unpacks the changes of a page; `undefined` when its parts do not fit together. */
+export function decodeChanges({
+  scopes,
+  changes,
+}: Pick<RelayPage, 'scopes' | 'changes'>): readonly ReadChange[] | undefined {
+  const unpacked: ReadChange[] = [];
+  for (const [engine, bootId, isCleared, codes, pieceList, tokenList] of changes) {
+    const pieces = pieceList === '' ? [] : pieceList.split(SEPARATOR);
+    if (pieces.length !== codes.length || tokenList.length !== codes.length) return undefined;
+    const events = codes.map((code, index) => ({
+      isAdded: code % 2 === 1,
+      scope: scopes[Math.floor(code / 2)] ?? '',
+      piece: pieces[index] ?? '',
+      tokens: tokenList[index] ?? 0,
+    }));
+    if (events.some(({ scope }) => scope === '')) return undefined;
+    unpacked.push({ engine, bootId, isCleared, events });
+  }
+  return unpacked;
+}
--- a/packages/relay-events/src/relay-page-schema.ts
+++ b/packages/relay-events/src/relay-page-schema.ts
@@ -4,7 +4,11 @@
   z.string().describe('engine'),
   z.string().describe('boot id'),
   z.boolean().describe('cleared'),
-  z.array(z.tuple([z.boolean(), z.string(), z.string(), z.number().nonnegative()])),
+  z
+    .array(z.number().nonnegative())
+    .describe('twice the index of the scope, and one more when the piece was added'),
+  z.string().describe('pieces, one a line'),
+  z.array(z.number().nonnegative()).describe('tokens'),
 ]);
 
 const OBJECT_CHANGE = z.object({
@@ -32,6 +36,7 @@
   clockMs: z.number().nullable(),
   /** Engines and stores that the relay follows without a failure now. */
   reading: z.array(z.string()),
+  scopes: z.array(z.string()),
   changes: z.array(CHANGE),
   /** Changes of platform objects by kind. */
   objects: z.record(z.string(), KIND_CHANGES.nullable()),
--- a/packages/relay-events/test/create-events-relay.test.ts
+++ b/packages/relay-events/test/create-events-relay.test.ts
@@ -60,6 +60,7 @@
     ...objects,
   });
   relay.startReading('e', '10.0.0.1:80', 10);
+  relay.startReading('f', '10.0.0.2:80', 10);
   t.teardown(relay.close);
   const listPieces = (): string[] =>
     board
