Weigh other failure domains by the bytes of a call

Tests: a near engine with a queue against a far one for small and large calls; the home is in the host's domain.

--- a/packages/forward-calls/src/choose-server.ts
+++ b/packages/forward-calls/src/choose-server.ts
@@ -29,6 +29,8 @@
 const OUTDATED_LATE_MS = 400;
 /** Calls stop going to outdated engines so long before the bound, milliseconds: queue and clock rates. */
 const VERSION_MARGIN_MS = 1300;
+/** Bytes of an answer for each token: an event with its fields. */
+const BYTES_PER_TOKEN = 64;
 /** An order that is under way takes about so long, milliseconds; afterwards the mark is not trusted. */
 const ROLLING_MS = 12_000;
 
@@ -164,6 +166,7 @@
       inputTokens: prompt.inputTokens,
       needTokens: estimateHeldTokens(prompt),
       ownDomain: deps.failureDomain,
+      bytes: job.body.length + (prompt.expectedOutputTokens ?? prompt.maxOutputTokens) * BYTES_PER_TOKEN,
       outdatedMs: namedMs < OUTDATED_FROM_MS ? OUTDATED_EARLY_MS : OUTDATED_LATE_MS,
       rates: {
         readPerMs,
--- a/packages/forward-calls/test/choose-server.test.ts
+++ b/packages/forward-calls/test/choose-server.test.ts
@@ -30,6 +30,7 @@
   ],
 };
 const JOB = {
+  body: Buffer.alloc(0),
   call: { id: 'c', prompt: PROMPT },
   service: {
     name: 'm',
--- a/packages/place-calls/src/place-call.ts
+++ b/packages/place-calls/src/place-call.ts
@@ -7,8 +7,10 @@
 const FAILURE_MS = 6000;
 /** Delay that a silent engine counts for, milliseconds: the time after which a call is given up there. */
 const SILENT_MS = 4000;
-/** Delay that another failure domain counts for, milliseconds: its bytes are paid for. */
+/** Delay that another failure domain counts for, milliseconds, and further ones for each kilobyte: its bytes are paid for. */
 const DOMAIN_MS = 3;
+const DOMAIN_MS_PER_KB = 2;
+const BYTES_PER_KB = 1024;
 /** A fetch counts this many times its duration: it takes a link and memory from others. */
 const FETCH_FACTOR = 2;
 /** Wait of a fetch before its first byte, milliseconds. */
@@ -32,9 +34,14 @@
  */
 export function placeCall(input: PlaceInput): Placement {
   const { candidates, inputTokens, needTokens, rates } = input;
+  const domainMs = DOMAIN_MS + (input.bytes / BYTES_PER_KB) * DOMAIN_MS_PER_KB;
   const ranked = candidates
-    .map((engine) => ({ engine, weight: computeWeight(input.homeKey, engine.id) }))
-    .sort((a, b) => b.weight - a.weight);
+    .map((engine) => ({
+      engine,
+      isNear: engine.failureDomain === input.ownDomain,
+      weight: computeWeight(input.homeKey, engine.id),
+    }))
+    .sort((a, b) => Number(b.isNear) - Number(a.isNear) || b.weight - a.weight);
 
   const computeScore = (engine: EngineCandidate, rank: number): Rated => {
     const { localTokens, fetchTokens, fetchSlowdown } = engine;
@@ -55,7 +62,7 @@
       engine.failureShare * FAILURE_MS +
       (engine.isSilent ? SILENT_MS : 0) +
       (engine.isOutdated ? input.outdatedMs : 0) +
-      (engine.failureDomain === input.ownDomain ? 0 : DOMAIN_MS);
+      (engine.failureDomain === input.ownDomain ? 0 : domainMs);
     return { id: engine.id, expectedMs, queueMs, uncachedTokens, memoryShare, score };
   };
 
--- a/packages/place-calls/src/place-input.ts
+++ b/packages/place-calls/src/place-input.ts
@@ -4,12 +4,14 @@
 export interface PlaceInput {
   /** At least one. */
   readonly candidates: readonly EngineCandidate[];
-  /** Equal engines rank by this key, so that calls with the same pieces meet at one engine. */
+  /** Equal engines of a failure domain rank by this key, so that calls with the same pieces meet at one of them. */
   readonly homeKey: string;
   readonly inputTokens: number;
   /** Prompt and expected output, tokens. */
   readonly needTokens: number;
   readonly ownDomain: string;
+  /** Bytes of the call and of its expected answer. */
+  readonly bytes: number;
   /** Cost of an engine with outdated weights, as milliseconds of delay. */
   readonly outdatedMs: number;
   readonly rates: PlaceRates;
--- a/packages/place-calls/test/pick-candidates.test.ts
+++ b/packages/place-calls/test/pick-candidates.test.ts
@@ -53,6 +53,7 @@
       inputTokens: 5000,
       needTokens: 5000,
       ownDomain: 'north',
+      bytes: 0,
       outdatedMs: 0,
       rates: { readPerMs: 64, fetchPerMs: 400, runMs: 800 },
     });
--- a/packages/place-calls/test/place-call.test.ts
+++ b/packages/place-calls/test/place-call.test.ts
@@ -2,13 +2,14 @@
 import test from 'ava';
 import { createEngine } from './create-engine.js';
 
-const place = (candidates: readonly EngineCandidate[], outdatedMs = 400) =>
+const place = (candidates: readonly EngineCandidate[], outdatedMs = 400, bytes = 0) =>
   placeCall({
     candidates,
     homeKey: 'piece',
     inputTokens: 12_000,
     needTokens: 12_400,
     ownDomain: 'north',
+    bytes,
     outdatedMs,
     rates: { readPerMs: 50, fetchPerMs: 400, runMs: 1000 },
   });
@@ -51,6 +52,26 @@
   t.is(place(engines).id, place([...engines].reverse()).id);
 });
 
+test('the more bytes a call has, the longer it queues before it leaves its failure domain', (t) => {
+  const far = createEngine('far', { failureDomain: 'south' });
+  const placeWith = (waitMs: number, bytes: number): string =>
+    place([createEngine('near', { waitMs }), far], 400, bytes).id;
+  t.deepEqual([placeWith(8, 1000), placeWith(30, 1000)], ['near', 'far']);
+  t.deepEqual([placeWith(30, 16_000), placeWith(60, 16_000)], ['near', 'far']);
+});
+
+test('the home of a prompt is in the failure domain of its host', (t) => {
+  for (const homeKey of ['p', 'q', 'r', 's', 't']) {
+    const engines = ['a', 'b', 'c', 'd'].map((id, index) =>
+      createEngine(id, { failureDomain: index < 2 ? 'north' : 'south' }),
+    );
+    const input = { homeKey, inputTokens: 100, needTokens: 100, bytes: 0, outdatedMs: 0 };
+    const rates = { readPerMs: 50, fetchPerMs: 400, runMs: 1000 };
+    t.true(['a', 'b'].includes(placeCall({ ...input, candidates: engines, ownDomain: 'north', rates }).id));
+    t.true(['c', 'd'].includes(placeCall({ ...input, candidates: engines, ownDomain: 'south', rates }).id));
+  }
+});
+
 test('what an engine has to read and its memory are told', (t) => {
   const placed = place([createEngine('a', { localTokens: 4000, fetchTokens: 5000, heldTokens: 37_600 })]);
   t.is(placed.uncachedTokens, 3000);
@@ -91,6 +112,7 @@
       inputTokens: 12_000,
       needTokens: 100,
       ownDomain: 'north',
+      bytes: 0,
       outdatedMs: 400,
       rates: { readPerMs: 50, fetchPerMs: 400, runMs: 200 },
     });
