--- a/packages/relay-events/src/create-events-relay.ts
+++ b/packages/relay-events/src/create-events-relay.ts
@@ -26,8 +26,8 @@
 }
 
 /**
- * Creates a reader of cache events that is shared among hosts, with the platform objects that they follow. Positions in the log of a relay are valid in one life of it;
- * with another life or a gap, a page holds all pieces.
+ * Creates a reader of cache events that is shared among hosts, with the platform objects that they follow. Positions in the
+ * log of a relay are valid in one life of it; with another life or a gap, a page holds all pieces that two places have.
  */
 export async function createEventsRelay(options: RelayOptions): Promise<EventsRelay> {
   const { board, getUpstream, objects } = options;
--- a/packages/relay-events/src/decode-changes.ts
+++ b/packages/relay-events/src/decode-changes.ts
@@ -1,8 +1,7 @@
 import type { ReadChange } from '@laburnumshift/read-cache-events';
+import { PIECE_SEPARATOR } from './piece-separator.js';
 import type { RelayPage } from './relay-page.js';
 
-const SEPARATOR = '\n';
-
 /** Unpacks the changes of a page; `undefined` when its parts do not fit together. */
 export function decodeChanges({
   scopes,
@@ -10,7 +9,7 @@
 }: Pick<RelayPage, 'scopes' | 'changes'>): readonly ReadChange[] | undefined {
   const unpacked: ReadChange[] = [];
   for (const [engine, bootId, isCleared, codes, pieceList, tokenList] of changes) {
-    const pieces = pieceList === '' ? [] : pieceList.split(SEPARATOR);
+    const pieces = pieceList === '' ? [] : pieceList.split(PIECE_SEPARATOR);
     if (pieces.length !== codes.length || tokenList.length !== codes.length) return undefined;
     const events = codes.map((code, index) => ({
       isAdded: code % 2 === 1,
--- a/packages/relay-events/src/encode-changes.ts
+++ b/packages/relay-events/src/encode-changes.ts
@@ -1,9 +1,7 @@
 import type { ReadChange } from '@laburnumshift/read-cache-events';
+import { PIECE_SEPARATOR } from './piece-separator.js';
 import type { RelayPage } from './relay-page.js';
 
-/** Separates the pieces of a change. */
-const SEPARATOR = '\n';
-
 /** Packs changes: scopes are named once a page, and the fields of a change's events stand in three columns. */
 export function encodeChanges(changes: readonly ReadChange[]): Pick<RelayPage, 'scopes' | 'changes'> {
   const indexes = new Map<string, number>();
@@ -17,7 +15,7 @@
     bootId,
     isCleared,
     events.map(({ scope, isAdded }) => getIndex(scope) * 2 + Number(isAdded)),
-    events.map(({ piece }) => piece).join(SEPARATOR),
+    events.map(({ piece }) => piece).join(PIECE_SEPARATOR),
     events.map(({ tokens }) => tokens),
   ]);
   return { scopes: [...indexes.keys()], changes: packed };
