List a store again soon when another home wrote to it

Trace of one (explain and status of all daemons after the return): the first prompt was placed by entry-1 as the home of the cell, which exported its 24 pieces; all others were placed by entry-2, whose directory of the store did not have them, so the grant had no imports. After 1.5 s of settling on a busy machine entry-1 had not learned of entry-2 yet, and entry-2 lists the store only every 30 s. Ruled out: the exports (24 pieces of 64 MB were on the link and in the store), eviction, a home that did not answer. Change: when the store has more bytes than at its last list and own exports explain, it is listed again after 1 s, and after 0.1 s for each of its pieces as before. Tests: pieces that another home exported are known within 1.6 s, which fails without the change; own exports cause no list.

--- a/packages/manage-cell/src/cell-times.ts
+++ b/packages/manage-cell/src/cell-times.ts
@@ -13,6 +13,8 @@
   statEveryMs: 500,
   /** Repairs directory entries that were lost or became stale. */
   listEveryMs: 30_000,
+  /** A store to which another home wrote is listed again after this: a home that was not known to the others for a moment. */
+  foreignListMs: 1000,
   /** Each piece of a store adds this to the pause before it is listed again; a piece takes about 240 bytes. */
   listPieceMs: 100,
   changesEveryMs: 1000,
--- a/packages/manage-cell/src/create-store-record.ts
+++ b/packages/manage-cell/src/create-store-record.ts
@@ -14,6 +14,7 @@
     failures: 0,
     exported: [],
     listedAtMs: undefined,
+    listedBytes: 0,
     backoffUntilMs: 0,
     queuedBytes: 0,
     queuedAtMs: nowMs,
--- a/packages/manage-cell/src/store-record.ts
+++ b/packages/manage-cell/src/store-record.ts
@@ -11,6 +11,8 @@
   exported: StoredPiece[];
   /** When the pieces were listed last; absent asks for a new list. */
   listedAtMs: number | undefined;
+  /** Bytes that the store had in use before the last list. */
+  listedBytes: number;
   backoffUntilMs: number;
   /** Bytes waiting on the link at `queuedAtMs`. */
   queuedBytes: number;
--- a/packages/manage-cell/test/doubles.ts
+++ b/packages/manage-cell/test/doubles.ts
@@ -86,6 +86,7 @@
   pinned: string[] = [];
   failing = false;
   linkQueuedBytes = 0;
+  lists = 0;
   private listed: Promise<void> = Promise.resolve();
   constructor(readonly pieces: StoredPiece[]) {}
 
@@ -104,10 +105,12 @@
     const stat = { memoryBytes: 1e9, memoryUsed: 0, diskBytes: 1e9, diskUsed: 0, otherShare: 0 };
     return {
       readStat: () => {
-        const value = { ...stat, linkBytesPerSecond: 1e8, linkQueuedBytes: this.linkQueuedBytes };
+        const memoryUsed = this.pieces.reduce((sum, { bytes }) => sum + bytes, 0);
+        const value = { ...stat, memoryUsed, linkBytesPerSecond: 1e8, linkQueuedBytes: this.linkQueuedBytes };
         return Promise.resolve(this.failing ? fail : { ok: true, value });
       },
       listPieces: async () => {
+        this.lists += 1;
         const value = [...this.pieces];
         await this.listed;
         return { ok: true, value };
--- a/packages/manage-cell/test/stores.test.ts
+++ b/packages/manage-cell/test/stores.test.ts
@@ -73,3 +73,30 @@
   await clock.tickAsync(10);
   t.is(cell.getStatus().directory.stored, 4);
 });
+
+// Guards against a home that computes again what another one exported while it was home for a moment.
+test.serial('pieces that another home exported are known soon', async (t) => {
+  const store = new StoreDouble([]);
+  const { clock, ask } = await startCell(t, { engines: createEngines(1), store });
+  await clock.tickAsync(3000);
+  store.pieces.push(...['c0', 'c1', 'c2', 'c3'].map(createStored));
+  await clock.tickAsync(1600);
+  const reply = await ask(createRequest());
+  t.is(reply.kind === 'granted' ? reply.grant.imports.length : reply.kind, 4);
+});
+
+// Guards against lists in a row: each one costs the store and the home as much as it has pieces.
+test.serial('own exports are no reason to list a store', async (t) => {
+  const store = new StoreDouble([]);
+  const engines = createEngines(1);
+  const { cell, clock } = await startCell(t, { engines, store });
+  await clock.tickAsync(3000);
+  const before = store.lists;
+  cell.reportRun(createReport(createRequest(), 'e0'));
+  await clock.tickAsync(100);
+  const exported = engines[0]?.exported ?? [];
+  t.is(exported.length, 4);
+  store.pieces.push(...exported.map(createStored));
+  await clock.tickAsync(10_000);
+  t.is(store.lists, before);
+});
