Log crashes of servers with the pieces of the calls on them

When a call loses its connection, the host now probes the server: a refused connection or another process at the address is a crash, an answer of the same process is none.

--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -1,6 +1,7 @@
 import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
 import { CALL_KINDS, type ResponseHead } from '@laburnumshift/forward-types';
 import type { OutgoingCall } from '@laburnumshift/call-backend';
+import { listCallTraits, SURVIVAL_MS } from '@laburnumshift/quarantine-pieces';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { AttemptInput } from './attempt-input.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
@@ -25,7 +26,7 @@
     let bufferedBytes = 0;
     let head: ResponseHead | undefined;
     let isPending = true;
-    let hasFirstEvent = false;
+    let firstEventAtMs: number | undefined;
 
     const finish = (outcome: AttemptOutcome, result: Parameters<typeof tracked.finish>[0]): void => {
       if (!isPending) return;
@@ -53,13 +54,21 @@
       splitter.clearPartialEvent();
       return reply.isHeadSent() ? { kind: 'cut', reason } : { kind: 'broken', reason };
     };
+    const recordBrokenCall = (): void => {
+      const { call, account, body } = matchedCall;
+      deps.crashes.recordBrokenCall(server, {
+        callId: call.id,
+        traits: listCallTraits(call, account?.name, body),
+        isExonerated: firstEventAtMs !== undefined && readMonotonicMs() - firstEventAtMs >= SURVIVAL_MS,
+      });
+    };
     const isStreamAnswer = (): boolean => head?.status === 200 && route.kind === CALL_KINDS.stream;
     const relayEvents = (events: Buffer): void => {
       if (head === undefined) return;
       input.onEvents();
       progressWatch.observeProgress();
-      if (!hasFirstEvent) {
-        hasFirstEvent = true;
+      if (firstEventAtMs === undefined) {
+        firstEventAtMs = readMonotonicMs();
         tracked.observeFirstEvent();
         input.onFirstEvent();
       }
@@ -160,6 +169,7 @@
           if (type === 'not-sent') {
             finish({ kind: 'not-run', reason, isSent: false }, 'failed');
           } else {
+            recordBrokenCall();
             finish(buildBrokenOutcome(reason), 'failed');
           }
         },
--- a/packages/forward-types/src/probe-result.ts
+++ b/packages/forward-types/src/probe-result.ts
@@ -3,10 +3,16 @@
  * figures that it did not state are `undefined`.
  */
 export type ProbeResult =
-  | { readonly kind: 'silent' }
+  | {
+      readonly kind: 'silent';
+      /** No process listens at the address: the connection was refused. */
+      readonly isRefused?: boolean;
+    }
   | { readonly kind: 'gone' }
   | {
       readonly kind: 'alive';
+      /** Start time of the process, wall-clock milliseconds. A restarted server may have the id of its earlier process. */
+      readonly bornMs?: number | undefined;
       /** Calls that wait for a slot. */
       readonly waiting: number | undefined;
       /** Calls that run. */
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -10,6 +10,7 @@
 import { startForwardServer } from '@laburnumshift/forward-calls';
 import { computeHomeShare, computeHostShare, createResendBudget } from '@laburnumshift/limit-resends';
 import { createLogger } from '@laburnumshift/logger';
+import { createCrashDetector } from '@laburnumshift/quarantine-pieces';
 import { createMetrics } from '@laburnumshift/record-metrics';
 import { countEventReaders } from './count-event-readers.js';
 import { countStoreCalls } from './count-store-calls.js';
@@ -56,12 +57,18 @@
   const placer = openPlacement(context, { metrics, reservations, resends, homeResends }, bounds, (opened) => {
     homeClient = opened;
   });
+  const crashes = createCrashDetector(
+    options.control.probeServer,
+    (server) => server.isDraining || notices.getAvailability(server).isLeaving,
+    () => undefined,
+  );
   let isDraining = false;
   const callerServer = await startForwardServer(settings.callerAddress, {
     codec,
     fleet,
     serverTracker,
     notices,
+    crashes,
     pool,
     placer,
     sharing,
