Refuse calls with a prompt piece that crashes engines

Cause: a host knows one or two of the calls that crash engines, and nothing added up what hosts saw. The limits of a route bound one call, the quarantine of the product's own interface blames a whole request, and no two of these are alike. The class of fault: a decision that needs the observations of all hosts was left to each host's own.

Ruled out, by the log of crashes: repeats of one request, and engines that crash by themselves (docs/incidents).

Change: quarantine-pieces. Pieces of calls without an answer on a crashed server are suspects until a later call with them is served. Hosts exchange suspects; a piece on two crashed servers that no more specific one explains is convicted, its calls are refused, waiting ones cancelled, and tests take a wrong conviction back. Calls of plain services are known by a fingerprint.

Evidence: crashing-pieces.test.ts failed on the code before (54 crashes by 40 calls); with the fix it passes, 4 crashes by one piece and 8 by two. It was changed: at 8 deadly calls a second, each sent to two engines, five crashes are over in 0.4 s, before any host can have learned of them. The bound of five crashes a piece is now played at 2.8 a second, and a second test plays 8 a second against the platform's own bound, three calls later than contact-ms after the fifth crash.

--- a/packages/forward-calls/src/attempt-input.ts
+++ b/packages/forward-calls/src/attempt-input.ts
@@ -1,4 +1,5 @@
 import type { BackendCall, BackendEntry } from '@laburnumshift/forward-types';
+import type { SuspectCall } from '@laburnumshift/quarantine-pieces';
 import type { CallWork } from '@laburnumshift/track-engines';
 import type { EventSplitter } from './event-splitter.js';
 import type { MatchedCall } from './matched-call.js';
@@ -6,6 +7,8 @@
 /** Parameters of one attempt to send a call to a backend server. */
 export interface AttemptInput {
   readonly matchedCall: MatchedCall;
+  /** The call as the quarantine sees it; all attempts of one call share it. */
+  readonly suspectCall: SuspectCall;
   readonly server: BackendEntry;
   /** Limit on the connections from this host to the server. */
   readonly maxConnections: number;
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -1,7 +1,6 @@
 import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
 import { CALL_KINDS, type ResponseHead } from '@laburnumshift/forward-types';
 import type { OutgoingCall } from '@laburnumshift/call-backend';
-import { listCallTraits, SURVIVAL_MS } from '@laburnumshift/quarantine-pieces';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { AttemptInput } from './attempt-input.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
@@ -26,13 +25,14 @@
     let bufferedBytes = 0;
     let head: ResponseHead | undefined;
     let isPending = true;
-    let firstEventAtMs: number | undefined;
+    let hasFirstEvent = false;
 
     const finish = (outcome: AttemptOutcome, result: Parameters<typeof tracked.finish>[0]): void => {
       if (!isPending) return;
       isPending = false;
       stopDeadlineTimer();
       progressWatch.stop();
+      observed.finish('open');
       matchedCall.callerSignal.removeEventListener('abort', handleCallerGone);
       tracked.finish(result);
       resolve(outcome);
@@ -54,21 +54,14 @@
       splitter.clearPartialEvent();
       return reply.isHeadSent() ? { kind: 'cut', reason } : { kind: 'broken', reason };
     };
-    const recordBrokenCall = (): void => {
-      const { call, account, body } = matchedCall;
-      deps.crashes.recordBrokenCall(server, {
-        callId: call.id,
-        traits: listCallTraits(call, account?.name, body),
-        isExonerated: firstEventAtMs !== undefined && readMonotonicMs() - firstEventAtMs >= SURVIVAL_MS,
-      });
-    };
     const isStreamAnswer = (): boolean => head?.status === 200 && route.kind === CALL_KINDS.stream;
     const relayEvents = (events: Buffer): void => {
       if (head === undefined) return;
       input.onEvents();
       progressWatch.observeProgress();
-      if (firstEventAtMs === undefined) {
-        firstEventAtMs = readMonotonicMs();
+      observed.observeEvents();
+      if (!hasFirstEvent) {
+        hasFirstEvent = true;
         tracked.observeFirstEvent();
         input.onFirstEvent();
       }
@@ -95,6 +88,10 @@
         else cancel({ kind: 'not-run', reason: 'no connection was free', isSent: false }, 'cancelled');
       },
     });
+    const observed = deps.quarantine.beginAttempt(server, input.suspectCall, (reason) => {
+      if (sentCall.isSent()) cancel(buildBrokenOutcome(reason), 'cancelled');
+      else cancel({ kind: 'not-run', reason, isSent: false }, 'cancelled');
+    });
     const sentCall: OutgoingCall = deps.pool.sendCall(
       server,
       input.maxConnections,
@@ -141,6 +138,7 @@
           if (head === undefined) return;
           if (!isStreamAnswer()) {
             const isFailure = head.status >= 500;
+            observed.finish('whole');
             finish(
               { kind: 'answered', head, body: Buffer.concat(bufferedChunks) },
               isFailure ? 'failed' : 'served',
@@ -163,13 +161,14 @@
           if (partialEvent.length > 0) relayEvents(partialEvent);
           if (!reply.isHeadSent()) reply.sendHead(head.status, head.forwardedHeaders, head.hasLength);
           reply.end();
+          observed.finish('whole');
           finish({ kind: 'delivered', status: head.status }, 'served');
         },
         onFailure: ({ type, reason }) => {
           if (type === 'not-sent') {
             finish({ kind: 'not-run', reason, isSent: false }, 'failed');
           } else {
-            recordBrokenCall();
+            observed.finish('broken');
             finish(buildBrokenOutcome(reason), 'failed');
           }
         },
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -3,7 +3,7 @@
 import type { EdgeCodec, EngineControl, ForwardBounds } from '@laburnumshift/forward-types';
 import type { ResendBudget } from '@laburnumshift/limit-resends';
 import type { Metrics } from '@laburnumshift/record-metrics';
-import type { CrashDetector } from '@laburnumshift/quarantine-pieces';
+import type { CrashQuarantine } from '@laburnumshift/quarantine-pieces';
 import type { LoadSharing } from '@laburnumshift/share-load';
 import type { ServerTracker, ServerNotices } from '@laburnumshift/track-engines';
 import type { FleetView } from '@laburnumshift/track-fleet';
@@ -14,7 +14,7 @@
   readonly fleet: FleetView;
   readonly serverTracker: ServerTracker;
   readonly notices: Pick<ServerNotices, 'getAvailability' | 'markLeaving' | 'markPaused'>;
-  readonly crashes: CrashDetector;
+  readonly quarantine: Pick<CrashQuarantine, 'checkCall' | 'beginAttempt'>;
   readonly pool: BackendPool;
   readonly placer: CallPlacer;
   readonly sharing: Pick<LoadSharing, 'countCoveredHosts'>;
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -2,6 +2,7 @@
 import { CALL_KINDS, type ResponseHead, type PlacementRequest } from '@laburnumshift/forward-types';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import type { Logger } from '@laburnumshift/logger';
+import { createSuspectCall } from '@laburnumshift/quarantine-pieces';
 import { estimateHeldTokens } from '@laburnumshift/place-calls';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { dispatchCall } from './dispatch-call.js';
@@ -35,6 +36,7 @@
 ): Promise<void> {
   const { call, route, account, service, reply } = matchedCall;
   const splitter = createEventSplitter();
+  const suspectCall = createSuspectCall(call, account?.name, matchedCall.body);
   const triedServers = new Set<string>();
   const trail: Record<string, unknown>[] = [];
   const isRetryable =
@@ -95,6 +97,15 @@
     recordOutcome(mayHaveRun ? 'failed' : 'refused', status, reason, { ...inputs, retryAfterMs });
   };
 
+  /** Answers the call when it must not be sent to any server; returns whether it did. */
+  const refuseQuarantined = (): boolean => {
+    const verdict = deps.quarantine.checkCall(suspectCall);
+    if (verdict.kind !== 'refused') return false;
+    const { trait, crashes, retryAfterMs } = verdict;
+    refuse('servers crash under a part of the call', retryAfterMs, { trait, crashes });
+    return true;
+  };
+
   const buildPlacementRequest = (): PlacementRequest => {
     const now = readMonotonicMs();
     return {
@@ -114,6 +125,7 @@
   };
 
   for (;;) {
+    if (refuseQuarantined()) return;
     const choice = await deps.placer.placeCall(buildPlacementRequest, matchedCall.callerSignal);
     if (choice === undefined) {
       recordOutcome('left', 0, 'caller left');
@@ -123,6 +135,8 @@
       refuse(choice.reason, choice.retryAfterMs, choice.inputs);
       return;
     }
+    // Other hosts may have told of crashes while the call waited.
+    if (refuseQuarantined()) return;
     const { server } = choice;
     const startedMs = readMonotonicMs();
     const remainingMs = Math.floor(matchedCall.endsAtMs - startedMs);
@@ -130,6 +144,7 @@
     attempts += 1;
     const attemptOutcome = await dispatchCall(deps, {
       matchedCall,
+      suspectCall,
       server,
       maxConnections: Math.max(
         MIN_CONNECTIONS,
--- a/packages/host-channel/src/message-kinds.ts
+++ b/packages/host-channel/src/message-kinds.ts
@@ -12,4 +12,6 @@
   placementRequest: 4,
   /** Answer to a placement request. */
   placementAnswer: 5,
+  /** Traits of calls that may crash servers, with their crashes. */
+  crashSuspects: 6,
 } as const;
--- a/packages/quarantine-pieces/src/create-crash-detector.ts
+++ b/packages/quarantine-pieces/src/create-crash-detector.ts
@@ -17,7 +17,7 @@
 interface Case {
   readonly bornMs: number;
   readonly atMs: number;
-  calls: BrokenCall[];
+  readonly calls: BrokenCall[];
   state: 'examined' | 'crashed' | 'alive';
 }
 
@@ -47,8 +47,12 @@
   const logger = createLogger('crashes');
   const cases = new Map<string, Case>();
 
-  const reportCrash = (server: string, { bornMs, atMs, calls }: Case): void => {
-    onCrash({ server, bornMs, atMs, calls });
+  const reportCrash = (
+    { id, service }: BackendEntry,
+    { bornMs, atMs }: Case,
+    calls: readonly BrokenCall[],
+  ): void => {
+    onCrash({ server: id, service, bornMs, atMs, calls });
   };
   const confirmCrash = async (server: BackendEntry, examined: Case): Promise<void> => {
     while (examined.state === 'examined' && readMonotonicMs() - examined.atMs < CONFIRM_TIMEOUT_MS) {
@@ -62,10 +66,10 @@
         service: server.service,
         address: server.address,
         brokenCalls: examined.calls.map(({ callId, traits, isExonerated }) =>
-          isExonerated ? { request: callId } : { request: callId, traits },
+          isExonerated ? { request: callId } : { request: callId, traits: traits.map(({ trait }) => trait) },
         ),
       });
-      reportCrash(server.id, examined);
+      reportCrash(server, examined, examined.calls);
     } else if (examined.state === 'examined')
       logger.info('server with broken calls does not answer', { server: server.id });
     await sleep(COLLECT_MS);
@@ -77,7 +81,7 @@
       if (isLeaving(server)) return;
       const known = cases.get(server.id);
       if (known?.bornMs === server.bornMs) {
-        if (known.state === 'crashed') reportCrash(server.id, { ...known, calls: [call] });
+        if (known.state === 'crashed') reportCrash(server, known, [call]);
         else if (known.state === 'examined') known.calls.push(call);
         return;
       }
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -10,7 +10,7 @@
 import { startForwardServer } from '@laburnumshift/forward-calls';
 import { computeHomeShare, computeHostShare, createResendBudget } from '@laburnumshift/limit-resends';
 import { createLogger } from '@laburnumshift/logger';
-import { createCrashDetector } from '@laburnumshift/quarantine-pieces';
+import { createCrashQuarantine } from '@laburnumshift/quarantine-pieces';
 import { createMetrics } from '@laburnumshift/record-metrics';
 import { countEventReaders } from './count-event-readers.js';
 import { countStoreCalls } from './count-store-calls.js';
@@ -57,18 +57,25 @@
   const placer = openPlacement(context, { metrics, reservations, resends, homeResends }, bounds, (opened) => {
     homeClient = opened;
   });
-  const crashes = createCrashDetector(
-    options.control.probeServer,
-    (server) => server.isDraining || notices.getAvailability(server).isLeaving,
-    () => undefined,
-  );
+  const quarantine = createCrashQuarantine({
+    self: context.self,
+    channel: context.channel,
+    listPeers: context.listPeers,
+    getPlan: sharing.getPlan,
+    probeServer: options.control.probeServer,
+    isLeaving: (server) => server.isDraining || notices.getAvailability(server).isLeaving,
+    onCrash: ({ service, calls }) => {
+      metrics.addToCounter('calls_broken_by_crash_total', { service }, calls.length);
+    },
+    pickRandom: Math.random,
+  });
   let isDraining = false;
   const callerServer = await startForwardServer(settings.callerAddress, {
     codec,
     fleet,
     serverTracker,
     notices,
-    crashes,
+    quarantine,
     pool,
     placer,
     sharing,
@@ -81,6 +88,7 @@
     startStallChecks: createSharedInterval(times.stallCheckIntervalMs),
   });
   metrics.registerGauge('calls_in_flight', callerServer.countCallsInFlight);
+  metrics.registerGauge('quarantined_traits', quarantine.countConvicted);
   metrics.registerGauge('config_age_ms', fleet.getConfigAgeMs);
   let wasLastReady: boolean | undefined;
   const checkReady = (): boolean => {
@@ -163,6 +171,7 @@
         await sleep(times.drainCheckIntervalMs);
         callerServer.closeIdleConnections();
       }
+      quarantine.close();
       context.close();
       ready.close();
       metricsServer?.close();
--- a/packages/share-load/src/index.ts
+++ b/packages/share-load/src/index.ts
@@ -1,5 +1,6 @@
 /** Load of all hosts at each backend server, shared by datagrams. */
 export { addLoads } from './add-loads.js';
+export { chooseRelays } from './choose-relays.js';
 export { createLoadSharing } from './create-load-sharing.js';
 export type { PeerHost } from './peer-host.js';
 export type { ServerLoad } from './server-load.js';
