Distrust an answer without an id on a connection that had earlier calls

Callers were told 'not run, try again' (503) for calls that a server was running, when it wrote an earlier refusal once more on a kept connection. Cause: an answer with another call's id was dropped, but one without an id was taken for the answer of the call that was waiting. On the first call of a connection there is nothing to repeat; on later ones servers echo the id, and an answer without one now counts as foreign: the call may have run.

repeated-refusals.test.ts, refusals repeated on idle and on busy connections, at repeatable and other routes: 8 of 12 failed before (all without an id), 12 pass. Refusals with their id were told apart before.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -114,6 +114,10 @@
           fail('foreign', 'the answer has the id of another call');
           return;
         }
+        if (head.callId === undefined && request.reusedSocket) {
+          fail('foreign', 'the answer has no id and may repeat an earlier one of its connection');
+          return;
+        }
         phase = 'answering';
         received.on('data', (bytes: Buffer) => {
           framingMeter.addBodyBytes(bytes.length);
--- a/packages/call-backend/src/send-failure.ts
+++ b/packages/call-backend/src/send-failure.ts
@@ -4,7 +4,7 @@
  * - `not-sent`: no byte of the call reached the server.
  * - `sent`: the server may have run the call, and its answer has not begun.
  * - `answering`: the answer ended before it was complete.
- * - `foreign`: the answer has the id of another call.
+ * - `foreign`: the answer has the id of another call, or none on a connection that had earlier calls.
  */
 export interface SendFailure {
   readonly type: 'not-sent' | 'sent' | 'answering' | 'foreign';
