Pass on only events that continue a stream after it was resumed

Callers found the text of an error, or the head of another answer, in the middle of their stream, when the engine that was asked to go on sent it under status 200; and a stream without a length that broke off ended as if complete when the next engine sent nothing.

A resumed answer must now consist of events with ids after the last one, and must have one unless its framing states the end. A stream that ends within an event has broken off, whatever its framing says; the remaining bytes were passed on before where a length or chunks stated the end. Answers with other statuses were already kept out of a begun stream.

--- a/packages/forward-calls/src/create-event-splitter.ts
+++ b/packages/forward-calls/src/create-event-splitter.ts
@@ -1,4 +1,5 @@
 import type { EventSplitter } from './event-splitter.js';
+import { isContinuation } from './is-continuation.js';
 
 const LF = 10;
 const CR = 13;
@@ -41,7 +42,7 @@
     return 0;
   };
   return {
-    addBytes: (bytes) => {
+    addBytes: (bytes, isResumed = false) => {
       // Only the new bytes are searched, because an event may arrive in many chunks.
       const overlap = readOverlap();
       const end =
@@ -56,6 +57,7 @@
           ? bytes.subarray(0, end)
           : Buffer.concat([...partialChunks, bytes.subarray(0, end)]);
       setPartialEvent(bytes.subarray(end));
+      if (isResumed && lastEventId !== undefined && !isContinuation(events, lastEventId)) return 'foreign';
       for (const [, id] of events.toString('latin1').matchAll(ID_FIELD)) lastEventId = id;
       return events;
     },
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -11,6 +11,10 @@
 /** Maximum size of the body of an answer that is no stream, in bytes. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
+const LAST_WHITE_SPACE = 0x20;
+/** True when the bytes after the last event are at most empty lines. */
+const isBlank = (bytes: Buffer): boolean => bytes.every((byte) => byte <= LAST_WHITE_SPACE);
+
 /**
  * Sends a call to one server. The events of a stream are written to the caller as they arrive; any other answer is buffered and
  * returned whole.
@@ -26,6 +30,7 @@
     let head: ResponseHead | undefined;
     let isPending = true;
     let hasFirstEvent = false;
+    const isResumed = reply.isHeadSent();
 
     const finish = (outcome: AttemptOutcome, result: Parameters<typeof tracked.finish>[0]): void => {
       if (!isPending) return;
@@ -122,8 +127,10 @@
         onBodyBytes: (bytes) => {
           tracked.observeBytes();
           if (isStreamAnswer()) {
-            const events = splitter.addBytes(bytes);
-            if (events !== undefined) relayEvents(events);
+            const events = splitter.addBytes(bytes, isResumed);
+            if (events === 'foreign')
+              cancel(buildBrokenOutcome('the answer does not continue the stream'), 'failed');
+            else if (events !== undefined) relayEvents(events);
             if (splitter.isPartialEventTooLong())
               cancel(buildBrokenOutcome('an event exceeds the size limit'), 'failed');
             return;
@@ -146,10 +153,14 @@
             return;
           }
           const partialEvent = splitter.getPartialEvent();
-          if (partialEvent.length > 0 && !head.hasLength) {
+          if (!isBlank(partialEvent)) {
             finish(buildBrokenOutcome('stream ended within an event'), 'failed');
             return;
           }
+          if (isResumed && !hasFirstEvent && !head.hasLength) {
+            finish(buildBrokenOutcome('the resumed stream has no events'), 'failed');
+            return;
+          }
           if (reply.isHeadSent() && reply.isBodyDelimited() && !head.hasLength) {
             // The caller's response would look complete although the engine did not delimit its answer.
             finish(
--- a/packages/forward-calls/src/event-splitter.ts
+++ b/packages/forward-calls/src/event-splitter.ts
@@ -1,7 +1,10 @@
 /** Splits a server-sent event stream at the ends of complete events. */
 export interface EventSplitter {
-  /** Adds received bytes and returns the events that they complete, or `undefined` when there are none. */
-  readonly addBytes: (bytes: Buffer) => Buffer | undefined;
+  /**
+   * Adds received bytes and returns the events that they complete, or `undefined` when there are none. When `isResumed` is true, returns
+   * `foreign` for events that do not continue the stream.
+   */
+  readonly addBytes: (bytes: Buffer, isResumed?: boolean) => Buffer | 'foreign' | undefined;
   /** Returns the `id` field of the last complete event that had one. */
   readonly getLastEventId: () => string | undefined;
   /** Returns the bytes after the last complete event; empty when there are none. */
