Notice a reset that arrives together with the last bytes of an answer

Callers got a 200 with an empty or short body, framed as whole, when a server reset the connection in the middle of an answer without a length. Cause: libuv reports the end of the stream without reading the error when data and the hang-up come in one poll, so Node.js sees an orderly end.

Heads that stop in the middle were refused before.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -85,12 +85,25 @@
           fail(phase, 'the head of the answer does not end');
         });
       };
+      /** Notices a reset that arrives together with the last bytes, which Node.js reports as an orderly end of the connection. */
+      const watchReset = (socket: net.Socket): void => {
+        const observeEnd = (): void => {
+          // A connection that was reset has no peer any more.
+          wasReset = socket.remoteAddress === undefined;
+        };
+        socket.prependListener('end', observeEnd);
+        request.once('close', () => {
+          socket.off('end', observeEnd);
+        });
+      };
+      let wasReset = false;
       request.on('socket', (socket) => {
         if (!handlers.isSendAllowed()) {
           fail('not-sent', 'the server asked for no calls meanwhile');
           return;
         }
         watchReceivedBytes(socket);
+        watchReset(socket);
         if (!socket.connecting) {
           phase = 'sent';
           return;
@@ -129,7 +142,7 @@
         });
         received.on('end', () => {
           if (!isPending) return;
-          if (!received.complete) {
+          if (!received.complete || wasReset) {
             fail('answering', 'the answer broke off');
             return;
           }
