--- a/packages/measure-capacity/src/measurements.ts
+++ b/packages/measure-capacity/src/measurements.ts
@@ -11,6 +11,7 @@
 import { measureOrders } from './measure-orders.js';
 import { measurePolls } from './measure-polls.js';
 import { measureProcess } from './measure-process.js';
+import { measureQuarantine } from './measure-quarantine.js';
 import { measureRegistry } from './measure-registry.js';
 import { measureIdle } from './measure-idle.js';
 import { measureRetention } from './measure-retention.js';
@@ -27,6 +28,10 @@
   limits: { description: 'home of accounts and shares at the entry node', run: measureLimits },
   journal: { description: 'home of journal shards', run: measureJournal },
   registry: { description: 'run registry and quarantine', run: measureRegistry },
+  'quarantine-pieces': {
+    description: 'pieces that crash servers, at a forwarding host',
+    run: measureQuarantine,
+  },
   membership: { description: 'failure detector of a node', run: measureMembership },
   links: { description: 'links between nodes: heartbeats, memory and calls', run: measureLinks },
   polls: { description: 'polls of engines, stores, services and the host list', run: measurePolls },
