End a conviction whose suspect expired, and need a registered start time for a restart

Found by reading: a conviction whose entry had expired stayed in force without a time for its next test, until some other suspect changed; and a server that is registered without a start time, but reports one, counted as crashed with each broken connection. Tests: create-suspect-table, create-crash-detector.

--- a/packages/quarantine-pieces/src/create-crash-detector.ts
+++ b/packages/quarantine-pieces/src/create-crash-detector.ts
@@ -29,7 +29,7 @@
   gone: () => 'crashed',
   silent: (result) => (result.kind === 'silent' && result.isRefused ? 'crashed' : 'examined'),
   alive: (result, bornMs) =>
-    result.kind === 'alive' && (result.bornMs ?? bornMs) > bornMs ? 'crashed' : 'alive',
+    result.kind === 'alive' && bornMs > 0 && (result.bornMs ?? bornMs) > bornMs ? 'crashed' : 'alive',
 };
 
 /**
--- a/packages/quarantine-pieces/src/create-suspect-table.ts
+++ b/packages/quarantine-pieces/src/create-suspect-table.ts
@@ -53,13 +53,6 @@
   let culprits: ReadonlyMap<string, Culprit> = new Map();
   let isUpdatePending = false;
 
-  const expireEntries = (): void => {
-    const now = readMonotonicMs();
-    for (const [trait, { suspect, refusedAtMs }] of entries) {
-      const ttlMs = culprits.has(trait) ? CONVICTION_TTL_MS : SUSPECT_TTL_MS;
-      if (now - Math.max(refusedAtMs, getLastActionMs(suspect)) > ttlMs) entries.delete(trait);
-    }
-  };
   /** Makes room for new suspects; returns false when every suspect is more important than a new one. */
   const ensureRoom = (): boolean => {
     if (entries.size < MAX_SUSPECTS) return true;
@@ -114,6 +107,14 @@
       }
     if (convicted.length > 0) for (const handler of convictionHandlers) handler();
   };
+  const expireEntries = (): void => {
+    const now = readMonotonicMs();
+    for (const [trait, { suspect, refusedAtMs }] of entries) {
+      const ttlMs = culprits.has(trait) ? CONVICTION_TTL_MS : SUSPECT_TTL_MS;
+      if (now - Math.max(refusedAtMs, getLastActionMs(suspect)) > ttlMs) entries.delete(trait);
+    }
+    if ([...culprits.keys()].some((trait) => !entries.has(trait))) updateCulprits();
+  };
   const applyChanges = (suspects: readonly Suspect[], isOwn: boolean): void => {
     expireEntries();
     if (suspects.filter((suspect) => applySuspect(suspect, isOwn)).length === 0) return;
--- a/packages/quarantine-pieces/test/create-crash-detector.test.ts
+++ b/packages/quarantine-pieces/test/create-crash-detector.test.ts
@@ -15,12 +15,15 @@
   orderMark: undefined,
 };
 const ALIVE = { kind: 'alive', waiting: 0, running: 0, runs: undefined } as const;
-const CASES: Readonly<Record<string, readonly [probes: readonly ProbeResult[], crashes: number]>> = {
+const CASES: Readonly<
+  Record<string, readonly [probes: readonly ProbeResult[], crashes: number, bornMs?: number]>
+> = {
   'a refused connection is a crash': [[{ kind: 'silent', isRefused: true }], 1],
   'another process at the address is a crash': [[{ kind: 'gone' }], 1],
   'a later process with the same id is a crash': [[{ ...ALIVE, bornMs: 6000 }], 1],
   'the same process is no crash': [[{ ...ALIVE, bornMs: 5000 }], 0],
   'a process that states no start time is no crash': [[ALIVE], 0],
+  'a start time of a server that is registered without one is no crash': [[{ ...ALIVE, bornMs: 6000 }], 0, 0],
   'a refused connection after silence is a crash': [
     [{ kind: 'silent' }, { kind: 'silent', isRefused: true }],
     1,
@@ -29,7 +32,7 @@
   'a server that stays silent is no crash': [[{ kind: 'silent' }], 0],
 };
 
-for (const [name, [probes, expected]] of Object.entries(CASES))
+for (const [name, [probes, expected, bornMs = SERVER.bornMs]] of Object.entries(CASES))
   test.serial(`guards against taking a broken connection for a crash: ${name}`, async (t) => {
     const clock = installClock();
     t.teardown(() => {
@@ -43,8 +46,9 @@
       (crash) => crashes.push(crash),
     );
     const call = { callId: 'c', traits: [{ trait: 'm/d', position: 0 }], isExonerated: false };
-    detector.recordBrokenCall(SERVER, call);
-    detector.recordBrokenCall(SERVER, { ...call, callId: 'd' });
+    const server = { ...SERVER, bornMs };
+    detector.recordBrokenCall(server, call);
+    detector.recordBrokenCall(server, { ...call, callId: 'd' });
     await clock.tickAsync(6000);
     t.is(crashes.length, expected);
     t.deepEqual(
--- a/packages/quarantine-pieces/test/create-suspect-table.test.ts
+++ b/packages/quarantine-pieces/test/create-suspect-table.test.ts
@@ -109,3 +109,15 @@
   t.is(table.checkTraits(PIECE).kind, 'allowed');
   t.true(table.listSuspects(-Infinity, false)[0]?.clearedAtMs !== -Infinity, 'other hosts are told');
 });
+
+test.serial('guards against a conviction that never ends although nobody sends such calls', async (t) => {
+  const { clock, table, recordCrash } = openTable(t);
+  await recordCrash();
+  await clock.tickAsync(1000);
+  await recordCrash();
+  t.is(table.countConvicted(), 1);
+  await clock.tickAsync(25 * 3_600_000);
+  t.deepEqual(table.listSuspects(-Infinity, true), []);
+  t.is(table.countConvicted(), 0);
+  t.is(table.checkTraits(PIECE).kind, 'allowed');
+});
