Treat a stream that ends without an event or a stated length as broken off

An engine that crashes just behind the head of an answer without a length may close in order; the caller got an empty 200, and the call counted as served for the quarantine. Such an end, and one within an event, is now broken off, and the server is examined for a crash. cut-heads.test.ts excluded the first case; it no longer does.

--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -153,12 +153,11 @@
             return;
           }
           const partialEvent = splitter.getPartialEvent();
-          if (!isBlank(partialEvent)) {
-            finish(buildBrokenOutcome('stream ended within an event'), 'failed');
-            return;
-          }
-          if (isResumed && !hasFirstEvent && !head.hasLength) {
-            finish(buildBrokenOutcome('the resumed stream has no events'), 'failed');
+          const isWithinEvent = !isBlank(partialEvent);
+          if (isWithinEvent || (!hasFirstEvent && !head.hasLength)) {
+            observed.finish('broken');
+            const where = isWithinEvent ? 'within an event' : 'without events';
+            finish(buildBrokenOutcome(`stream ended ${where}`), 'failed');
             return;
           }
           if (reply.isHeadSent() && reply.isBodyDelimited() && !head.hasLength) {
