Keep enough crashes of a suspect for several moments of a large fleet

A suspect kept its newest 12 crashes, which at that rate all lie within one moment, so the piece was not convicted until the rate fell. 48 are kept now. The new test in create-suspect-table failed before and passes.

--- a/packages/quarantine-pieces/src/merge-suspect.ts
+++ b/packages/quarantine-pieces/src/merge-suspect.ts
@@ -3,7 +3,7 @@
 import type { Suspect } from './suspect.js';
 
 /** Maximum number of crashes kept of a suspect; the oldest are dropped. */
-const MAX_CRASHES = 12;
+const MAX_CRASHES = 48;
 /** Differences up to which two times mean the same event, milliseconds: times are sent as ages and grow by the way of a message. */
 const TIME_TOLERANCE_MS = 500;
 
--- a/packages/quarantine-pieces/test/create-suspect-table.test.ts
+++ b/packages/quarantine-pieces/test/create-suspect-table.test.ts
@@ -121,3 +121,13 @@
   t.is(table.countConvicted(), 0);
   t.is(table.checkTraits(PIECE).kind, 'allowed');
 });
+
+test.serial('guards against many crashes at once that push out the evidence of earlier ones', async (t) => {
+  const { clock, table, recordCrash } = openTable(t);
+  await recordCrash();
+  await clock.tickAsync(1000);
+  for (let crash = 0; crash < 30; crash += 1)
+    table.recordCrash({ server: `f${String(crash)}`, bornMs: 1, atMs: performance.now() + crash }, PIECE);
+  await clock.tickAsync(SETTLE_MS);
+  t.is(table.checkTraits(PIECE).kind, 'refused');
+});
