--- a/packages/quarantine-pieces/src/create-suspect-table.ts
+++ b/packages/quarantine-pieces/src/create-suspect-table.ts
@@ -11,7 +11,7 @@
 import type { Suspect } from './suspect.js';
 import type { SuspectTable } from './suspect-table.js';
 
-/** Maximum number of suspects, about 300 bytes each. */
+/** Maximum number of suspects; `docs/CAPACITY.md` has the memory of one. */
 const MAX_SUSPECTS = 2048;
 /** Number of suspects dropped at once when the table is full. */
 const EVICTED_SUSPECTS = 256;
