Log how long a call waited for its connection, and how long before a removal the store recovered

Callers' requests reached engines more than 2 s after the store had removed their entries. The logs showed which hosts kept a removed server, but not whether a late call had waited for a connection.

The trail of a call has connectionMs, and the lines of removed and kept servers have sinceRecoveryMs.

--- a/packages/forward-calls/src/attempt-input.ts
+++ b/packages/forward-calls/src/attempt-input.ts
@@ -21,6 +21,8 @@
   readonly splitter: EventSplitter;
   /** True when the call may be run again after this attempt fails. */
   readonly isRetryable: boolean;
+  /** Called when the call gets a connection, for which it may have waited. */
+  readonly onConnection: () => void;
   /** Called each time complete events are about to be written to the caller. */
   readonly onEvents: () => void;
   /** Called once, at the first event: the engine has then processed the prompt and cached its pieces. */
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -104,6 +104,7 @@
       matchedCall.body,
       {
         isSendAllowed: () => {
+          input.onConnection();
           const { isLeaving, pauseMs } = deps.notices.getAvailability(server);
           return !isLeaving && pauseMs === 0;
         },
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -142,6 +142,7 @@
     const remainingMs = Math.floor(matchedCall.endsAtMs - startedMs);
     const cacheScope = buildCacheScope(account, call.prompt?.model ?? '', choice.version);
     attempts += 1;
+    let connectionMs: number | undefined;
     const attemptOutcome = await dispatchCall(deps, {
       matchedCall,
       suspectCall,
@@ -172,6 +173,9 @@
       expectedMs: choice.expectedMs,
       splitter,
       isRetryable,
+      onConnection: () => {
+        connectionMs = Math.round(readMonotonicMs() - startedMs);
+      },
       onEvents: () => {
         const now = readMonotonicMs();
         if (lastEventAtMs !== undefined)
@@ -218,6 +222,7 @@
       saveTo: choice.transfers?.saveTo,
       version: choice.version,
       end: attemptOutcome.kind,
+      connectionMs,
       firstMs,
       lastEvent: splitter.getLastEventId(),
       longestPauseMs,
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -40,11 +40,21 @@
     }
     for (const handler of backendHandlers) handler(id, entry);
   };
+  /** Milliseconds since the store answered again; `undefined` when there was no outage. */
+  const readSinceRecovery = (): number | undefined => {
+    const ms = backendsView.getMsSinceRecovery();
+    return ms === Infinity ? undefined : Math.round(ms);
+  };
   const removeBackend = (id: string, reason: string): void => {
     lapsed.delete(id);
     const entry = backends.get(id);
     if (entry === undefined) return;
-    logger.info('backend server removed', { server: id, service: entry.service, reason });
+    logger.info('backend server removed', {
+      server: id,
+      service: entry.service,
+      reason,
+      sinceRecoveryMs: readSinceRecovery(),
+    });
     setBackend(id, undefined);
   };
   const expireBackend = (id: string): void => {
@@ -61,6 +71,7 @@
     logger.info('entry expired around a store outage; keeping the server for the grace time', {
       server: id,
       graceMs: expiryGraceMs,
+      sinceRecoveryMs: readSinceRecovery(),
     });
     startTimer(expiryGraceMs, () => {
       if (lapsed.get(id) === noticedAt) removeBackend(id, 'entry was not registered again');
