--- a/packages/track-fleet/test/track-fleet.test.ts
+++ b/packages/track-fleet/test/track-fleet.test.ts
@@ -141,6 +141,54 @@
     }),
 );
 
+/** Fails the watches of servers for a time, each call 400 ms after the one before; returns when the last one was sent. */
+const failWatches = async (
+  store: ReturnType<typeof createStore>,
+  clock: ReturnType<typeof installClock>,
+  ms: number,
+): Promise<void> => {
+  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 400) {
+    store.replyTo('backends', { kind: 'unavailable', reason: 'status 503' });
+    await clock.tickAsync(400);
+  }
+};
+
+test.serial(
+  'a server that leaves after the store refused this host gets no calls at the end of the bound',
+  (t) =>
+    run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
+      await failWatches(store, clock, 3000);
+      store.replyTo('backends', { kind: 'changes', revision: 300, changes: [] });
+      await clock.tickAsync(1500);
+      store.updateObject('backends', 'a', createEntry('a'), true);
+      await clock.tickAsync(1900);
+      t.is(fleet.listBackends('models').length, 0);
+    }),
+);
+
+test.serial(
+  'a server that left while the store refused this host gets no calls once the host is well again',
+  (t) =>
+    run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
+      await failWatches(store, clock, 3000);
+      // The store may serve this host again from now on, and the host notices only later.
+      await clock.tickAsync(1800);
+      store.updateObject('backends', 'a', createEntry('a'), true);
+      await clock.tickAsync(1100);
+      t.is(fleet.listBackends('models').length, 0);
+    }),
+);
+
+test.serial('a single failed call is not taken for an outage in which entries expire', (t) =>
+  run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
+    store.replyTo('backends', { kind: 'unavailable', reason: 'the watch was cut off' });
+    await clock.tickAsync(200);
+    store.updateObject('backends', 'a', createEntry('a'), true);
+    await clock.tickAsync(1);
+    t.is(fleet.listBackends('models').length, 0);
+  }),
+);
+
 test.serial('a draining server whose entry expired around a store outage is removed at once', (t) =>
   run(
     { backends: [createObject('a', 1, createEntry('a', { isDraining: true }))] },
