Count the grace time of expired entries from the end of the outage

Callers' requests reached engines more than 2 s after the store had removed their entries. A host keeps a server whose entry vanishes around an outage, as running servers register again within two seconds of its end. It counted those two seconds from when it noticed the removal, up to two seconds after the outage had ended for it, so a server that left then got calls for the whole bound and their way on top.

The grace time ends two seconds after the end of the outage. Calls that the circuit breaker did not make no longer count as failed calls.

--- a/packages/forward-types/src/change-ages.ts
+++ b/packages/forward-types/src/change-ages.ts
@@ -4,6 +4,6 @@
   readonly ageMs: number;
   /** Upper bound of the age of every change. */
   readonly changedMs: number;
-  /** Time since the end of the last store outage that the other host noticed; infinite without one. */
+  /** Time since the end of the last store outage as the other host assumes it; infinite without one. */
   readonly recoveredMs: number;
 }
--- a/packages/forward-types/src/index.ts
+++ b/packages/forward-types/src/index.ts
@@ -37,6 +37,7 @@
 export type { RelayedChanges } from './relayed-changes.js';
 export type { ProbeResult } from './probe-result.js';
 export type { StoredObject } from './stored-object.js';
+export type { UnavailableOutcome } from './unavailable-outcome.js';
 export type { WatchOutcome } from './watch-outcome.js';
 export type { WeightOrder } from './weight-order.js';
 export type { WeightVersion } from './weight-version.js';
--- a/packages/forward-types/src/list-outcome.ts
+++ b/packages/forward-types/src/list-outcome.ts
@@ -1,5 +1,6 @@
 import type { ChangeAges } from './change-ages.js';
 import type { StoredObject } from './stored-object.js';
+import type { UnavailableOutcome } from './unavailable-outcome.js';
 
 /** Result of listing all objects of a kind. */
 export type ListOutcome =
@@ -11,4 +12,4 @@
       /** Set when the list was read from another host's copy. */
       readonly ages?: ChangeAges;
     }
-  | { readonly kind: 'unavailable'; readonly reason: string };
+  | UnavailableOutcome;
--- a/packages/forward-types/src/watch-outcome.ts
+++ b/packages/forward-types/src/watch-outcome.ts
@@ -1,5 +1,6 @@
 import type { ChangeAges } from './change-ages.js';
 import type { ObjectChange } from './object-change.js';
+import type { UnavailableOutcome } from './unavailable-outcome.js';
 
 /** Result of a long-poll read of changes. `compacted`: the store no longer has the changes, so the objects must be listed again. */
 export type WatchOutcome =
@@ -12,4 +13,4 @@
       readonly ages?: ChangeAges;
     }
   | { readonly kind: 'compacted' }
-  | { readonly kind: 'unavailable'; readonly reason: string };
+  | UnavailableOutcome;
--- a/packages/relay-objects/src/circuit-breaker.ts
+++ b/packages/relay-objects/src/circuit-breaker.ts
@@ -5,8 +5,13 @@
    * next one.
    */
   readonly admitCall: () => boolean;
-  /** Records whether the store answered a call: an answer closes the breaker, a failure opens it with a growing delay. */
-  readonly recordOutcome: (isAnswered: boolean) => void;
+  /**
+   * Records whether the store answered a call that was sent at `sentMs`, monotonic milliseconds: an answer closes the breaker, a
+   * failure opens it with a growing delay.
+   */
+  readonly recordOutcome: (isAnswered: boolean, sentMs: number) => void;
+  /** Returns the time since the last failed call was sent, milliseconds; infinite when none failed. */
+  readonly getMsSinceFailure: () => number;
   /** Whether the store did not answer the last call. */
   readonly isOpen: () => boolean;
 }
--- a/packages/relay-objects/src/create-circuit-breaker.ts
+++ b/packages/relay-objects/src/create-circuit-breaker.ts
@@ -20,6 +20,7 @@
 export function createCircuitBreaker(pickRandom: () => number): CircuitBreaker {
   let retryDelayMs = 0;
   let nextProbeMs = -Infinity;
+  let lastFailureMs = -Infinity;
   return {
     admitCall: () => {
       if (retryDelayMs === 0) return true;
@@ -28,12 +29,14 @@
       nextProbeMs = now + PROBE_TIMEOUT_MS;
       return true;
     },
-    recordOutcome: (isAnswered) => {
+    recordOutcome: (isAnswered, sentMs) => {
+      if (!isAnswered) lastFailureMs = Math.max(lastFailureMs, sentMs);
       retryDelayMs = isAnswered
         ? 0
         : Math.min(MAX_RETRY_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, retryDelayMs * BACKOFF_FACTOR));
       nextProbeMs = readMonotonicMs() + retryDelayMs * (1 - JITTER * pickRandom());
     },
+    getMsSinceFailure: () => readMonotonicMs() - lastFailureMs,
     isOpen: () => retryDelayMs > 0,
   };
 }
--- a/packages/relay-objects/src/create-relayed-source.ts
+++ b/packages/relay-objects/src/create-relayed-source.ts
@@ -5,6 +5,7 @@
   ListOutcome,
   ObjectSource,
   RelayedChanges,
+  UnavailableOutcome,
   WatchOutcome,
 } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
@@ -65,10 +66,16 @@
   };
   const callGuarded = async <T extends WatchOutcome | ListOutcome>(
     ask: () => Promise<T>,
-  ): Promise<T | { readonly kind: 'unavailable'; readonly reason: string }> => {
-    if (!breaker.admitCall()) return { kind: 'unavailable', reason: 'the store does not answer' };
+  ): Promise<T | UnavailableOutcome> => {
+    if (!breaker.admitCall())
+      return {
+        kind: 'unavailable',
+        reason: 'the store does not answer',
+        failedMs: breaker.getMsSinceFailure(),
+      };
+    const sentMs = readMonotonicMs();
     const outcome = await ask();
-    breaker.recordOutcome(outcome.kind !== 'unavailable');
+    breaker.recordOutcome(outcome.kind !== 'unavailable', sentMs);
     return outcome;
   };
   const watchStore = (kind: string, after: number, waitMs: number): Promise<WatchOutcome> =>
@@ -110,8 +117,9 @@
   const probeStore = async (kind: string): Promise<boolean> => {
     const after = lastRevisions.get(kind);
     if (after === undefined || !breaker.admitCall()) return false;
+    const sentMs = readMonotonicMs();
     const { kind: outcome } = await source.watchChanges(kind, after, CONFIRM_WAIT_MS);
-    breaker.recordOutcome(outcome !== 'unavailable');
+    breaker.recordOutcome(outcome !== 'unavailable', sentMs);
     return outcome !== 'unavailable';
   };
   /** Used while the other host answers with an old copy: probes the store when its random delay has passed, and keeps waiting. */
--- a/packages/run-forwarder/src/forwarder-timings.ts
+++ b/packages/run-forwarder/src/forwarder-timings.ts
@@ -24,6 +24,8 @@
   fullSizeLinkMbps: 50,
   /** Time for which the entry of a server is kept after an outage of the store: servers register again within two seconds. */
   lapseGraceMs: 2000,
+  /** Time before the end of a bound on calls at which the last one is sent: its way to the server, and late timers. */
+  sendMarginMs: 300,
   /** Time until the load balancer stops sending connections: it removes a host after two failed checks at one-second intervals. */
   balancerRemovalMs: 2600,
   /** Part of the grace period that is reserved for the exit of the process. */
--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -115,6 +115,7 @@
         ? times.relayedBatchDelayMs
         : Math.min(watchWaits.maxBatchDelay, listPeers().length * times.batchDelayMsPerHost),
     expiryGraceMs: times.lapseGraceMs,
+    maxReturnDelayMs: Math.max(0, settings.bounds.settleMs - times.lapseGraceMs - times.sendMarginMs),
   });
   isInitialized = true;
 
--- a/packages/track-fleet/src/fleet-options.ts
+++ b/packages/track-fleet/src/fleet-options.ts
@@ -11,6 +11,11 @@
   readonly waitMs: { readonly config: number; readonly backends: number; readonly weights: number };
   /** Returns the delay after a watch answer with changed servers, milliseconds; it lets further changes arrive in one answer. */
   readonly getBatchDelayMs: () => number;
-  /** Time for which a server is kept whose entry expired during or shortly after a store outage, milliseconds. */
+  /**
+   * Time after the end of a store outage, milliseconds, until which a server is kept whose entry expired during the outage or since:
+   * running servers register again in this time.
+   */
   readonly expiryGraceMs: number;
+  /** Longest time from the last failed call to the store to the assumed end of an outage: see `WatchOptions`. */
+  readonly maxReturnDelayMs: number;
 }
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -60,9 +60,9 @@
   const expireBackend = (id: string): void => {
     const entry = backends.get(id);
     if (entry === undefined) return;
-    const isNearOutage = backendsView.getMsSinceRecovery() < expiryGraceMs;
     // Entries expire during an outage of the store; running servers register again shortly after it.
-    if (!isNearOutage || entry.isDraining) {
+    const graceMs = expiryGraceMs - backendsView.getMsSinceRecovery();
+    if (graceMs <= 0 || entry.isDraining) {
       removeBackend(id, 'entry removed');
       return;
     }
@@ -70,10 +70,10 @@
     lapsed.set(id, noticedAt);
     logger.info('entry expired around a store outage; keeping the server for the grace time', {
       server: id,
-      graceMs: expiryGraceMs,
+      graceMs: Math.round(graceMs),
       sinceRecoveryMs: readSinceRecovery(),
     });
-    startTimer(expiryGraceMs, () => {
+    startTimer(graceMs, () => {
       if (lapsed.get(id) === noticedAt) removeBackend(id, 'entry was not registered again');
     });
   };
@@ -161,6 +161,7 @@
       source,
       kind: kinds[kind],
       waitMs: waitMs[kind],
+      maxReturnDelayMs: options.maxReturnDelayMs,
       // Only server entries change often and in large numbers at once.
       getBatchDelayMs: () => (kind === 'backends' ? options.getBatchDelayMs() : 0),
       onChanges,
--- a/packages/track-fleet/test/track-fleet.test.ts
+++ b/packages/track-fleet/test/track-fleet.test.ts
@@ -67,6 +67,7 @@
     waitMs: { config: 1000, backends: 1000, weights: 1000 },
     getBatchDelayMs: () => 0,
     expiryGraceMs: 2000,
+    maxReturnDelayMs: 700,
   });
 const run = async (
   lists: Record<string, StoredObject[]>,
--- a/packages/watch-objects/src/object-copy.ts
+++ b/packages/watch-objects/src/object-copy.ts
@@ -7,7 +7,7 @@
   readonly objects: ReadonlyMap<string, StoredObject>;
   /** Returns an upper bound of the age of the copy, milliseconds; infinite before the first list. */
   readonly getAgeMs: () => number;
-  /** Returns the time since the store answered again after an outage, milliseconds; infinite when there was no outage. */
+  /** Returns the time since the assumed end of the last store outage, milliseconds; infinite when there was no outage. */
   readonly getMsSinceRecovery: () => number;
   /** For use inside `onChanges`: none of the changes being handled was made before this moment. */
   readonly getChangedSince: () => Moment;
--- a/packages/watch-objects/src/watch-kind.ts
+++ b/packages/watch-objects/src/watch-kind.ts
@@ -1,5 +1,5 @@
 import { computeElapsedMs, readMoment, moveMoment, sleep, type Moment } from '@laburnumshift/clock';
-import type { ChangeAges, ObjectChange, StoredObject } from '@laburnumshift/forward-types';
+import type { ChangeAges, ObjectChange, StoredObject, UnavailableOutcome } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import { createChangeHistory } from './create-change-history.js';
 import { diffObjects } from './diff-objects.js';
@@ -23,7 +23,7 @@
  * last revision, it lists again. The copy stays readable while the store is unavailable; its age grows meanwhile.
  */
 export function watchKind(options: WatchOptions): ObjectCopy {
-  const { source, kind, waitMs, onChanges } = options;
+  const { source, kind, waitMs, onChanges, maxReturnDelayMs = Infinity } = options;
   const logger = createLogger('watch');
   const objects = new Map<string, StoredObject>();
   const history = createChangeHistory(objects);
@@ -32,6 +32,8 @@
   let lastRecovery: Moment | undefined;
   let revision: number | undefined;
   let failures = 0;
+  /** When the last failed call to the store was sent. */
+  let lastFailure: Moment | undefined;
   /**
    * Whether the next list must not be stale: the history after the last list was compacted, and another stale list could repeat
    * that.
@@ -46,7 +48,7 @@
     else if (ages !== undefined) changedSince = moveMoment(readMoment(), -ages.changedMs);
     else changedSince = computeElapsedMs(sent) > waitMs + LATE_ANSWER_MS ? sent : readMoment();
     if (failures > 0) {
-      lastRecovery = readMoment();
+      lastRecovery = moveMoment(readMoment(), -Math.max(0, computeSinceMs(lastFailure) - maxReturnDelayMs));
       logger.info('store answers again', { kind, failures, revision });
     } else if (ages !== undefined && ages.recoveredMs < computeSinceMs(lastRecovery))
       lastRecovery = moveMoment(readMoment(), -ages.recoveredMs);
@@ -56,8 +58,13 @@
     else if (ages.ageMs < computeSinceMs(lastConfirmed))
       lastConfirmed = moveMoment(readMoment(), -ages.ageMs);
   };
-  const recordFailure = async (call: string, reason: string): Promise<void> => {
+  const recordFailure = async (
+    call: string,
+    sent: Moment,
+    { reason, failedMs }: UnavailableOutcome,
+  ): Promise<void> => {
     failures += 1;
+    lastFailure = failedMs === undefined ? sent : moveMoment(readMoment(), -failedMs);
     // Logs failures 1, 2, 4, 8 and so on, so that an outage does not flood the log.
     if ((failures & (failures - 1)) === 0) logger.warn('store call failed', { kind, call, reason, failures });
     await sleep(
@@ -78,7 +85,7 @@
     const sent = readMoment();
     const outcome = await source.listObjects(kind, options.isStaleAllowed === true && !isFreshListRequired);
     if (abortController.signal.aborted) return;
-    if (outcome.kind === 'unavailable') return recordFailure('list', outcome.reason);
+    if (outcome.kind === 'unavailable') return recordFailure('list', sent, outcome);
     const changes = diffObjects(objects, outcome.objects);
     for (const { isRemoved, object } of changes) {
       if (isRemoved) objects.delete(object.name);
@@ -94,7 +101,7 @@
     const sent = readMoment();
     const outcome = await source.watchChanges(kind, from, waitMs);
     if (abortController.signal.aborted) return;
-    if (outcome.kind === 'unavailable') return recordFailure('watch', outcome.reason);
+    if (outcome.kind === 'unavailable') return recordFailure('watch', sent, outcome);
     if (outcome.kind === 'compacted') {
       logger.warn('history was compacted; listing again', { kind, revision: from });
       revision = undefined;
--- a/packages/watch-objects/src/watch-options.ts
+++ b/packages/watch-objects/src/watch-options.ts
@@ -8,6 +8,11 @@
   readonly waitMs: number;
   /** Whether lists may be several seconds old; later watches then deliver the missing changes. False by default. */
   readonly isStaleAllowed?: boolean;
+  /**
+   * The store is assumed to answer again at most this long after its last failed call was sent, milliseconds: a host may notice the
+   * end of an outage late. Unlimited by default.
+   */
+  readonly maxReturnDelayMs?: number;
   /** Returns the pause after an answer with changes, milliseconds, so that further changes arrive in one answer; 0 by default. */
   readonly getBatchDelayMs?: () => number;
   /**
