Take short failures of the store's calls for no outage in which entries expire

A server whose entry was removed without notice got further calls of a host for up to two seconds because one call of that host to the store had failed shortly before: a watch cut off, a connection reset, a refusal by rate. The entry of a running server expires after three silent heartbeat intervals, so calls that fail for a shorter time cannot have let it expire, and its removal is final.

The least time is computed from the heartbeat interval and the longest delay until a failing watch is noticed.

--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -9,6 +9,7 @@
 import { createServerTracker, createServerNotices } from '@laburnumshift/track-engines';
 import { trackFleet } from '@laburnumshift/track-fleet';
 import type { PlatformClient } from '@laburnumshift/types';
+import { computeMinOutage } from './compute-min-outage.js';
 import { computeWatchWaits } from './compute-watch-waits.js';
 import type { ForwarderOptions } from './forwarder-options.js';
 import { FORWARDER_TIMINGS } from './forwarder-timings.js';
@@ -115,6 +116,7 @@
         ? times.relayedBatchDelayMs
         : Math.min(watchWaits.maxBatchDelay, listPeers().length * times.batchDelayMsPerHost),
     expiryGraceMs: times.lapseGraceMs,
+    minOutageMs: computeMinOutage(settings.heartbeatMs, watchWaits.backends),
     maxReturnDelayMs: Math.max(0, settings.bounds.settleMs - times.lapseGraceMs - times.sendMarginMs),
   });
   isInitialized = true;
--- a/packages/track-fleet/src/fleet-options.ts
+++ b/packages/track-fleet/src/fleet-options.ts
@@ -16,6 +16,8 @@
    * running servers register again in this time.
    */
   readonly expiryGraceMs: number;
+  /** Calls to the store that fail for a shorter time are no outage in which entries expire, milliseconds. */
+  readonly minOutageMs: number;
   /** Longest time from the last failed call to the store to the assumed end of an outage: see `WatchOptions`. */
   readonly maxReturnDelayMs: number;
 }
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -161,6 +161,7 @@
       source,
       kind: kinds[kind],
       waitMs: waitMs[kind],
+      minOutageMs: options.minOutageMs,
       maxReturnDelayMs: options.maxReturnDelayMs,
       // Only server entries change often and in large numbers at once.
       getBatchDelayMs: () => (kind === 'backends' ? options.getBatchDelayMs() : 0),
--- a/packages/track-fleet/test/track-fleet.test.ts
+++ b/packages/track-fleet/test/track-fleet.test.ts
@@ -67,6 +67,7 @@
     waitMs: { config: 1000, backends: 1000, weights: 1000 },
     getBatchDelayMs: () => 0,
     expiryGraceMs: 2000,
+    minOutageMs: 500,
     maxReturnDelayMs: 700,
   });
 const run = async (
@@ -89,6 +90,18 @@
   }
 };
 
+/** Fails the watches of servers for a time, each call 400 ms after the one before; returns when the last one was sent. */
+const failWatches = async (
+  store: ReturnType<typeof createStore>,
+  clock: ReturnType<typeof installClock>,
+  ms: number,
+): Promise<void> => {
+  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 400) {
+    store.replyTo('backends', { kind: 'unavailable', reason: 'status 503' });
+    await clock.tickAsync(400);
+  }
+};
+
 test.serial('a configuration is never replaced by an older version', (t) =>
   run({ config: [createObject('main', 1, { version: 5 })] }, async (fleet, store, clock) => {
     store.updateObject('config', 'main', { version: 4 });
@@ -130,30 +143,17 @@
   'a server whose entry expired around a store outage is kept for the grace time and no longer',
   (t) =>
     run({ backends: [createObject('a', 1, createEntry('a'))] }, async (fleet, store, clock) => {
-      store.replyTo('backends', { kind: 'unavailable', reason: 'down' });
-      await clock.tickAsync(200);
+      await failWatches(store, clock, 3000);
       store.updateObject('backends', 'a', createEntry('a'), true);
       await clock.tickAsync(1);
       store.replyTo('backends', { kind: 'changes', revision: 300, changes: [] });
-      await clock.tickAsync(1);
+      await clock.tickAsync(1990);
       t.is(fleet.listBackends('models').length, 1);
-      await clock.tickAsync(2000);
+      await clock.tickAsync(10);
       t.is(fleet.listBackends('models').length, 0);
     }),
 );
 
-/** Fails the watches of servers for a time, each call 400 ms after the one before; returns when the last one was sent. */
-const failWatches = async (
-  store: ReturnType<typeof createStore>,
-  clock: ReturnType<typeof installClock>,
-  ms: number,
-): Promise<void> => {
-  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 400) {
-    store.replyTo('backends', { kind: 'unavailable', reason: 'status 503' });
-    await clock.tickAsync(400);
-  }
-};
-
 test.serial(
   'a server that leaves after the store refused this host gets no calls at the end of the bound',
   (t) =>
@@ -194,8 +194,7 @@
   run(
     { backends: [createObject('a', 1, createEntry('a', { isDraining: true }))] },
     async (fleet, store, clock) => {
-      store.replyTo('backends', { kind: 'unavailable', reason: 'down' });
-      await clock.tickAsync(200);
+      await failWatches(store, clock, 3000);
       store.updateObject('backends', 'a', createEntry('a'), true);
       await clock.tickAsync(1);
       t.is(fleet.listAllBackends().length, 0);
--- a/packages/watch-objects/src/watch-kind.ts
+++ b/packages/watch-objects/src/watch-kind.ts
@@ -1,5 +1,10 @@
 import { computeElapsedMs, readMoment, moveMoment, sleep, type Moment } from '@laburnumshift/clock';
-import type { ChangeAges, ObjectChange, StoredObject, UnavailableOutcome } from '@laburnumshift/forward-types';
+import type {
+  ChangeAges,
+  ObjectChange,
+  StoredObject,
+  UnavailableOutcome,
+} from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import { createChangeHistory } from './create-change-history.js';
 import { diffObjects } from './diff-objects.js';
@@ -23,7 +28,7 @@
  * last revision, it lists again. The copy stays readable while the store is unavailable; its age grows meanwhile.
  */
 export function watchKind(options: WatchOptions): ObjectCopy {
-  const { source, kind, waitMs, onChanges, maxReturnDelayMs = Infinity } = options;
+  const { source, kind, waitMs, onChanges, minOutageMs = 0, maxReturnDelayMs = Infinity } = options;
   const logger = createLogger('watch');
   const objects = new Map<string, StoredObject>();
   const history = createChangeHistory(objects);
@@ -32,6 +37,8 @@
   let lastRecovery: Moment | undefined;
   let revision: number | undefined;
   let failures = 0;
+  /** When the first call failed since the last answer. */
+  let firstFailure: Moment | undefined;
   /** When the last failed call to the store was sent. */
   let lastFailure: Moment | undefined;
   /**
@@ -48,7 +55,9 @@
     else if (ages !== undefined) changedSince = moveMoment(readMoment(), -ages.changedMs);
     else changedSince = computeElapsedMs(sent) > waitMs + LATE_ANSWER_MS ? sent : readMoment();
     if (failures > 0) {
-      lastRecovery = moveMoment(readMoment(), -Math.max(0, computeSinceMs(lastFailure) - maxReturnDelayMs));
+      if (computeSinceMs(firstFailure) >= minOutageMs)
+        lastRecovery = moveMoment(readMoment(), -Math.max(0, computeSinceMs(lastFailure) - maxReturnDelayMs));
+      firstFailure = undefined;
       logger.info('store answers again', { kind, failures, revision });
     } else if (ages !== undefined && ages.recoveredMs < computeSinceMs(lastRecovery))
       lastRecovery = moveMoment(readMoment(), -ages.recoveredMs);
@@ -64,6 +73,7 @@
     { reason, failedMs }: UnavailableOutcome,
   ): Promise<void> => {
     failures += 1;
+    firstFailure ??= readMoment();
     lastFailure = failedMs === undefined ? sent : moveMoment(readMoment(), -failedMs);
     // Logs failures 1, 2, 4, 8 and so on, so that an outage does not flood the log.
     if ((failures & (failures - 1)) === 0) logger.warn('store call failed', { kind, call, reason, failures });
--- a/packages/watch-objects/src/watch-options.ts
+++ b/packages/watch-objects/src/watch-options.ts
@@ -8,6 +8,8 @@
   readonly waitMs: number;
   /** Whether lists may be several seconds old; later watches then deliver the missing changes. False by default. */
   readonly isStaleAllowed?: boolean;
+  /** Calls that fail for a shorter time are no outage of the store, milliseconds; 0 by default. */
+  readonly minOutageMs?: number;
   /**
    * The store is assumed to answer again at most this long after its last failed call was sent, milliseconds: a host may notice the
    * end of an outage late. Unlimited by default.
