Ask again whether a server takes calls when a call gets its connection

A call that waited for a free connection was written to its server although the server had become draining, or its entry had been removed, while it waited: only announcements in answers were looked at then. A call can wait for as long as its time allows, so it reached servers after the bound on leaving ones (DRAIN).

When a call gets its connection, the host's present entry of the server has to be the same process at the same address, and usable; otherwise the call has not run and goes to another server.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -99,7 +99,7 @@
       let wasReset = false;
       request.on('socket', (socket) => {
         if (!handlers.isSendAllowed()) {
-          fail('not-sent', 'the server asked for no calls meanwhile');
+          fail('not-sent', 'the server takes no calls any more');
           return;
         }
         watchReceivedBytes(socket);
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -1,3 +1,4 @@
+import { isUsableServer } from '@laburnumshift/choose-server';
 import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
 import { CALL_KINDS, type ResponseHead } from '@laburnumshift/forward-types';
 import type { OutgoingCall } from '@laburnumshift/call-backend';
@@ -105,8 +106,9 @@
       {
         isSendAllowed: () => {
           input.onConnection();
-          const { isLeaving, pauseMs } = deps.notices.getAvailability(server);
-          return !isLeaving && pauseMs === 0;
+          const entry = deps.fleet.getBackend(server.id);
+          const isSameProcess = entry?.bornMs === server.bornMs && entry.address === server.address;
+          return isSameProcess && isUsableServer(deps, entry, undefined);
         },
         onHeaders: (received) => {
           head = received;
