Keep the calls of all hosts below the limits that servers state

The new package limit-server-rates gives each host that places calls a token bucket for each limited server, with the host's part of the limit by its part of the calls for the service. Hosts tell each other statements and rates by datagram while a limit is in force. A call goes to other servers first, waits while its turn comes within half of its objective, and is refused at once otherwise, with a Retry-After from the rate that is left. A success without the field ends a limit; a field that cannot be read changes nothing.

What lost: equal parts (uneven callers waste them), counting what others sent (hosts take the same room at once), permits from one host for each server (one more exchange a call).

--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -1,6 +1,8 @@
 import { buildRefusal, REFUSAL_CAUSES, type ServerChoice } from '@laburnumshift/choose-server';
 import { createSharedInterval, readMonotonicMs } from '@laburnumshift/clock';
 import type { PlacementRequest } from '@laburnumshift/forward-types';
+import type { RoomForecast } from '@laburnumshift/limit-server-rates';
+import { createRetrySchedule } from './create-retry-schedule.js';
 import { createQueueWaitEstimator } from './create-queue-wait-estimator.js';
 import { RETRY_BOUNDS } from '@laburnumshift/place-calls';
 import type { PlacementQueueOptions } from './placement-queue-options.js';
@@ -16,6 +18,8 @@
 const RESEND_BUDGET_RETRY_AFTER_MS = 500;
 /** Maximum expected queue wait as a share of the target time to first token. A call with a longer expected wait is refused on arrival. */
 const MAX_QUEUE_WAIT_SHARE = 0.2;
+/** The same for a wait until servers at their limits take further calls: these are not slow, so the rest of the time suffices. */
+const MAX_ROOM_WAIT_SHARE = 0.5;
 
 interface QueuedRequest {
   readonly request: PlacementRequest;
@@ -35,17 +39,19 @@
 }: PlacementQueueOptions): PlacementQueue {
   const pollCapacity = createSharedInterval(PLACEMENT_TIMING.capacityPollMs);
   const waitEstimator = createQueueWaitEstimator();
+  const retrySchedule = createRetrySchedule();
   let queue: QueuedRequest[] = [];
   let stopPolling: (() => void) | undefined;
 
   const computeWaitedMs = ({ request, queuedAtMs }: QueuedRequest): number =>
     request.waitedMs + readMonotonicMs() - queuedAtMs;
-  const countAhead = (request: PlacementRequest): number =>
+  const listAhead = (request: PlacementRequest): readonly QueuedRequest[] =>
     queue.filter(
       (entry) =>
         entry.request.priority < request.priority ||
         (entry.request.priority === request.priority && computeWaitedMs(entry) >= request.waitedMs),
-    ).length;
+    );
+  const countAhead = (request: PlacementRequest): number => listAhead(request).length;
   const scheduleRetry = (request: PlacementRequest, minRetryMs: number): number =>
     waitEstimator.scheduleRetry(
       request.priority,
@@ -55,6 +61,8 @@
     );
   const decide = (request: PlacementRequest): ServerChoice => {
     const choice = chooseServer(request);
+    if (choice.kind === 'wait' && choice.room !== undefined)
+      return checkRoomWait(request, choice.room) ?? choice;
     if (choice.kind === 'refuse' && choice.cause === REFUSAL_CAUSES.noCapacity)
       return { ...choice, retryAfterMs: scheduleRetry(request, choice.retryAfterMs) };
     if (choice.kind !== 'server') return choice;
@@ -63,6 +71,23 @@
     waitEstimator.recordPlacement(request.priority);
     return choice;
   };
+  /** Refuses a call to servers at their limits that would wait too long for its turn; else `undefined`. */
+  const checkRoomWait = (request: PlacementRequest, room: RoomForecast): ServerChoice | undefined => {
+    const ahead = listAhead(request).filter(
+      (entry) => entry.request.service === request.service && entry.request.callId !== request.callId,
+    );
+    const waitMs = room.firstMs + ahead.length * room.perCallMs;
+    if (request.waitedMs + waitMs <= request.targetMs * MAX_ROOM_WAIT_SHARE) return undefined;
+    const maxRetryMs = Math.max(RETRY_BOUNDS.minMs, request.remainingMs * RETRY_BOUNDS.maxRemainingShare);
+    const retryAfterMs = retrySchedule.scheduleRetry(
+      request.service,
+      request.priority,
+      room.perCallMs,
+      Math.max(RETRY_BOUNDS.minMs, waitMs),
+      maxRetryMs,
+    );
+    return buildRefusal(REFUSAL_CAUSES.allLimited, retryAfterMs);
+  };
   /** Refuses a call without free capacity when its expected queue wait exceeds `MAX_QUEUE_WAIT_SHARE` of its target; else `undefined`. */
   const checkQueueWait = (request: PlacementRequest): ServerChoice | undefined => {
     const waitMs = waitEstimator.estimateWaitMs(request.priority, countAhead(request));
@@ -101,7 +126,8 @@
       if (queue.length > 0) drainQueue(MAX_DECISIONS_PER_REQUEST);
       if (!request.isResend) recordFirstAttempt(request.service);
       const decided = decide(request);
-      const choice = decided.kind === 'wait' ? (checkQueueWait(request) ?? decided) : decided;
+      const hasToQueue = decided.kind === 'wait' && decided.room === undefined;
+      const choice = hasToQueue ? (checkQueueWait(request) ?? decided) : decided;
       if (choice.kind !== 'wait' || queue.length >= MAX_QUEUED) {
         onChoice(choice);
         return false;
--- a/packages/ask-home/test/simulate-fleet.ts
+++ b/packages/ask-home/test/simulate-fleet.ts
@@ -158,6 +158,11 @@
       },
       bounds: { versionMs: 10_000 },
       pickRandom,
+      limits: {
+        hasRoom: () => true,
+        takeRoom: () => undefined,
+        estimateRoom: () => ({ firstMs: 0, perCallMs: 0 }),
+      },
       getHomeDomain: () => (by === 'home' ? 'a' : undefined),
     }) as unknown as ChoiceDeps;
   const createQueue = (deps: ChoiceDeps): PlacementQueue =>
--- a/packages/choose-server/src/choose-server.ts
+++ b/packages/choose-server/src/choose-server.ts
@@ -9,7 +9,7 @@
 
 /**
  * Chooses the server for the next attempt of a call. Leaving servers and servers that asked this host for a pause get no calls.
- * Servers that asked another host for a pause, or recently refused or reset connections, are used only when no others are left.
+ * A call waits while all servers are at the limits that they state. Servers that asked another host for a pause, or recently refused or reset connections, are used only when no others are left.
  */
 export function chooseServer(deps: ChoiceDeps, request: PlacementRequest): ServerChoice {
   const staying = deps.fleet
@@ -23,16 +23,23 @@
   }
   const excluded = new Set(request.excluded);
   const untried = open.filter(({ server }) => !excluded.has(server.id));
-  const isPreferred = ({ server, availability }: (typeof untried)[number]): boolean =>
+  const roomy = untried.filter(({ server }) => deps.limits.hasRoom(server));
+  if (roomy.length === 0 && untried.length > 0)
+    return { kind: 'wait', room: deps.limits.estimateRoom(untried.map(({ server }) => server)) };
+  const isPreferred = ({ server, availability }: (typeof roomy)[number]): boolean =>
     !availability.isPausedElsewhere && !deps.serverTracker.getState(server.id).isAvoided;
-  const preferred = untried.filter(isPreferred);
-  const servers = (preferred.length > 0 ? preferred : untried).map(({ server }) => server);
+  const preferred = roomy.filter(isPreferred);
+  const servers = (preferred.length > 0 ? preferred : roomy).map(({ server }) => server);
   if (servers.length === 0) {
     const cause = staying.length === 0 ? REFUSAL_CAUSES.noServer : REFUSAL_CAUSES.allExcluded;
     return buildRefusal(cause, CHOICE_TIMES.noServerRetryMs);
   }
   const { prompt } = request;
   const engine = deps.fleet.getConfig()?.services.get(request.service)?.engine;
-  if (prompt === undefined || engine === undefined) return choosePlainServer(deps, request, servers);
-  return chooseEngine(deps, { ...request, prompt, engine }, servers);
+  const choice =
+    prompt === undefined || engine === undefined
+      ? choosePlainServer(deps, request, servers)
+      : chooseEngine(deps, { ...request, prompt, engine }, servers);
+  if (choice.kind === 'server') deps.limits.takeRoom(choice.server);
+  return choice;
 }
--- a/packages/choose-server/src/refusal-causes.ts
+++ b/packages/choose-server/src/refusal-causes.ts
@@ -4,6 +4,8 @@
   /** Every server left is one that the requesting host excluded. */
   allExcluded: 'no other server',
   allPaused: 'all servers asked for a pause',
+  /** Every server left has as many calls as it states that it takes. */
+  allLimited: 'all servers are at their limits',
   weights: 'weights are being replaced',
   noCapacity: 'no room',
   /** The call was sent before, and the resend budget is used up. */
--- a/packages/choose-server/src/server-choice.ts
+++ b/packages/choose-server/src/server-choice.ts
@@ -1,4 +1,5 @@
 import type { BackendEntry, CacheTransfers } from '@laburnumshift/forward-types';
+import type { RoomForecast } from '@laburnumshift/limit-server-rates';
 import type { CacheFetch } from '@laburnumshift/track-engines';
 import type { RefusalCause } from './refusal-cause.js';
 
@@ -21,8 +22,8 @@
       /** Weight version that the call has to run under; `undefined` for plain services. */
       readonly version: number | undefined;
     }
-  /** No engine has capacity now; the caller of the function asks again shortly. */
-  | { readonly kind: 'wait' }
+  /** No server has capacity now; the caller of the function asks again shortly. `room` is set when all are at their limits. */
+  | { readonly kind: 'wait'; readonly room?: RoomForecast }
   | {
       readonly kind: 'refuse';
       readonly cause: RefusalCause;
--- a/packages/choose-server/test/choose-server.test.ts
+++ b/packages/choose-server/test/choose-server.test.ts
@@ -69,6 +69,11 @@
   ({
     serverTracker,
     notices,
+    limits: {
+      hasRoom: () => true,
+      takeRoom: () => undefined,
+      estimateRoom: () => ({ firstMs: 0, perCallMs: 0 }),
+    },
     fleet: { listBackends: () => ENGINES, getWeights: () => undefined, getConfig: () => CONFIG },
     transferPlanner: {
       planFetches: () => () => ({ localTokens: 0, fetchTokens: 0, slowdown: 1, sources: [] }),
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -116,6 +116,13 @@
           if (received.load !== undefined) deps.serverTracker.observeLoad(server.id, received.load);
           if (received.isLeaving) deps.notices.markLeaving(server);
           if (received.pauseMs !== undefined) deps.notices.markPaused(server, received.pauseMs);
+          const isSuccess = received.status >= 200 && received.status < 300;
+          // Only a success of the server itself shows that it has no limit any more.
+          if (
+            received.limitPerS !== undefined ||
+            (isSuccess && received.isSealed && !received.isLimitUnreadable)
+          )
+            deps.limits.observeLimit(server, received.limitPerS);
           if (received.isNotExecuted || received.isWrongInstance) {
             // The headers suffice for the decision. The body is not awaited, because an overloaded server may never finish it.
             const reason = received.isWrongInstance ? 'another process or version' : 'server is full';
@@ -123,7 +130,6 @@
             finish({ kind: 'not-run', reason, isSent: true }, 'refused');
             return;
           }
-          const isSuccess = received.status >= 200 && received.status < 300;
           if (isSuccess && (!received.isSealed || received.hasContentCoding))
             cancel(buildBrokenOutcome('the answer has no response seal or has a content encoding'), 'failed');
         },
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -2,6 +2,7 @@
 import type { BackendPool } from '@laburnumshift/call-backend';
 import type { EdgeCodec, EngineControl, ForwardBounds } from '@laburnumshift/forward-types';
 import type { ResendBudget } from '@laburnumshift/limit-resends';
+import type { ServerLimits } from '@laburnumshift/limit-server-rates';
 import type { Metrics } from '@laburnumshift/record-metrics';
 import type { CrashQuarantine } from '@laburnumshift/quarantine-pieces';
 import type { LoadSharing } from '@laburnumshift/share-load';
@@ -14,6 +15,7 @@
   readonly fleet: FleetView;
   readonly serverTracker: ServerTracker;
   readonly notices: Pick<ServerNotices, 'getAvailability' | 'markLeaving' | 'markPaused'>;
+  readonly limits: Pick<ServerLimits, 'observeLimit'>;
   readonly quarantine: Pick<CrashQuarantine, 'checkCall' | 'beginAttempt'>;
   readonly pool: BackendPool;
   readonly placer: CallPlacer;
--- a/packages/forward-types/src/response-head.ts
+++ b/packages/forward-types/src/response-head.ts
@@ -15,6 +15,10 @@
   readonly isLeaving: boolean;
   /** Pause that a refusing server asks this host for, milliseconds; `undefined` when not stated. */
   readonly pauseMs: number | undefined;
+  /** Calls a second that the server takes from all hosts together; `undefined` when it states no limit. */
+  readonly limitPerS: number | undefined;
+  /** The server states a limit that cannot be read, so the one before it stays in force. */
+  readonly isLimitUnreadable: boolean;
   /** The body has a length or is chunked. Otherwise it ends with the connection, and a truncated body cannot be told from a complete one. */
   readonly hasLength: boolean;
   /** The server closes the connection after this answer. */
--- a/packages/host-channel/src/message-kinds.ts
+++ b/packages/host-channel/src/message-kinds.ts
@@ -14,4 +14,6 @@
   placementAnswer: 5,
   /** Traits of calls that may crash servers, with their crashes. */
   crashSuspects: 6,
+  /** Limits that backend servers state, and the rates of calls by which the hosts share them. */
+  serverLimits: 7,
 } as const;
--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -2,6 +2,7 @@
 import type { BackendEntry, ObjectSource } from '@laburnumshift/forward-types';
 import { openHostChannel } from '@laburnumshift/host-channel';
 import { createPieceTransferPlanner, getStoreId } from '@laburnumshift/keep-pieces';
+import { createServerLimits } from '@laburnumshift/limit-server-rates';
 import { createLogger } from '@laburnumshift/logger';
 import { createEventsRelay } from '@laburnumshift/relay-events';
 import { createRelayedSource } from '@laburnumshift/relay-objects';
@@ -68,6 +69,13 @@
     getSettledNumber: settledRequests.getSettled,
     onPlacementRequestsSettled: settledRequests.onSettled,
   });
+  const limits = createServerLimits({
+    self,
+    channel,
+    listPeers,
+    getPlan: sharing.getPlan,
+    pickRandom: Math.random,
+  });
   const objects = createRelayedSource(store.source, {
     kinds: [kinds.config, kinds.backends, kinds.weights, kinds.hosts],
     staleTolerantKinds: [kinds.hosts],
@@ -135,6 +143,7 @@
     if (entry === undefined) {
       events.stopReading(id);
       serverTracker.removeServer(id);
+      limits.removeServer(id);
     } else updateReading(entry);
   });
   const stopRoleChecks = runEvery(
@@ -171,6 +180,7 @@
     sharing,
     fleet,
     events,
+    limits,
     transferPlanner,
     listPeers,
     isJoined: () => hostRegistry.readState() !== undefined,
@@ -178,6 +188,7 @@
       stopRoleChecks();
       events.close();
       sharing.close();
+      limits.close();
       hostRegistry.close();
       fleet.close();
       channel.close();
--- a/packages/run-forwarder/src/open-placement.ts
+++ b/packages/run-forwarder/src/open-placement.ts
@@ -25,7 +25,7 @@
   bounds: ForwardBounds,
   onHomeClient: (homeClient: HomeClient) => void,
 ): CallPlacer {
-  const { self, bornMs, channel, sharing, fleet, events } = context;
+  const { self, bornMs, channel, sharing, fleet, events, limits } = context;
   /** Monotonic time at which this host became the first relay of its failure domain, in milliseconds. */
   let homeSinceMs: number | undefined;
   const isHome = (): boolean => {
@@ -73,7 +73,10 @@
   onHomeClient(homeClient);
   const placementQueue = createPlacementQueue({
     chooseServer: (request) => chooseServer(choiceDependencies, request),
-    recordFirstAttempt: homeResends.recordCall,
+    recordFirstAttempt: (service) => {
+      homeResends.recordCall(service);
+      limits.recordCall(service);
+    },
     takeResend: (service) =>
       (sharing.getPlan().isRelay && homeResends.takeResend(service)) || resends.takeResend(service),
   });
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -39,16 +39,20 @@
     getSettled: () => homeClient?.getSettledNumber() ?? 0,
     onSettled: reservations.clearReservations,
   });
-  const { serverTracker, notices, sharing, fleet, transferPlanner } = context;
+  const { serverTracker, notices, limits, sharing, fleet, transferPlanner } = context;
   fleet.watchBackends((id, entry) => {
     if (entry === undefined) pool.removeBackend(id);
   });
-  const limits = { ratio: bounds.resendRatio, windowMs: bounds.resendWindowMs, slack: bounds.resendSlack };
+  const resendLimits = {
+    ratio: bounds.resendRatio,
+    windowMs: bounds.resendWindowMs,
+    slack: bounds.resendSlack,
+  };
   const countHosts = (): number => context.listPeers().length + 1;
-  const resends = createResendBudget(limits, () =>
+  const resends = createResendBudget(resendLimits, () =>
     computeHostShare(context.isJoined() ? countHosts() : undefined, sharing.getPlan().isRelayed),
   );
-  const homeResends = createResendBudget(limits, () => {
+  const homeResends = createResendBudget(resendLimits, () => {
     const domainPeers = context
       .listPeers()
       .filter(({ failureDomain }) => failureDomain === settings.failureDomain);
@@ -75,6 +79,7 @@
     fleet,
     serverTracker,
     notices,
+    limits,
     quarantine,
     pool,
     placer,
@@ -89,6 +94,7 @@
   });
   metrics.registerGauge('calls_in_flight', callerServer.countCallsInFlight);
   metrics.registerGauge('quarantined_traits', quarantine.countConvicted);
+  metrics.registerGauge('limited_servers', limits.countLimited);
   metrics.registerGauge('config_age_ms', fleet.getConfigAgeMs);
   let wasLastReady: boolean | undefined;
   const checkReady = (): boolean => {
