Count resends for the whole window of the budget

The budget counted ten buckets of a second, the newest of them only begun, so resends were forgotten after 9 to 10 s. A host that used its part up at the end of a bucket could use it again 9.05 s later.

Resends count for one bucket more, 10 to 11 s; calls, which allow resends, still for 9 to 10 s. The test took more than the slack of the fleet in 9.1 s before.

--- a/packages/limit-resends/src/create-resend-budget.ts
+++ b/packages/limit-resends/src/create-resend-budget.ts
@@ -23,7 +23,8 @@
 
   const selectBuckets = (service: string): { readonly buckets: Bucket[]; readonly current: Bucket } => {
     const index = Math.floor(readMonotonicMs() / bucketMs);
-    const buckets = (bucketsByService.get(service) ?? []).filter((bucket) => bucket.index > index - BUCKETS);
+    // The oldest bucket still covers a part of the window, in which its resends may lie.
+    const buckets = (bucketsByService.get(service) ?? []).filter((bucket) => bucket.index >= index - BUCKETS);
     bucketsByService.set(service, buckets);
     const last = buckets.at(-1);
     if (last?.index === index) return { buckets, current: last };
@@ -38,7 +39,9 @@
     },
     takeResend: (service) => {
       const { buckets, current } = selectBuckets(service);
-      const calls = buckets.reduce((sum, bucket) => sum + bucket.calls, 0);
+      const calls = buckets
+        .filter(({ index }) => index > current.index - BUCKETS)
+        .reduce((sum, bucket) => sum + bucket.calls, 0);
       const resends = buckets.reduce((sum, bucket) => sum + bucket.resends, 0);
       const { ratio, slack } = getShare();
       if (resends + 1 > calls * limits.ratio * ratio + limits.slack * slack) return false;
--- a/packages/limit-resends/test/create-resend-budget.test.ts
+++ b/packages/limit-resends/test/create-resend-budget.test.ts
@@ -43,6 +43,24 @@
   });
 });
 
+test.serial('guards against resends of two windows that fall into one window of the platform', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const budget = createResendBudget(LIMITS, () => computeHostShare(1, false));
+  const takeAll = (): number => {
+    let taken = 0;
+    while (budget.takeResend('s')) taken += 1;
+    return taken;
+  };
+  await clock.tickAsync(20_950);
+  const first = takeAll();
+  t.true(first > 0);
+  await clock.tickAsync(LIMITS.windowMs - 900);
+  t.true(first + takeAll() <= LIMITS.slack);
+});
+
 test.serial('budgets are separate per service, and calls before the window do not count', async (t) => {
   const clock = installClock();
   t.teardown(() => {
