Count a call once for the budget of its home, however often it is asked for

A call that has waited for the time of one request or more was counted before. The test had four calls counted for one before.

--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -124,7 +124,9 @@
   return {
     submitPlacementRequest: (request, onChoice) => {
       if (queue.length > 0) drainQueue(MAX_DECISIONS_PER_REQUEST);
-      if (!request.isResend) recordFirstAttempt(request.service);
+      // A call that has waited for longer was asked for and counted before.
+      const isFirstRequest = !request.isResend && request.waitedMs < PLACEMENT_TIMING.maxQueueMs;
+      if (isFirstRequest) recordFirstAttempt(request.service);
       const decided = decide(request);
       const hasToQueue = decided.kind === 'wait' && decided.room === undefined;
       const choice = hasToQueue ? (checkQueueWait(request) ?? decided) : decided;
--- a/packages/ask-home/test/create-placement-queue.test.ts
+++ b/packages/ask-home/test/create-placement-queue.test.ts
@@ -54,6 +54,19 @@
   t.is(order.at(-1), 'late server');
 });
 
+test.serial(
+  'guards against a call that is counted again each time it is asked for after a wait',
+  async (t) => {
+    const { clock, state, order, addPlacementRequest } = createFixture(t, 0);
+    for (let asked = 0; asked < 4; asked += 1) {
+      addPlacementRequest('slow', { waitedMs: asked * (PLACEMENT_TIMING.maxQueueMs + 10), targetMs: 10_000 });
+      await clock.tickAsync(PLACEMENT_TIMING.maxQueueMs + 10);
+    }
+    t.deepEqual(order, Array<string>(4).fill('slow wait'));
+    t.is(state.calls, 1);
+  },
+);
+
 test.serial('a new call does not overtake queued calls', (t) => {
   const { state, order, addPlacementRequest } = createFixture(t, 0);
   addPlacementRequest('first');
