Ignore server entries with an address that no call can be sent to

Calls of callers ended without an answer, and processes logged uncaught errors, while an entry with a port out of range stood among those of the engines. The entry was taken for a server, and Node.js throws for such a port: in the middle of a call, whose listeners then stayed and threw again when the caller left, and in whatever read from servers.

A request that Node.js refuses to build fails as not sent.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -3,9 +3,11 @@
 import { parseAddress } from '@laburnumshift/addresses';
 import { startTimer } from '@laburnumshift/clock';
 import type { EdgeCodec } from '@laburnumshift/forward-types';
+import { createLogger } from '@laburnumshift/logger';
 import { BackendAgent } from './backend-agent.js';
 import type { BackendPool } from './backend-pool.js';
 import { createFramingMeter } from './create-framing-meter.js';
+import { failUnsentCall } from './fail-unsent-call.js';
 import type { SendFailure } from './send-failure.js';
 import type { OutgoingCall } from './outgoing-call.js';
 
@@ -24,6 +26,7 @@
  * new connections.
  */
 export function createBackendPool(codec: EdgeCodec): BackendPool {
+  const logger = createLogger('backends');
   const agents = new Map<string, BackendAgent>();
 
   const getAgent = (backendId: string, maxConnections: number): BackendAgent => {
@@ -44,15 +47,22 @@
       let stopHeaderTimer = (): void => undefined;
       const headers = codec.encodeCall(backendCall);
       if (body.length > 0 || call.method !== 'GET') headers.push('Content-Length', String(body.length));
-      const request = http.request({
-        ...parseAddress(backend.address),
-        method: call.method,
-        path: call.target,
-        headers,
-        agent: getAgent(backend.id, maxConnections),
-        maxHeaderSize: MAX_HEADER_BYTES,
-        setDefaultHeaders: false,
-      } as http.RequestOptions);
+      let request: http.ClientRequest;
+      try {
+        request = http.request({
+          ...parseAddress(backend.address),
+          method: call.method,
+          path: call.target,
+          headers,
+          agent: getAgent(backend.id, maxConnections),
+          maxHeaderSize: MAX_HEADER_BYTES,
+          setDefaultHeaders: false,
+        } as http.RequestOptions);
+      } catch (error) {
+        // Node.js throws for an address, a path or a header field that it cannot send.
+        logger.error('call cannot be sent', { server: backend.id, request: call.id, detail: String(error) });
+        return failUnsentCall(handlers, String(error));
+      }
       const fail = (type: SendFailure['type'], reason: string): void => {
         if (!isPending) return;
         isPending = false;
--- a/packages/run-forwarder/src/decode-host-peer.ts
+++ b/packages/run-forwarder/src/decode-host-peer.ts
@@ -1,8 +1,9 @@
+import { isAddress } from '@laburnumshift/addresses';
 import type { PeerHost } from '@laburnumshift/share-load';
 import { z } from 'zod';
 
 const SCHEMA = z.object({
-  address: z.string().regex(/^[0-9.]+:[0-9]+$/),
+  address: z.string().refine(isAddress),
   failureDomain: z.string().min(1),
   size: z.number().nonnegative(),
 });
