--- a/packages/limit-resends/src/create-resend-budget.ts
+++ b/packages/limit-resends/src/create-resend-budget.ts
@@ -15,10 +15,14 @@
 /**
  * Creates the resend budget of one owner: a host, or a home host on behalf of the hosts that ask it to place calls. An owner's resends
  * are limited by the calls that it counts itself, so the sum over all owners keeps the ratio of the fleet without any communication.
- * The slack is divided by the number of registered hosts. An owner has none of it in its first window, as an earlier process of the same
- * host may have used it up.
+ * The slack is divided by the number of registered hosts. An owner has none of it in its first window unless the whole fleet starts for
+ * the first time: an earlier process of the same host may have used it up.
  */
-export function createResendBudget(limits: ResendLimits, getShare: () => ResendShare): ResendBudget {
+export function createResendBudget(
+  limits: ResendLimits,
+  getShare: () => ResendShare,
+  isFirstStart = false,
+): ResendBudget {
   const bucketMs = limits.windowMs / BUCKETS;
   const startedMs = readMonotonicMs();
   const bucketsByService = new Map<string, Bucket[]>();
@@ -46,7 +50,7 @@
         .reduce((sum, bucket) => sum + bucket.calls, 0);
       const resends = buckets.reduce((sum, bucket) => sum + bucket.resends, 0);
       const { ratio, slack } = getShare();
-      const hasSlack = readMonotonicMs() - startedMs >= limits.windowMs;
+      const hasSlack = isFirstStart || readMonotonicMs() - startedMs >= limits.windowMs;
       const allowed = calls * limits.ratio * ratio + (hasSlack ? limits.slack * slack : 0);
       if (resends + 1 > allowed) return false;
       current.resends += 1;
--- a/packages/limit-resends/test/create-resend-budget.test.ts
+++ b/packages/limit-resends/test/create-resend-budget.test.ts
@@ -62,6 +62,23 @@
   t.true(first + takeAll() <= LIMITS.slack);
 });
 
+test.serial(
+  'a restarted host has no slack in its first window, and one that starts with the whole fleet has',
+  (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const restarted = createResendBudget(LIMITS, () => computeHostShare(1, false));
+    t.false(restarted.takeResend('s'));
+    t.true(createResendBudget(LIMITS, () => computeHostShare(1, false), true).takeResend('s'));
+    for (let count = 0; count < 20; count += 1) restarted.recordCall('s');
+    t.true(restarted.takeResend('s'));
+    clock.tick(LIMITS.windowMs);
+    t.true(restarted.takeResend('s'));
+  },
+);
+
 test.serial('budgets are separate per service, and calls before the window do not count', async (t) => {
   const clock = installClock();
   t.teardown(() => {
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -49,15 +49,21 @@
     slack: bounds.resendSlack,
   };
   const countHosts = (): number => context.listPeers().length + 1;
-  const resends = createResendBudget(resendLimits, () =>
-    computeHostShare(context.isJoined() ? countHosts() : undefined, sharing.getPlan().isRelayed),
+  const resends = createResendBudget(
+    resendLimits,
+    () => computeHostShare(context.isJoined() ? countHosts() : undefined, sharing.getPlan().isRelayed),
+    settings.isFirstStart,
+  );
+  const homeResends = createResendBudget(
+    resendLimits,
+    () => {
+      const domainPeers = context
+        .listPeers()
+        .filter(({ failureDomain }) => failureDomain === settings.failureDomain);
+      return computeHomeShare(countHosts(), domainPeers.length + 1);
+    },
+    settings.isFirstStart,
   );
-  const homeResends = createResendBudget(resendLimits, () => {
-    const domainPeers = context
-      .listPeers()
-      .filter(({ failureDomain }) => failureDomain === settings.failureDomain);
-    return computeHomeShare(countHosts(), domainPeers.length + 1);
-  });
   const placer = openPlacement(context, { metrics, reservations, resends, homeResends }, bounds, (opened) => {
     homeClient = opened;
   });
