Refuse calls that come late in a planned stop, and answer the others before the end

In a planned stop, calls that came late in the grace period on connections that were still open were sent to servers, and at its end they were cut without an answer, among them calls that may not be repeated (LOST). After the listener had closed, a connection that had been busy stayed open until it was found idle, and took one more call.

Once the balancer has turned to other hosts, a stopping host refuses calls with status 503 and a short Retry-After; they have not run. Calls that are still waiting at the end of the grace period are refused as well, and those at a server get status 504, before the connections are closed; only streams that have begun are cut off.

--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -40,6 +40,7 @@
       progressWatch.stop();
       observed.finish('open');
       matchedCall.callerSignal.removeEventListener('abort', handleCallerGone);
+      matchedCall.stopSignal.removeEventListener('abort', handleStop);
       tracked.finish(result);
       resolve(outcome);
     };
@@ -50,6 +51,10 @@
     const handleCallerGone = (): void => {
       cancel({ kind: 'ended' }, 'cancelled');
     };
+    const handleStop = (): void => {
+      if (sentCall.isSent()) cancel({ kind: 'ended' }, 'cancelled');
+      else cancel({ kind: 'not-run', reason: 'the host is stopping', isSent: false }, 'cancelled');
+    };
     const stopDeadlineTimer = startTimer(
       Math.max(0, matchedCall.endsAtMs - readMonotonicMs()) + DEADLINE_GRACE_MS,
       () => {
@@ -83,6 +88,7 @@
     };
 
     matchedCall.callerSignal.addEventListener('abort', handleCallerGone);
+    matchedCall.stopSignal.addEventListener('abort', handleStop);
     const progressWatch = watchProgress(deps, {
       callId: matchedCall.call.id,
       server,
--- a/packages/forward-calls/src/forward-server.ts
+++ b/packages/forward-calls/src/forward-server.ts
@@ -4,8 +4,10 @@
   readonly startDraining: () => void;
   /** Returns the number of calls that have no final answer yet. */
   readonly countCallsInFlight: () => number;
-  /** Stops accepting connections and closes those that are idle now. */
+  /** Stops accepting connections, closes those that are idle now, and refuses calls that come on the others from now on. */
   readonly stopListening: () => void;
+  /** Gives all calls in flight a final answer, except streams that have begun, which are cut off. */
+  readonly endCalls: () => void;
   /** Closes the connections that are idle now. */
   readonly closeIdleConnections: () => void;
 }
--- a/packages/forward-calls/src/matched-call.ts
+++ b/packages/forward-calls/src/matched-call.ts
@@ -15,4 +15,6 @@
   readonly endsAtMs: number;
   /** Aborted when the caller disconnects. */
   readonly callerSignal: AbortSignal;
+  /** Aborted when the host stops and the call needs its final answer now. */
+  readonly stopSignal: AbortSignal;
 }
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -23,6 +23,8 @@
 const MIN_CONNECTIONS = 4;
 /** Retry-After when the servers refused the call, in milliseconds: long enough for a short queue to change. */
 const REFUSED_RETRY_AFTER_MS = 400;
+/** Retry-After of a call that a stopping host did not send, in milliseconds: other hosts take it at once. */
+const STOPPING_RETRY_AFTER_MS = 50;
 /** Urgency sent to an engine when the priority is not a finite number. */
 const DEFAULT_URGENCY = 5;
 /** Least urgent value that engines accept; 0 is the most urgent. */
@@ -34,7 +36,8 @@
   matchedCall: MatchedCall,
   logger: Logger,
 ): Promise<void> {
-  const { call, route, account, service, reply } = matchedCall;
+  const { call, route, account, service, reply, callerSignal, stopSignal } = matchedCall;
+  const endSignal = AbortSignal.any([callerSignal, stopSignal]);
   const splitter = createEventSplitter();
   const suspectCall = createSuspectCall(call, account?.name, matchedCall.body);
   const triedServers = new Set<string>();
@@ -97,6 +100,10 @@
     recordOutcome(mayHaveRun ? 'failed' : 'refused', status, reason, { ...inputs, retryAfterMs });
   };
 
+  const describeFailure = (status: number): string => {
+    if (status !== 504) return 'no whole answer';
+    return stopSignal.aborted ? 'the host is stopping' : 'time is over';
+  };
   /** Answers the call when it must not be sent to any server; returns whether it did. */
   const refuseQuarantined = (): boolean => {
     const verdict = deps.quarantine.checkCall(suspectCall);
@@ -126,7 +133,11 @@
 
   for (;;) {
     if (refuseQuarantined()) return;
-    const choice = await deps.placer.placeCall(buildPlacementRequest, matchedCall.callerSignal);
+    const choice = await deps.placer.placeCall(buildPlacementRequest, endSignal);
+    if (choice === undefined && !callerSignal.aborted) {
+      refuse('the host is stopping', STOPPING_RETRY_AFTER_MS);
+      return;
+    }
     if (choice === undefined) {
       recordOutcome('left', 0, 'caller left');
       return;
@@ -255,7 +266,7 @@
       relayAnswer(bufferedAnswer.head, bufferedAnswer.body);
     } else if (nextStep.kind === 'fail') {
       replyError(deps.codec, reply, call.id, nextStep.status, undefined);
-      recordOutcome('failed', nextStep.status, nextStep.status === 504 ? 'time is over' : 'no whole answer');
+      recordOutcome('failed', nextStep.status, describeFailure(nextStep.status));
     } else {
       reply.abort();
       recordOutcome('aborted', 0, 'stream broke off');
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -19,6 +19,8 @@
 const DEFAULT_IDLE_MS = 15_000;
 /** Retry-After while the host has no current configuration, in milliseconds. */
 const CONFIG_RETRY_AFTER_MS = 500;
+/** Retry-After of a host that is stopping, in milliseconds: others take the call at once. */
+const STOPPING_RETRY_AFTER_MS = 50;
 /**
  * Fraction of a configured bound up to which the host relies on its copy of the configuration. The bound on key revocation limits
  * the age at which keys are accepted. The bound on applying a configuration limits the age at which a route or a key that is not
@@ -36,7 +38,10 @@
   const { codec, fleet, bounds } = deps;
   const maxKeyAgeMs = bounds.revokeMs === undefined ? Infinity : bounds.revokeMs * MAX_CONFIG_AGE_RATIO;
   const maxNotFoundAgeMs = bounds.configApplyMs * MAX_CONFIG_AGE_RATIO;
+  const stopController = new AbortController();
   let isDraining = false;
+  let isListening = true;
+  const isStopping = (): boolean => !isListening;
   let inFlight = 0;
 
   const handleCall = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
@@ -68,6 +73,10 @@
       refuse(call.status, call.message);
       return;
     }
+    if (isStopping()) {
+      refuse(503, 'the host is stopping', STOPPING_RETRY_AFTER_MS);
+      return;
+    }
     const config = fleet.getConfig();
     if (config === undefined) {
       refuse(503, 'no configuration yet', CONFIG_RETRY_AFTER_MS);
@@ -104,6 +113,11 @@
       return;
     }
     if (body === 'left') return;
+    // The body may have taken until the host no longer begins calls.
+    if (isStopping()) {
+      refuse(503, 'the host is stopping', STOPPING_RETRY_AFTER_MS);
+      return;
+    }
     const timeoutMs = Math.min(route.timeoutMs, call.deadlineMs ?? route.timeoutMs);
     const endsAtMs = arrivedAtMs + timeoutMs;
     const matchedCall = {
@@ -116,6 +130,7 @@
       arrivedAtMs,
       endsAtMs,
       callerSignal: callerAbort.signal,
+      stopSignal: stopController.signal,
     };
     await runForward(deps, matchedCall, forwardLogger);
   };
@@ -151,9 +166,13 @@
     },
     countCallsInFlight: () => inFlight,
     stopListening: () => {
+      isListening = false;
       server.close();
       server.closeIdleConnections();
     },
+    endCalls: () => {
+      stopController.abort();
+    },
     closeIdleConnections: () => {
       server.closeIdleConnections();
     },
--- a/packages/run-forwarder/src/forwarder-timings.ts
+++ b/packages/run-forwarder/src/forwarder-timings.ts
@@ -30,6 +30,8 @@
   balancerRemovalMs: 2600,
   /** Part of the grace period that is reserved for the exit of the process. */
   exitReserveMs: 700,
+  /** Part of that time in which calls without an answer get one. */
+  lastAnswersMs: 200,
   /** Interval between checks for calls in flight during shutdown. */
   drainCheckIntervalMs: 50,
   /** Pauses between reads of cache events, of engines and of stores. The pieces of a host's own calls are known without them. */
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -183,6 +183,11 @@
         await sleep(times.drainCheckIntervalMs);
         callerServer.closeIdleConnections();
       }
+      callerServer.endCalls();
+      // The answers take a moment to be written.
+      const answersEndMs = computeElapsed() + times.lastAnswersMs;
+      while (computeElapsed() < answersEndMs && callerServer.countCallsInFlight() > 0)
+        await sleep(times.drainCheckIntervalMs);
       quarantine.close();
       context.close();
       ready.close();
