--- a/packages/limit-server-rates/src/create-limit-table.ts
+++ b/packages/limit-server-rates/src/create-limit-table.ts
@@ -7,34 +7,40 @@
 
 /** Creates an empty table. Servers that never stated a limit are not recorded. */
 export function createLimitTable(): LimitTable {
-  const statements = new Map<string, LimitStatement>();
+  const entries = new Map<string, { readonly statement: LimitStatement; readonly changedMs: number }>();
   const listLimited = (): LimitStatement[] =>
-    [...statements.values()].filter(({ limitPerS }) => limitPerS !== undefined);
+    [...entries.values()].flatMap(({ statement }) => (statement.limitPerS === undefined ? [] : [statement]));
   return {
     addStatement: (statement) => {
       const { server, limitPerS, atMs } = statement;
-      const known = statements.get(server.id);
+      const known = entries.get(server.id);
       if (known === undefined && limitPerS === undefined) return false;
-      if (known !== undefined && known.server.bornMs > server.bornMs) return false;
-      const isSameProcess = known?.server.bornMs === server.bornMs;
-      if (isSameProcess && known.atMs >= atMs) return false;
-      statements.delete(server.id);
-      statements.set(server.id, statement);
-      const [oldest] = statements.size > MAX_SERVERS ? statements.keys() : [];
-      if (oldest !== undefined) statements.delete(oldest);
-      return !isSameProcess || known.limitPerS !== limitPerS;
+      if (known !== undefined && known.statement.server.bornMs > server.bornMs) return false;
+      const isSameProcess = known?.statement.server.bornMs === server.bornMs;
+      if (isSameProcess && known.statement.atMs >= atMs) return false;
+      const isChanged = !isSameProcess || known.statement.limitPerS !== limitPerS;
+      entries.delete(server.id);
+      entries.set(server.id, { statement, changedMs: isChanged ? readMonotonicMs() : known.changedMs });
+      const [oldest] = entries.size > MAX_SERVERS ? entries.keys() : [];
+      if (oldest !== undefined) entries.delete(oldest);
+      return isChanged;
     },
     getLimit: ({ id, bornMs }) => {
-      const known = statements.get(id);
-      return known?.server.bornMs === bornMs ? known.limitPerS : undefined;
+      const statement = entries.get(id)?.statement;
+      return statement?.server.bornMs === bornMs ? statement.limitPerS : undefined;
     },
-    listRecent: (maxAgeMs) => {
-      const since = readMonotonicMs() - maxAgeMs;
-      return [...statements.values()].filter(({ atMs }) => atMs >= since).sort((a, b) => b.atMs - a.atMs);
+    listRecent: (maxAgeMs, maxChangeAgeMs) => {
+      const now = readMonotonicMs();
+      return [...entries.values()]
+        .filter(
+          ({ statement, changedMs }) => now - statement.atMs <= maxAgeMs && now - changedMs <= maxChangeAgeMs,
+        )
+        .map(({ statement }) => statement)
+        .sort((a, b) => b.atMs - a.atMs);
     },
     listLimitedServices: () => [...new Set(listLimited().map(({ server }) => server.service))],
     removeServer: (id) => {
-      statements.delete(id);
+      entries.delete(id);
     },
     countLimited: () => listLimited().length,
   };
--- a/packages/limit-server-rates/src/limit-table.ts
+++ b/packages/limit-server-rates/src/limit-table.ts
@@ -7,8 +7,8 @@
   readonly addStatement: (statement: LimitStatement) => boolean;
   /** Returns the limit in force at a server, calls a second; `undefined` for none. */
   readonly getLimit: (server: Pick<LimitedServer, 'id' | 'bornMs'>) => number | undefined;
-  /** Lists the statements made within the last `maxAgeMs`, the newest first. */
-  readonly listRecent: (maxAgeMs: number) => readonly LimitStatement[];
+  /** Lists the statements made within the last `maxAgeMs` of limits that changed within `maxChangeAgeMs`, the newest first. */
+  readonly listRecent: (maxAgeMs: number, maxChangeAgeMs: number) => readonly LimitStatement[];
   /** Lists the services of the servers with a limit in force. */
   readonly listLimitedServices: () => readonly string[];
   readonly removeServer: (id: string) => void;
--- a/packages/limit-server-rates/src/start-limit-sharing.ts
+++ b/packages/limit-server-rates/src/start-limit-sharing.ts
@@ -16,6 +16,8 @@
 const OTHER_INTERVAL_MS = 1000;
 /** Age up to which statements are sent, milliseconds: several intervals, as datagrams get lost. */
 const MAX_STATEMENT_AGE_MS = 3000;
+/** Interval at which all of them are sent, and time for which each message repeats a changed limit, milliseconds. */
+const REFRESH_INTERVAL_MS = 1000;
 /** Most statements in one message, about 60 bytes each. */
 const MAX_STATEMENTS = 24;
 /** Upper bound of the way of a message, milliseconds: a statement that is passed on never looks newer than it is. */
@@ -34,12 +36,18 @@
   const { limits, meter } = parts;
   let stopTimer = (): void => undefined;
   let dueMs = Infinity;
+  let refreshedMs = -Infinity;
   let isClosed = false;
 
   const sendLimits = (): boolean => {
-    const statements = limits.listRecent(MAX_STATEMENT_AGE_MS).slice(0, MAX_STATEMENTS);
-    if (statements.length === 0 && limits.countLimited() === 0) return false;
     const now = readMonotonicMs();
+    const isRefresh = now - refreshedMs >= REFRESH_INTERVAL_MS;
+    if (isRefresh) refreshedMs = now;
+    const statements = limits
+      .listRecent(MAX_STATEMENT_AGE_MS, isRefresh ? Infinity : REFRESH_INTERVAL_MS)
+      .slice(0, MAX_STATEMENTS);
+    const isNeeded = statements.length > 0 || limits.countLimited() > 0;
+    if (!isNeeded) return false;
     const plan = getPlan();
     const isPlacing = isPlacingHost(plan);
     const message = [
--- a/packages/measure-capacity/src/measure-quarantine.ts
+++ b/packages/measure-capacity/src/measure-quarantine.ts
@@ -5,15 +5,15 @@
   type CallTrait,
   type SuspectTable,
 } from '@laburnumshift/quarantine-pieces';
-import { chooseRelays, type PeerHost } from '@laburnumshift/share-load';
+import { chooseRelays } from '@laburnumshift/share-load';
 import { pack } from 'msgpackr';
+import { findHome } from './find-home.js';
 import { measureHeap } from './measure-heap.js';
 import { measureTime } from './measure-time.js';
 import type { Point } from './point.js';
 import type { Series } from './series.js';
 
 const HOSTS = 470;
-const DOMAINS = 9;
 const PIECES_PER_CALL = 8;
 const SUSPECTS = [64, 256, 1024, 2048];
 const CONVICTIONS = [1, 8, 32];
@@ -66,16 +66,7 @@
 
 /** Counts the bytes that the first relay of a failure domain sends in a second for convictions that do not change. */
 async function countRelayBytes(convictions: number): Promise<number> {
-  const hosts = Array.from({ length: HOSTS }, (_, index): PeerHost => ({
-    host: `host-${String(index)}`,
-    failureDomain: `domain-${String(index % DOMAINS)}`,
-    address: `10.0.${String(index >> 8)}.${String(index & 255)}:7361`,
-    size: 1,
-  }));
-  const findOthers = (self: PeerHost): PeerHost[] => hosts.filter(({ host }) => host !== self.host);
-  const relay = hosts.find((self) => chooseRelays(self, findOthers(self), () => false).isRelay);
-  if (relay === undefined) throw new Error('no host is a relay');
-  const peers = findOthers(relay);
+  const { home: relay, peers } = findHome();
   let bytes = 0;
   const table = buildTable(convictions, 2);
   const stop = startSuspectSharing({
--- a/packages/measure-capacity/src/measurements.ts
+++ b/packages/measure-capacity/src/measurements.ts
@@ -13,6 +13,7 @@
 import { measureProcess } from './measure-process.js';
 import { measureQuarantine } from './measure-quarantine.js';
 import { measureRegistry } from './measure-registry.js';
+import { measureServerLimits } from './measure-server-limits.js';
 import { measureIdle } from './measure-idle.js';
 import { measureRetention } from './measure-retention.js';
 import type { Measurement } from './measurement.js';
@@ -32,6 +33,10 @@
     description: 'pieces that crash servers, at a forwarding host',
     run: measureQuarantine,
   },
+  'server-limits': {
+    description: 'limits that servers state, at a forwarding host',
+    run: measureServerLimits,
+  },
   membership: { description: 'failure detector of a node', run: measureMembership },
   links: { description: 'links between nodes: heartbeats, memory and calls', run: measureLinks },
   polls: { description: 'polls of engines, stores, services and the host list', run: measurePolls },
