--- a/packages/choose-server/src/choose-server.ts
+++ b/packages/choose-server/src/choose-server.ts
@@ -9,7 +9,8 @@
 
 /**
  * Chooses the server for the next attempt of a call. Leaving servers and servers that asked this host for a pause get no calls.
- * A call waits while all servers are at the limits that they state. Servers that asked another host for a pause, or recently refused or reset connections, are used only when no others are left.
+ * A call waits while all servers are at the limits that they state. Servers that asked another host for a pause, or recently refused or
+ * reset connections, are used only when no others are left.
  */
 export function chooseServer(deps: ChoiceDeps, request: PlacementRequest): ServerChoice {
   const staying = deps.fleet
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -12,6 +12,7 @@
 import type { MatchedCall } from './matched-call.js';
 import { NOT_EXECUTED_STATUSES } from './not-executed-statuses.js';
 import { replyError } from './reply-error.js';
+import { STOPPING_RETRY_AFTER_MS } from './stopping-retry-after-ms.js';
 
 /** Number of attempts that may fail before anything is sent without using up `maxAttempts`; the next one goes to another server. */
 const MAX_UNSENT_ATTEMPTS = 3;
@@ -23,8 +24,6 @@
 const MIN_CONNECTIONS = 4;
 /** Retry-After when the servers refused the call, in milliseconds: long enough for a short queue to change. */
 const REFUSED_RETRY_AFTER_MS = 400;
-/** Retry-After of a call that a stopping host did not send, in milliseconds: other hosts take it at once. */
-const STOPPING_RETRY_AFTER_MS = 50;
 /** Urgency sent to an engine when the priority is not a finite number. */
 const DEFAULT_URGENCY = 5;
 /** Least urgent value that engines accept; 0 is the most urgent. */
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -10,6 +10,7 @@
 import { readBody } from './read-body.js';
 import { replyError } from './reply-error.js';
 import { runForward } from './run-forward.js';
+import { STOPPING_RETRY_AFTER_MS } from './stopping-retry-after-ms.js';
 
 /** Maximum size of the request headers that the parser accepts, in bytes; the configured limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -19,8 +20,6 @@
 const DEFAULT_IDLE_MS = 15_000;
 /** Retry-After while the host has no current configuration, in milliseconds. */
 const CONFIG_RETRY_AFTER_MS = 500;
-/** Retry-After of a host that is stopping, in milliseconds: others take the call at once. */
-const STOPPING_RETRY_AFTER_MS = 50;
 /**
  * Fraction of a configured bound up to which the host relies on its copy of the configuration. The bound on key revocation limits
  * the age at which keys are accepted. The bound on applying a configuration limits the age at which a route or a key that is not
