Share the timer that keeps the earliest of several requested runs

The exchanges of crash suspects and of server limits each had a timer with at most one pending run, replaced by earlier requests. Both use createEarliestTimer of the clock now; behaviour and tests are unchanged.

--- a/packages/limit-server-rates/src/start-limit-sharing.ts
+++ b/packages/limit-server-rates/src/start-limit-sharing.ts
@@ -1,4 +1,4 @@
-import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
+import { createEarliestTimer, readMonotonicMs } from '@laburnumshift/clock';
 import { MESSAGE_KINDS } from '@laburnumshift/host-channel';
 import { decodeLimitsMessage } from './decode-limits-message.js';
 import { isPlacingHost } from './is-placing-host.js';
@@ -34,10 +34,7 @@
 ): LimitSharing {
   const { self, channel, listPeers, getPlan } = options;
   const { limits, meter } = parts;
-  let stopTimer = (): void => undefined;
-  let dueMs = Infinity;
   let refreshedMs = -Infinity;
-  let isClosed = false;
 
   const sendLimits = (): boolean => {
     const now = readMonotonicMs();
@@ -67,16 +64,9 @@
     channel.sendMessage([...receivers], message satisfies LimitsMessage);
     return true;
   };
-  const scheduleSend = (delayMs: number): void => {
-    const now = readMonotonicMs();
-    if (isClosed || dueMs <= now + delayMs) return;
-    stopTimer();
-    dueMs = now + delayMs;
-    stopTimer = startTimer(delayMs, () => {
-      dueMs = Infinity;
-      if (sendLimits()) scheduleSend(isPlacingHost(getPlan()) ? PLACING_INTERVAL_MS : OTHER_INTERVAL_MS);
-    });
-  };
+  const timer = createEarliestTimer(() => {
+    if (sendLimits()) timer.schedule(isPlacingHost(getPlan()) ? PLACING_INTERVAL_MS : OTHER_INTERVAL_MS);
+  });
   channel.handleMessages(MESSAGE_KINDS.serverLimits, (raw, from) => {
     const message = decodeLimitsMessage(raw);
     if (message === undefined) return false;
@@ -90,11 +80,8 @@
     /** Time of a statement that was received with this age, monotonic milliseconds. */
     computeStatedMs: (ageMs) => readMonotonicMs() - ageMs - MAX_TRANSIT_MS,
     sendSoon: () => {
-      scheduleSend(BATCH_MS);
-    },
-    close: () => {
-      isClosed = true;
-      stopTimer();
+      timer.schedule(BATCH_MS);
     },
+    close: timer.close,
   };
 }
--- a/packages/quarantine-pieces/src/start-suspect-sharing.ts
+++ b/packages/quarantine-pieces/src/start-suspect-sharing.ts
@@ -1,4 +1,4 @@
-import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
+import { createEarliestTimer, readMonotonicMs } from '@laburnumshift/clock';
 import { MESSAGE_KINDS } from '@laburnumshift/host-channel';
 import { decodeSuspects } from './decode-suspects.js';
 import { encodeSuspects } from './encode-suspects.js';
@@ -22,11 +22,8 @@
  */
 export function startSuspectSharing(options: SuspectSharingOptions): () => void {
   const { self, channel, table, listPeers, getPlan } = options;
-  let isClosed = false;
   let changedAtMs = -Infinity;
   let refreshedAtMs = -Infinity;
-  let stopTimer = (): void => undefined;
-  let dueMs = Infinity;
 
   const listReceivers = (): string[] => {
     const { isRelay, reportTo, otherRelays } = getPlan();
@@ -43,23 +40,16 @@
     const suspects = table.listSuspects(now - REPEAT_MS, isRefresh).slice(0, MAX_SUSPECTS_PER_MESSAGE);
     if (suspects.length > 0) channel.sendMessage(listReceivers(), encodeSuspects(self.host, suspects));
   };
-  const scheduleSend = (delayMs: number): void => {
-    const now = readMonotonicMs();
-    if (isClosed || dueMs <= now + delayMs) return;
-    stopTimer();
-    dueMs = now + delayMs;
-    stopTimer = startTimer(delayMs, () => {
-      dueMs = Infinity;
-      sendSuspects();
-      if (readMonotonicMs() - changedAtMs < REPEAT_MS) scheduleSend(REPEAT_INTERVAL_MS);
-      else if (table.countConvicted() > 0) scheduleSend(REFRESH_INTERVAL_MS);
-    });
-  };
+  const timer = createEarliestTimer(() => {
+    sendSuspects();
+    if (readMonotonicMs() - changedAtMs < REPEAT_MS) timer.schedule(REPEAT_INTERVAL_MS);
+    else if (table.countConvicted() > 0) timer.schedule(REFRESH_INTERVAL_MS);
+  });
   table.watchChanges((isOwn) => {
     if (isOwn || getPlan().isRelay) {
       changedAtMs = readMonotonicMs();
-      scheduleSend(BATCH_MS);
-    } else scheduleSend(REFRESH_INTERVAL_MS);
+      timer.schedule(BATCH_MS);
+    } else timer.schedule(REFRESH_INTERVAL_MS);
   });
   channel.handleMessages(MESSAGE_KINDS.crashSuspects, (message, from) => {
     const decoded = decodeSuspects(message);
@@ -68,8 +58,5 @@
     if (isRegistered) table.mergeSuspects(decoded.suspects);
     return isRegistered;
   });
-  return () => {
-    isClosed = true;
-    stopTimer();
-  };
+  return timer.close;
 }
