--- a/packages/limit-resends/test/create-resend-budget.test.ts
+++ b/packages/limit-resends/test/create-resend-budget.test.ts
@@ -5,11 +5,17 @@
 
 const LIMITS = { ratio: 0.2, windowMs: 10_000, slack: 52 };
 
-test.serial('hosts keep the limit of the fleet in every window without exchanging counts', (t) => {
+/** Pauses the clock for a test. */
+const startClock = (t: ExecutionContext): ReturnType<typeof installClock> => {
   const clock = installClock();
   t.teardown(() => {
     clock.uninstall();
   });
+  return clock;
+};
+
+test.serial('hosts keep the limit of the fleet in every window without exchanging counts', (t) => {
+  const clock = startClock(t);
   t.notThrows(() => {
     fc.assert(
       fc.property(
@@ -45,10 +51,7 @@
 });
 
 test.serial('guards against resends of two windows that fall into one window of the platform', async (t) => {
-  const clock = installClock();
-  t.teardown(() => {
-    clock.uninstall();
-  });
+  const clock = startClock(t);
   const budget = createResendBudget(LIMITS, () => computeHostShare(1, false));
   const takeAll = (): number => {
     let taken = 0;
@@ -65,10 +68,7 @@
 test.serial(
   'a restarted host has no slack in its first window, and one that starts with the whole fleet has',
   (t) => {
-    const clock = installClock();
-    t.teardown(() => {
-      clock.uninstall();
-    });
+    const clock = startClock(t);
     const restarted = createResendBudget(LIMITS, () => computeHostShare(1, false));
     t.false(restarted.takeResend('s'));
     t.true(createResendBudget(LIMITS, () => computeHostShare(1, false), true).takeResend('s'));
@@ -80,10 +80,7 @@
 );
 
 test.serial('budgets are separate per service, and calls before the window do not count', async (t) => {
-  const clock = installClock();
-  t.teardown(() => {
-    clock.uninstall();
-  });
+  const clock = startClock(t);
   const budget = createResendBudget({ ...LIMITS, slack: 0 }, () => computeHostShare(1, false));
   for (let count = 0; count < 20; count += 1) budget.recordCall('a');
   t.false(budget.takeResend('b'));
@@ -92,15 +89,6 @@
   t.false(budget.takeResend('a'));
 });
 
-/** Pauses the clock for a test, which advances it past the first window, in which budgets have no slack. */
-const startClock = (t: ExecutionContext): ReturnType<typeof installClock> => {
-  const clock = installClock();
-  t.teardown(() => {
-    clock.uninstall();
-  });
-  return clock;
-};
-
 /** Records calls with each budget, then takes resends from it until it is used up. Returns the resends taken from all budgets. */
 const takeAllResends = (
   budgets: readonly ReturnType<typeof createResendBudget>[],
