--- a/packages/limit-server-rates/src/create-server-limits.ts
+++ b/packages/limit-server-rates/src/create-server-limits.ts
@@ -36,7 +36,7 @@
     if (!wasLimited && limits.countLimited() > 0) shares.startLearning();
     return isChanged;
   };
-  const sharing = startLimitSharing(options, { limits, shares, meter }, ([, , , , statements]) => {
+  const sharing = startLimitSharing(options, { limits, shares, meter }, ([, , , statements]) => {
     const changes = statements.map(([id, bornMs, service, limitPerS, ageMs]) =>
       addStatement(
         {
--- a/packages/limit-server-rates/src/create-share-table.ts
+++ b/packages/limit-server-rates/src/create-share-table.ts
@@ -27,7 +27,7 @@
   const listPlacing = (): readonly LimitsMessage[] => {
     const since = readMonotonicMs() - MAX_AGE_MS;
     for (const [host, { atMs }] of received) if (atMs < since) received.delete(host);
-    return [...received.values()].map(({ message }) => message).filter(([, , , isPlacing]) => isPlacing);
+    return [...received.values()].map(({ message }) => message).filter(([, , isPlacing]) => isPlacing);
   };
   /** Counts the hosts that place calls and have not been heard of while their first messages are expected. */
   const countUnheard = (heard: readonly LimitsMessage[]): number => {
@@ -43,7 +43,7 @@
     const heard = listPlacing();
     const own = meter.getRate(service) + MIN_RATE;
     const others = heard.map(
-      ([, , , , , rates]) => MIN_RATE + (rates.find(([name]) => name === service)?.[1] ?? 0),
+      ([, , , , rates]) => MIN_RATE + (rates.find(([name]) => name === service)?.[1] ?? 0),
     );
     return own / others.reduce((sum, rate) => sum + rate, own * (1 + countUnheard(heard)));
   };
--- a/packages/limit-server-rates/src/decode-limits-message.ts
+++ b/packages/limit-server-rates/src/decode-limits-message.ts
@@ -11,7 +11,6 @@
 const SCHEMA = z.tuple([
   z.literal(MESSAGE_KINDS.serverLimits),
   NAME,
-  z.string().max(MAX_NAME_LENGTH),
   z.boolean(),
   z.array(z.tuple([NAME, z.number(), NAME, NON_NEGATIVE.nullable(), NON_NEGATIVE])).max(MAX_ELEMENTS),
   z.array(z.tuple([NAME, NON_NEGATIVE])).max(MAX_ELEMENTS),
--- a/packages/limit-server-rates/src/limits-message.ts
+++ b/packages/limit-server-rates/src/limits-message.ts
@@ -13,13 +13,12 @@
 ];
 
 /**
- * Datagram with limits of servers: sending host, its failure domain, whether it places calls, the newest statements, and the rates of
- * its calls by service, calls a second.
+ * Datagram with limits of servers: sending host, whether it places calls, the newest statements, and the rates of its calls by service,
+ * calls a second.
  */
 export type LimitsMessage = readonly [
   kind: typeof MESSAGE_KINDS.serverLimits,
   host: string,
-  failureDomain: string,
   isPlacing: boolean,
   limits: readonly EncodedLimit[],
   rates: readonly (readonly [service: string, callsPerS: number])[],
--- a/packages/limit-server-rates/src/start-limit-sharing.ts
+++ b/packages/limit-server-rates/src/start-limit-sharing.ts
@@ -50,7 +50,6 @@
     const message = [
       MESSAGE_KINDS.serverLimits,
       self.host,
-      self.failureDomain,
       isPlacing,
       statements.map(
         ({ server: { id, bornMs, service }, limitPerS, atMs }) =>
