Keep calls at a silent server while no other attempt can follow

What callers saw: connections of streams cut midway, and 502 for calls that their server ran to its end, 1.9 s after the last progress and 7 s before the deadline.

Cause: a call was given up after two control calls without an answer, whatever could follow. A call that may not run again, or has no attempt, no resend or no other server left, can only be lost by that. The class of fault: a decision by suspicion, where acting on a wrong suspicion costs more than waiting.

Ruled out: the silence of the connection alone never ended a call.

--- a/packages/forward-calls/src/attempt-input.ts
+++ b/packages/forward-calls/src/attempt-input.ts
@@ -19,8 +19,8 @@
   readonly expectedMs: number;
   /** Splits a streamed answer into events. All attempts of one call share it, so that a stream can be resumed. */
   readonly splitter: EventSplitter;
-  /** True when the call may be run again after this attempt fails. */
-  readonly isRetryable: boolean;
+  /** Returns whether another attempt can follow if this one is abandoned now. */
+  readonly canRetry: () => boolean;
   /** Called when the call gets a connection, for which it may have waited. */
   readonly onConnection: () => void;
   /** Called each time complete events are about to be written to the caller. */
--- a/packages/forward-calls/src/decide-next-step.ts
+++ b/packages/forward-calls/src/decide-next-step.ts
@@ -1,10 +1,9 @@
+import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { NextStep } from './next-step.js';
 import { NOT_EXECUTED_STATUSES } from './not-executed-statuses.js';
 import type { NextStepInput } from './next-step-input.js';
 
-/** Minimum time left for another attempt, in milliseconds: enough to connect and to run a short call. */
-const MIN_RETRY_TIME_MS = 30;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 type StepRule = (input: NextStepInput) => NextStep;
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -92,7 +92,7 @@
     const progressWatch = watchProgress(deps, {
       callId: matchedCall.call.id,
       server,
-      isRetryable: input.isRetryable,
+      canRetry: input.canRetry,
       isEngine: matchedCall.call.prompt !== undefined,
       expectedMs: input.expectedMs,
       onStalled: (reason) => {
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -20,7 +20,7 @@
   readonly pool: BackendPool;
   readonly placer: CallPlacer;
   readonly sharing: Pick<LoadSharing, 'countCoveredHosts'>;
-  readonly resends: Pick<ResendBudget, 'recordCall'>;
+  readonly resends: Pick<ResendBudget, 'recordCall' | 'hasResend'>;
   readonly metrics: Metrics;
   readonly bounds: ForwardBounds;
   /** Failure domain of this host. */
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -1,5 +1,10 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
-import { CALL_KINDS, type ResponseHead, type PlacementRequest } from '@laburnumshift/forward-types';
+import {
+  CALL_KINDS,
+  type BackendEntry,
+  type ResponseHead,
+  type PlacementRequest,
+} from '@laburnumshift/forward-types';
 import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import type { Logger } from '@laburnumshift/logger';
 import { createSuspectCall } from '@laburnumshift/quarantine-pieces';
@@ -10,6 +15,7 @@
 import { decideNextStep } from './decide-next-step.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import type { MatchedCall } from './matched-call.js';
+import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
 import { NOT_EXECUTED_STATUSES } from './not-executed-statuses.js';
 import { replyError } from './reply-error.js';
 import { STOPPING_RETRY_AFTER_MS } from './stopping-retry-after-ms.js';
@@ -130,6 +136,14 @@
     };
   };
 
+  /** Whether another attempt can follow when the one at `server` is abandoned now. */
+  const hasOtherAttempt = (server: BackendEntry): boolean =>
+    isRetryable &&
+    attempts < route.maxAttempts &&
+    matchedCall.endsAtMs - readMonotonicMs() >= MIN_RETRY_TIME_MS &&
+    deps.resends.hasResend(service.name) &&
+    deps.fleet.listBackends(service.name).some(({ id }) => id !== server.id && !triedServers.has(id));
+
   for (;;) {
     if (refuseQuarantined()) return;
     const choice = await deps.placer.placeCall(buildPlacementRequest, endSignal);
@@ -182,7 +196,7 @@
       },
       expectedMs: choice.expectedMs,
       splitter,
-      isRetryable,
+      canRetry: () => hasOtherAttempt(server),
       onConnection: () => {
         connectionMs = Math.round(readMonotonicMs() - startedMs);
       },
--- a/packages/forward-calls/src/watch-progress.ts
+++ b/packages/forward-calls/src/watch-progress.ts
@@ -1,8 +1,9 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
-import type { BackendEntry, ProbeResult } from '@laburnumshift/forward-types';
+import type { BackendEntry } from '@laburnumshift/forward-types';
 import { checkStalledCall } from './check-stalled-call.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import type { ProgressWatch } from './progress-watch.js';
+import type { StallReport } from './stall-report.js';
 
 /** Milliseconds without progress after which the server is polled: longer than the usual pauses of a healthy stream. */
 const POLL_AFTER_MS = 700;
@@ -26,7 +27,8 @@
 interface ProgressWatchInput {
   readonly callId: string;
   readonly server: BackendEntry;
-  readonly isRetryable: boolean;
+  /** True when another attempt can follow if the call is abandoned. */
+  readonly canRetry: () => boolean;
   readonly isEngine: boolean;
   /** Expected time until the first event, in milliseconds. */
   readonly expectedMs: number;
@@ -39,9 +41,9 @@
   deps: Pick<ForwarderDependencies, 'startStallChecks' | 'probeServer'>,
   input: ProgressWatchInput,
 ): ProgressWatch {
-  const { callId, server, isRetryable, isEngine } = input;
+  const { callId, server, canRetry, isEngine } = input;
   const stallTimeoutMs = isEngine ? ENGINE_STALL_TIMEOUT_MS : SERVICE_STALL_TIMEOUT_MS;
-  let reports: ProbeResult[] = [];
+  let reports: StallReport[] = [];
   let lastProgressMs = readMonotonicMs();
   let pollAfterMs = Math.max(POLL_AFTER_MS, input.expectedMs * FIRST_EVENT_FACTOR);
   let nextPollMs = -Infinity;
@@ -53,16 +55,16 @@
   const pollServer = async (): Promise<void> => {
     isPolling = true;
     const polledProgressMs = lastProgressMs;
-    const report = await deps.probeServer(server);
+    const result = await deps.probeServer(server);
     isPolling = false;
     if (!isWatching || isPaused || polledProgressMs !== lastProgressMs) return;
-    reports = [...reports, report].slice(-MAX_REPORTS);
-    pollCount += 1;
-    const isQuick = report.kind !== 'alive' || pollCount < QUICK_POLLS;
     const now = readMonotonicMs();
+    reports = [...reports, { result, atMs: now }].slice(-MAX_REPORTS);
+    pollCount += 1;
+    const isQuick = result.kind !== 'alive' || pollCount < QUICK_POLLS;
     nextPollMs = now + (isQuick ? POLL_INTERVAL_MS : ALIVE_POLL_INTERVAL_MS);
     const silentMs = now - lastProgressMs;
-    const reason = checkStalledCall({ callId, silentMs, isRetryable, stallTimeoutMs, reports });
+    const reason = checkStalledCall({ callId, silentMs, canRetry: canRetry(), stallTimeoutMs, reports });
     if (reason !== undefined) input.onStalled(reason);
   };
   const stopStallChecks = deps.startStallChecks(() => {
--- a/packages/limit-resends/src/create-resend-budget.ts
+++ b/packages/limit-resends/src/create-resend-budget.ts
@@ -39,21 +39,25 @@
     return { buckets, current };
   };
 
+  const hasResend = ({ buckets, current }: ReturnType<typeof selectBuckets>): boolean => {
+    const calls = buckets
+      .filter(({ index }) => index > current.index - BUCKETS)
+      .reduce((sum, bucket) => sum + bucket.calls, 0);
+    const resends = buckets.reduce((sum, bucket) => sum + bucket.resends, 0);
+    const { ratio, slack } = getShare();
+    const hasSlack = isFirstStart || readMonotonicMs() - startedMs >= limits.windowMs;
+    return resends + 1 <= calls * limits.ratio * ratio + (hasSlack ? limits.slack * slack : 0);
+  };
+
   return {
     recordCall: (service) => {
       selectBuckets(service).current.calls += 1;
     },
+    hasResend: (service) => hasResend(selectBuckets(service)),
     takeResend: (service) => {
-      const { buckets, current } = selectBuckets(service);
-      const calls = buckets
-        .filter(({ index }) => index > current.index - BUCKETS)
-        .reduce((sum, bucket) => sum + bucket.calls, 0);
-      const resends = buckets.reduce((sum, bucket) => sum + bucket.resends, 0);
-      const { ratio, slack } = getShare();
-      const hasSlack = isFirstStart || readMonotonicMs() - startedMs >= limits.windowMs;
-      const allowed = calls * limits.ratio * ratio + (hasSlack ? limits.slack * slack : 0);
-      if (resends + 1 > allowed) return false;
-      current.resends += 1;
+      const selected = selectBuckets(service);
+      if (!hasResend(selected)) return false;
+      selected.current.resends += 1;
       return true;
     },
   };
