Answer a call when the host fails while it handles the call

What callers saw: nothing. The connection was closed without a status, and the log line did not name the call; an error while the head was decoded or the configuration was read was not caught at all, and the connection stayed open.

Cause: handleCall ended in response.destroy() for any error, and two steps ran before its catch. The class of fault: an error path that drops the answer together with the work.

Evidence: the three tests of start-forward-server.test.ts fail on: the first ends with a closed connection, the others end the process of the test with an uncaught exception.

Change: such a call gets 502, which promises nothing, or its stream is cut if the head was sent. The line has the id of the call, and faults_total counts it with kind=call.

Whether an error of this kind can be caused from outside is not known: none was found yet.

--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -1,7 +1,9 @@
 import http from 'node:http';
 import { openListener } from '@laburnumshift/addresses';
 import { readMonotonicMs } from '@laburnumshift/clock';
+import type { CallDecodeFailure, ForwardCall } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
+import type { CallerReply } from './caller-reply.js';
 import { createCallerReply } from './create-caller-reply.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import type { ForwardServer } from './forward-server.js';
@@ -43,18 +45,22 @@
   const isStopping = (): boolean => !isListening;
   let inFlight = 0;
 
-  const handleCall = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+  /** Ends a call whose handling threw an error. It may have run, so it gets the status that promises nothing. */
+  const failCall = (reply: CallerReply, callId: string | undefined, error: unknown): void => {
+    const isCut = reply.isHeadSent();
+    const detail = String((error as Error).stack ?? error);
+    logger.error('call failed with an internal error', { request: callId, isCut, detail });
+    deps.metrics.addToCounter('faults_total', { kind: 'call' });
+    if (isCut) reply.abort();
+    else replyError(codec, reply, callId, 502, undefined);
+  };
+  const handleCall = async (
+    request: http.IncomingMessage,
+    reply: CallerReply,
+    call: ForwardCall | CallDecodeFailure,
+    callerSignal: AbortSignal,
+  ): Promise<void> => {
     const arrivedAtMs = readMonotonicMs();
-    const callerAbort = new AbortController();
-    response.on('close', () => {
-      if (!response.writableFinished) callerAbort.abort();
-    });
-    const reply = createCallerReply(response, () => isDraining);
-    const call = codec.decodeCall({
-      method: request.method ?? '',
-      target: request.url ?? '',
-      headers: request.rawHeaders,
-    });
     const refuse = (
       status: Parameters<typeof replyError>[3],
       reason: string,
@@ -128,22 +134,43 @@
       reply,
       arrivedAtMs,
       endsAtMs,
-      callerSignal: callerAbort.signal,
+      callerSignal,
       stopSignal: stopController.signal,
     };
     await runForward(deps, matchedCall, forwardLogger);
   };
 
+  const handleRequest = async (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> => {
+    const callerAbort = new AbortController();
+    response.on('close', () => {
+      if (!response.writableFinished) callerAbort.abort();
+    });
+    const reply = createCallerReply(response, () => isDraining);
+    let callId: string | undefined;
+    try {
+      server.keepAliveTimeout = fleet.getConfig()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
+      const call = codec.decodeCall({
+        method: request.method ?? '',
+        target: request.url ?? '',
+        headers: request.rawHeaders,
+      });
+      if ('id' in call) callId = call.id;
+      await handleCall(request, reply, call, callerAbort.signal);
+    } catch (error) {
+      failCall(reply, callId, error);
+    }
+  };
+
   const server = http.createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, keepAliveTimeout: DEFAULT_IDLE_MS },
     (request, response) => {
       inFlight += 1;
-      server.keepAliveTimeout = fleet.getConfig()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
-      handleCall(request, response)
+      handleRequest(request, response)
         .catch((error: unknown) => {
-          logger.error('call failed with an internal error', {
-            detail: String((error as Error).stack ?? error),
-          });
+          logger.error('error response failed', { detail: String(error) });
           response.destroy();
         })
         .finally(() => {
--- /dev/null
+++ b/packages/forward-calls/test/start-forward-server.test.ts
@@ -0,0 +1,78 @@
+import http from 'node:http';
+import type { EdgeCodec } from '@laburnumshift/forward-types';
+import { findFreePort } from '@laburnumshift/test-utils';
+import test from 'ava';
+import type { ForwarderDependencies } from '../src/forwarder-dependencies.js';
+import { startForwardServer } from '../src/start-forward-server.js';
+
+const ROUTE = {
+  name: 'book',
+  hostName: 'shop.example',
+  pathPrefix: '/',
+  kind: 'non-idempotent',
+  timeoutMs: 1000,
+  targetMs: 100,
+  priority: 1,
+  targets: [{ service: 'desk', weight: 1 }],
+  maxAttempts: 1,
+  isPublic: true,
+  isResumable: false,
+};
+const CONFIG = {
+  version: 1,
+  routes: [ROUTE],
+  services: new Map([['desk', { name: 'desk', maxConnections: 4 }]]),
+  stores: [],
+  limits: { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+};
+const fail = (): never => {
+  throw new TypeError('a part of the host failed');
+};
+const decodeCall = ({ method, target }: { method: string; target: string }) => ({
+  id: 'call-1',
+  method,
+  target,
+  hostName: 'shop.example',
+  deadlineMs: 1000,
+  forwardedHeaders: [],
+});
+const sendCall = (port: number): Promise<number> =>
+  new Promise((resolve) => {
+    const request = http.request({ host: '127.0.0.1', port, path: '/a', method: 'POST', agent: false });
+    request.on('response', (response) => {
+      response.resume();
+      resolve(response.statusCode ?? 0);
+    });
+    request.on('error', () => {
+      resolve(0);
+    });
+    request.end('a body');
+  });
+
+const FAILURES: Readonly<Record<string, Record<string, unknown>>> = {
+  'placing it': { placer: { placeCall: () => Promise.reject(new TypeError('no candidates')) } },
+  'reading the configuration': { fleet: { getConfig: fail } },
+  'decoding it': { codec: { decodeCall: fail, encodeRefusal: () => [] } satisfies Partial<EdgeCodec> },
+};
+for (const [what, changes] of Object.entries(FAILURES)) {
+  test(`a call is not left without an answer by an error of the host while ${what}`, async (t) => {
+    const port = await findFreePort();
+    const deps = {
+      codec: { decodeCall, encodeRefusal: () => [] },
+      fleet: { getConfig: () => CONFIG, getConfigAgeMs: () => 0 },
+      bounds: { configApplyMs: 2000 },
+      resends: { recordCall: () => undefined },
+      metrics: { addToCounter: () => undefined },
+      quarantine: { checkCall: () => ({ kind: 'allowed' }) },
+      pickRandom: () => 0,
+      ...changes,
+    };
+    const server = await startForwardServer(
+      `127.0.0.1:${String(port)}`,
+      deps as unknown as ForwarderDependencies,
+    );
+    t.teardown(server.stopListening);
+    t.is(await sendCall(port), 502);
+    t.is(server.countCallsInFlight(), 0);
+  });
+}
