Finish answers that callers still read when a host stops

What callers saw: beside a planned stop, a long answer that a caller read slowly was cut off, though the log said that it was served.

Cause: Node.js takes a connection for idle as soon as `end` was called on its response. `closeIdleConnections`, which a stop calls every 50 ms, then destroyed connections with answers that waited in the host to be sent. The host also no longer counted such calls as in flight, so it did not wait for them.

Evidence: before this change the new test got 3,919,695 of 4,000,000 bytes and an incomplete response.

Change: a response is ended once its body was written, and a call counts as in flight until its response is closed. A pipelined response that waits for an earlier one follows the close of its connection.

--- a/packages/forward-calls/src/create-caller-reply.ts
+++ b/packages/forward-calls/src/create-caller-reply.ts
@@ -4,6 +4,7 @@
 
 /** Delay before the caller's connection is reset, in milliseconds: one round trip, so that the caller can read the events sent so far. */
 const RESET_DELAY_MS = 20;
+const EMPTY = Buffer.alloc(0);
 
 /** Wraps the response of a Node.js HTTP server. The connection is closed after the response when `isClosing` returns true. */
 export function createCallerReply(response: http.ServerResponse, isClosing: () => boolean): CallerReply {
@@ -23,8 +24,11 @@
     onDrain: (handler) => {
       response.once('drain', handler);
     },
-    end: (bytes) => {
-      response.end(bytes);
+    end: (bytes = EMPTY) => {
+      // Node.js takes a connection for idle once its response has ended, even while parts of it wait to be sent.
+      response.write(bytes, () => {
+        response.end();
+      });
     },
     abort: () => {
       const { socket } = response;
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -145,8 +145,16 @@
     response: http.ServerResponse,
   ): Promise<void> => {
     const callerAbort = new AbortController();
-    response.on('close', () => {
-      if (!response.writableFinished) callerAbort.abort();
+    const { socket } = request;
+    const whenClosed = new Promise<void>((resolve) => {
+      const handleClose = (): void => {
+        socket.off('close', handleClose);
+        if (!response.writableFinished) callerAbort.abort();
+        resolve();
+      };
+      response.on('close', handleClose);
+      // A pipelined response that waits for an earlier one does not notice the end of its connection.
+      socket.on('close', handleClose);
     });
     const reply = createCallerReply(response, () => isDraining);
     let callId: string | undefined;
@@ -162,6 +170,8 @@
     } catch (error) {
       failCall(reply, callId, error);
     }
+    // A stop waits for answers that are still being sent.
+    await whenClosed;
   };
 
   const server = http.createServer(
