Keep the event loop running while the placement queue is full

What callers saw: on a host with more waiting calls than its queue takes, such as while all servers are silent for a second, no call got an answer or a refusal for as long as no server had free capacity.

Cause: a full queue answers `wait` at once, and the placer of the host that decides asked it again at once. These promises settle in the same turn of the event loop, so no timer and no socket of the host was served until the call was placed or refused.

Change: each round of waiting takes at least the time for which a placement request is queued.

--- a/packages/ask-home/src/create-call-placer.ts
+++ b/packages/ask-home/src/create-call-placer.ts
@@ -1,10 +1,11 @@
 import { isUsableServer, REFUSAL_CAUSES, type ServerChoice } from '@laburnumshift/choose-server';
-import { startTimer } from '@laburnumshift/clock';
+import { readMonotonicMs, sleep, startTimer } from '@laburnumshift/clock';
 import type { PlacementRequest } from '@laburnumshift/forward-types';
 import { estimateWork } from './estimate-work.js';
 import type { PlacementAnswer } from './placement-answer.js';
 import type { CallPlacer } from './call-placer.js';
 import type { CallPlacerOptions } from './call-placer-options.js';
+import { PLACEMENT_TIMING } from './placement-timing.js';
 
 /** Refusals of the home host after which this host decides itself. */
 const LOCALLY_DECIDED_CAUSES: ReadonlySet<string> = new Set([
@@ -61,13 +62,18 @@
     placeCall: async (buildPlacementRequest, signal) => {
       for (;;) {
         if (signal.aborted) return undefined;
+        const startedMs = readMonotonicMs();
         const request = buildPlacementRequest();
         const isHomeAsked = hasRemoteHome();
         const answer = isHomeAsked ? await homeClient.askHome(request, signal) : undefined;
         const homeChoice = resolveAnswer(request, answer);
         const choice = homeChoice ?? (await decideLocally(buildPlacementRequest(), signal));
         if (choice === undefined) return undefined;
-        if (choice.kind === 'wait') continue;
+        if (choice.kind === 'wait') {
+          // A full queue answers at once. Asking it again without a pause would block the event loop.
+          await sleep(startedMs + PLACEMENT_TIMING.maxQueueMs - readMonotonicMs(), signal);
+          continue;
+        }
         const by = homeChoice !== undefined ? 'home' : isHomeAsked ? 'alone' : 'here';
         metrics.addToCounter('call_placements_total', { by });
         return choice;
