Leave connections open for a moment after their last answer in a stop

What callers saw: beside a planned stop, a call on a kept connection ended without an answer when it came just after a stream on that connection.

Cause: a stop closed connections between requests every 50 ms, also those whose answer had just ended and had not told the caller of the stop. The next call of the caller was then on its way or waited unread in the socket.

Change: a stop closes connections that had no request for 200 ms and have received nothing since. Calls that come earlier are refused as before.

--- a/packages/forward-calls/src/forward-server.ts
+++ b/packages/forward-calls/src/forward-server.ts
@@ -8,6 +8,6 @@
   readonly stopListening: () => void;
   /** Gives all calls in flight a final answer, except streams that have begun, which are cut off. */
   readonly endCalls: () => void;
-  /** Closes the connections that are idle now. */
+  /** Closes the connections on which no request has come for a while. */
   readonly closeIdleConnections: () => void;
 }
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -5,6 +5,7 @@
 import { createLogger } from '@laburnumshift/logger';
 import type { CallerReply } from './caller-reply.js';
 import { createCallerReply } from './create-caller-reply.js';
+import { createKeptConnections } from './create-kept-connections.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import type { ForwardServer } from './forward-server.js';
 import { matchRoute } from './match-route.js';
@@ -20,6 +21,8 @@
 const LISTEN_BACKLOG = 1024;
 /** Idle timeout of connections while no configuration is known, in milliseconds. */
 const DEFAULT_IDLE_MS = 15_000;
+/** Time for which a connection is idle before a stop closes it, in milliseconds: the next request of its caller may be on its way. */
+const MIN_IDLE_MS = 200;
 /** Retry-After while the host has no current configuration, in milliseconds. */
 const CONFIG_RETRY_AFTER_MS = 500;
 /**
@@ -40,6 +43,7 @@
   const maxKeyAgeMs = bounds.revokeMs === undefined ? Infinity : bounds.revokeMs * MAX_CONFIG_AGE_RATIO;
   const maxNotFoundAgeMs = bounds.configApplyMs * MAX_CONFIG_AGE_RATIO;
   const stopController = new AbortController();
+  const connections = createKeptConnections();
   let isDraining = false;
   let isListening = true;
   const isStopping = (): boolean => !isListening;
@@ -146,10 +150,12 @@
   ): Promise<void> => {
     const callerAbort = new AbortController();
     const { socket } = request;
+    const endRequest = connections.beginRequest(socket);
     const whenClosed = new Promise<void>((resolve) => {
       const handleClose = (): void => {
         socket.off('close', handleClose);
         if (!response.writableFinished) callerAbort.abort();
+        endRequest();
         resolve();
       };
       response.on('close', handleClose);
@@ -210,7 +216,7 @@
       stopController.abort();
     },
     closeIdleConnections: () => {
-      server.closeIdleConnections();
+      connections.closeIdle(MIN_IDLE_MS);
     },
   };
 }
