Go on with a resumable stream after an error of a later server

What callers saw: a resumable stream was cut off when its second server answered with an error, although a third attempt was allowed.

Cause: an answer that is no stream ended the call once the head was sent, while every other failure of that server led to the next attempt.

Evidence: before this change the new tests got `abort` instead of `send`, and a stream without its last event.

Change: such an answer counts as a failed attempt. It still reaches no caller.

--- a/packages/forward-calls/src/decide-next-step.ts
+++ b/packages/forward-calls/src/decide-next-step.ts
@@ -41,7 +41,7 @@
   cut: (input) => (input.isRetryable ? decideRetry(input) : decideWithoutRetry(input)),
   answered: (input, end) => {
     if (end.kind !== 'answered') return decideWithoutRetry(input);
-    if (input.isHeadSent) return { kind: 'abort' };
+    if (input.isHeadSent) return input.isRetryable ? decideRetry(input) : decideWithoutRetry(input);
     const isFailure =
       end.head.status >= MIN_SERVER_ERROR_STATUS || NOT_EXECUTED_STATUSES.has(end.head.status);
     if (isFailure && input.isRetryable) {
--- a/packages/forward-calls/test/decide-next-step.test.ts
+++ b/packages/forward-calls/test/decide-next-step.test.ts
@@ -82,6 +82,18 @@
     createAnswer(429),
     'send',
   ],
+  [
+    'a resumable stream is not closed by an error of a later server while another attempt can follow',
+    { mayHaveRun: true, isHeadSent: true, isRetryable: true, attempts: 2, maxAttempts: 3 },
+    createAnswer(500),
+    'send',
+  ],
+  [
+    'an answer of a later server does not follow the events of a stream',
+    { mayHaveRun: true, isHeadSent: true, isRetryable: true, attempts: 2 },
+    createAnswer(500),
+    'abort',
+  ],
   ['a call whose deadline has passed fails', { mayHaveRun: true }, { kind: 'ended' }, 'fail'],
   [
     'nothing is sent after the caller has disconnected',
