Wait for the answer of a server after its interim responses

What callers saw: a call got 502 two seconds after an interim response (1xx) of its server, while the server worked on it.

Cause: each interim response started the timer for the end of a head, although no head had begun.

Evidence: before this change the new test got 502 after 2,006 ms with the reason "the head of the answer does not end".

Change: the timer runs from the first byte after the interim response.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -72,9 +72,16 @@
       /** Limits the bytes outside the answer, which a faulty server may send without end: the parser ignores some of them. */
       const watchReceivedBytes = (socket: net.Socket): void => {
         const bytesReadBefore = socket.bytesRead;
+        let headBeginsAt = bytesReadBefore;
+        // Complete 1xx responses show that the server is alive, and it may then work for long.
+        request.on('information', () => {
+          headBeginsAt = socket.bytesRead;
+          hasHeaderBytes = false;
+          stopHeaderTimer();
+        });
         const observeBytes = (): void => {
           framingMeter.setReceivedBytes(socket.bytesRead - bytesReadBefore);
-          if (response === undefined && socket.bytesRead > bytesReadBefore && !hasHeaderBytes) {
+          if (response === undefined && socket.bytesRead > headBeginsAt && !hasHeaderBytes) {
             hasHeaderBytes = true;
             startHeaderTimer();
           }
@@ -127,8 +134,6 @@
         });
         socket.once('close', stopConnectTimer);
       });
-      // Complete 1xx responses show that the server is alive, and a long wait may bring many of them.
-      request.on('information', startHeaderTimer);
       request.on('response', (received) => {
         response = received;
         stopHeaderTimer();
