Keep connections open for as long as their last answer stated

What callers saw: after a change of the idle timeout, and at the first request after the start of a host, `Keep-Alive` stated a longer time than the host kept the connection, so the next call could meet its close.

Cause: Node.js states the limit that the server has as a request begins, and closes by the one that it has as the response ends. The host sets the newest limit between the two.

Evidence: before this change the new test found its connection closed after 2.2 s although the last answer stated 3 s.

Change: the timer of an idle connection is never shorter than the time that its last answer stated, with the margin of Node.js.

--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -23,6 +23,8 @@
 const DEFAULT_IDLE_MS = 15_000;
 /** Time for which a connection is idle before a stop closes it, in milliseconds: the next request of its caller may be on its way. */
 const MIN_IDLE_MS = 200;
+/** Time beyond the stated limit after which Node.js closes an idle connection, in milliseconds. */
+const IDLE_MARGIN_MS = 1000;
 /** Retry-After while the host has no current configuration, in milliseconds. */
 const CONFIG_RETRY_AFTER_MS = 500;
 /**
@@ -151,11 +153,14 @@
     const callerAbort = new AbortController();
     const { socket } = request;
     const endRequest = connections.beginRequest(socket);
+    // Node.js states the limit that holds as a request begins, and closes by the one that holds as its response ends.
+    const statedIdleMs = server.keepAliveTimeout + IDLE_MARGIN_MS;
     const whenClosed = new Promise<void>((resolve) => {
       const handleClose = (): void => {
         socket.off('close', handleClose);
         if (!response.writableFinished) callerAbort.abort();
         endRequest();
+        if (socket.timeout && socket.timeout < statedIdleMs) socket.setTimeout(statedIdleMs);
         resolve();
       };
       response.on('close', handleClose);
--- a/packages/forward-calls/test/start-forward-server.test.ts
+++ b/packages/forward-calls/test/start-forward-server.test.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { sleep } from '@laburnumshift/clock';
 import type { EdgeCodec } from '@laburnumshift/forward-types';
 import { findFreePort } from '@laburnumshift/test-utils';
 import test from 'ava';
@@ -76,3 +77,47 @@
     t.is(server.countCallsInFlight(), 0);
   });
 }
+
+test('a kept connection is not closed before the time that its last answer states', async (t) => {
+  const port = await findFreePort();
+  let idleTimeoutMs = 3000;
+  const deps = {
+    codec: { decodeCall, encodeRefusal: () => [] },
+    fleet: {
+      getConfig: () => ({ ...CONFIG, routes: [], limits: { ...CONFIG.limits, idleTimeoutMs } }),
+      getConfigAgeMs: () => 0,
+    },
+    bounds: { configApplyMs: 2000 },
+    metrics: { addToCounter: () => undefined },
+  };
+  const server = await startForwardServer(
+    `127.0.0.1:${String(port)}`,
+    deps as unknown as ForwarderDependencies,
+  );
+  t.teardown(server.stopListening);
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+  t.teardown(() => {
+    agent.destroy();
+  });
+  const sendKept = (): Promise<{ readonly idleS: number; readonly isReused: boolean }> =>
+    new Promise((resolve, reject) => {
+      const request = http.request({ host: '127.0.0.1', port, path: '/a', agent });
+      request.on('response', (response) => {
+        response.resume();
+        response.on('end', () => {
+          const idleS = Number(/timeout=(\d+)/.exec(String(response.headers['keep-alive']))?.[1]);
+          resolve({ idleS, isReused: request.reusedSocket });
+        });
+      });
+      request.on('error', reject);
+      request.end();
+    });
+  await sendKept();
+  t.is((await sendKept()).idleS, 3);
+  idleTimeoutMs = 500;
+  const { idleS } = await sendKept();
+  const waitedMs = 2200;
+  await sleep(waitedMs);
+  const { isReused } = await sendKept();
+  t.true(isReused || idleS * 1000 < waitedMs, `closed although the last answer stated ${String(idleS)} s`);
+});
