Decide the other queued calls after an error with one of them

What callers would see: an error in the choice of a server for one waiting call left every waiting call of the host without an answer or a refusal, also past their deadlines. No input that leads to such an error is known.

Cause: the error left the loop over the queue before answered calls were taken out of it, and ended the shared interval that checks for free capacity.

Evidence: before this change none of the three queued calls of the new test got an answer.

Change: the error is logged with the id of the call, the call is refused, and the loop goes on.

--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -2,6 +2,7 @@
 import { createSharedInterval, readMonotonicMs } from '@laburnumshift/clock';
 import type { PlacementRequest } from '@laburnumshift/forward-types';
 import type { RoomForecast } from '@laburnumshift/limit-server-rates';
+import { createLogger } from '@laburnumshift/logger';
 import { createRetrySchedule } from './create-retry-schedule.js';
 import { createQueueWaitEstimator } from './create-queue-wait-estimator.js';
 import { RETRY_BOUNDS } from '@laburnumshift/place-calls';
@@ -37,6 +38,7 @@
   recordFirstAttempt,
   takeResend,
 }: PlacementQueueOptions): PlacementQueue {
+  const logger = createLogger('placement');
   const pollCapacity = createSharedInterval(PLACEMENT_TIMING.capacityPollMs);
   const waitEstimator = createQueueWaitEstimator();
   const retrySchedule = createRetrySchedule();
@@ -103,13 +105,23 @@
       remainingMs: request.remainingMs - waitedMs,
     });
   };
+  /** Decides a queued request. An error refuses that request, so that the others are still decided. */
+  const decideSafely = (entry: QueuedRequest): ServerChoice => {
+    try {
+      return decideEntry(entry);
+    } catch (error) {
+      const detail = String((error as Error).stack ?? error);
+      logger.error('queued call could not be decided', { request: entry.request.callId, detail });
+      return buildRefusal(REFUSAL_CAUSES.noServer, RETRY_BOUNDS.minMs);
+    }
+  };
   const drainQueue = (maxDecisions: number): void => {
     const now = readMonotonicMs();
     const finished = new Set<QueuedRequest>();
     for (const [index, entry] of queue.entries()) {
       const isExpired = now - entry.queuedAtMs >= PLACEMENT_TIMING.maxQueueMs;
       if (index >= maxDecisions && !isExpired) continue;
-      const choice = index < maxDecisions ? decideEntry(entry) : ({ kind: 'wait' } as const);
+      const choice = index < maxDecisions ? decideSafely(entry) : ({ kind: 'wait' } as const);
       if (choice.kind === 'wait' && !isExpired) continue;
       finished.add(entry);
       entry.onChoice(choice);
--- a/packages/ask-home/test/create-placement-queue.test.ts
+++ b/packages/ask-home/test/create-placement-queue.test.ts
@@ -159,3 +159,31 @@
     t.deepEqual(order.slice(2), ['urgent server', 'held-0 server', 'held-1 server', 'held-2 server']);
   },
 );
+
+test.serial(
+  'an error while one queued call is decided does not leave the others without an answer',
+  async (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const answers = new Map<string, string[]>();
+    let isFailing = false;
+    const placementQueue = createPlacementQueue({
+      chooseServer: ({ callId }) => {
+        if (isFailing && callId === 'faulty') throw new RangeError('no candidates');
+        return { kind: 'wait' };
+      },
+      recordFirstAttempt: () => undefined,
+      takeResend: () => false,
+    });
+    for (const callId of ['before', 'faulty', 'after'])
+      placementQueue.submitPlacementRequest(createPlacementRequest({ callId }), ({ kind }) => {
+        answers.set(callId, [...(answers.get(callId) ?? []), kind]);
+      });
+    isFailing = true;
+    await clock.tickAsync(2 * PLACEMENT_TIMING.maxQueueMs).catch(() => undefined);
+    t.deepEqual(Object.fromEntries(answers), { before: ['wait'], faulty: ['refuse'], after: ['wait'] });
+    t.is(placementQueue.countQueued(), 0);
+  },
+);
