Keep streams that have begun when a part of their call is convicted

What callers saw: a stream was cut within 250 ms of its first event when another server crashed under a part that its call shared, though its own server worked on it.

Cause: a conviction cancelled each attempt that did not yet count as harmless, also those whose events had reached the caller. The next attempt was then refused, so even resumable streams ended.

Evidence: before this change the attempt of the new test ended with `cut`.

Change: a conviction cancels only attempts without events.

--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -101,6 +101,8 @@
       },
     });
     const observed = deps.quarantine.beginAttempt(server, input.suspectCall, (reason) => {
+      // A server that has sent events runs the call already, and a cut would be final for most streams.
+      if (hasFirstEvent) return;
       if (sentCall.isSent()) cancel(buildBrokenOutcome(reason), 'cancelled');
       else cancel({ kind: 'not-run', reason, isSent: false }, 'cancelled');
     });
--- /dev/null
+++ b/packages/forward-calls/test/dispatch-call.test.ts
@@ -0,0 +1,82 @@
+import { readMonotonicMs } from '@laburnumshift/clock';
+import { CALL_KINDS, type ResponseHead } from '@laburnumshift/forward-types';
+import type { SendHandlers } from '@laburnumshift/call-backend';
+import test from 'ava';
+import type { AttemptInput } from '../src/attempt-input.js';
+import { createEventSplitter } from '../src/create-event-splitter.js';
+import { dispatchCall } from '../src/dispatch-call.js';
+import type { ForwarderDependencies } from '../src/forwarder-dependencies.js';
+
+const HEAD = {
+  status: 200,
+  isSealed: true,
+  hasLength: true,
+  forwardedHeaders: [],
+} as unknown as ResponseHead;
+const dropValue = (): void => undefined;
+
+test('a stream that has begun is not cut when a part of its call is convicted of crashes elsewhere', async (t) => {
+  const received: string[] = [];
+  let isHeadSent = false;
+  let handlers: SendHandlers | undefined;
+  let convict: (reason: string) => void = dropValue;
+  const deps = {
+    serverTracker: {
+      beginCall: () => ({ observeBytes: dropValue, observeFirstEvent: dropValue, finish: dropValue }),
+    },
+    limits: { observeLimit: dropValue },
+    startStallChecks: () => dropValue,
+    quarantine: {
+      beginAttempt: (_server: unknown, _call: unknown, onConvicted: typeof convict) => {
+        convict = onConvicted;
+        return { observeEvents: dropValue, finish: dropValue };
+      },
+    },
+    pool: {
+      sendCall: (...[, , , , given]: Parameters<ForwarderDependencies['pool']['sendCall']>) => {
+        handlers = given;
+        return {
+          isSent: () => true,
+          cancel: dropValue,
+          discard: dropValue,
+          pause: dropValue,
+          resume: dropValue,
+        };
+      },
+    },
+  };
+  const input = {
+    matchedCall: {
+      call: { id: 'call-1' },
+      route: { kind: CALL_KINDS.stream },
+      reply: {
+        isHeadSent: () => isHeadSent,
+        isBodyDelimited: () => true,
+        sendHead: () => {
+          isHeadSent = true;
+        },
+        write: (bytes: Buffer) => received.push(bytes.toString()) > 0,
+        end: dropValue,
+      },
+      endsAtMs: readMonotonicMs() + 5000,
+      callerSignal: new AbortController().signal,
+      stopSignal: new AbortController().signal,
+    },
+    server: { id: 'engine-1' },
+    work: {},
+    expectedMs: 0,
+    splitter: createEventSplitter(),
+    canRetry: () => false,
+    onConnection: dropValue,
+    onEvents: dropValue,
+    onFirstEvent: dropValue,
+  };
+  const ended = dispatchCall(deps as unknown as ForwarderDependencies, input as unknown as AttemptInput);
+  handlers?.onHeaders(HEAD);
+  handlers?.onBodyBytes(Buffer.from('id: 1\ndata: a\n\n'));
+  convict('servers crash under a piece');
+  handlers?.onBodyBytes(Buffer.from('id: 2\ndata: b\n\n'));
+  handlers?.onEnd();
+  t.is((await ended).kind, 'delivered');
+  t.is(received.length, 2);
+});
