Answer pipelined requests when a host stops

What callers saw: beside a planned stop, the second of two pipelined requests got no answer, though the host had read it and may have passed it on.

Cause: the answer to the first one closed the connection.

Evidence: before this change the new test got one answer to two requests.

Change: while a host stops, an answer closes its connection only when no other request was read on it. The test also shows that a connection without a request so far is not closed, and that its first request is refused.

--- a/packages/forward-calls/src/create-kept-connections.ts
+++ b/packages/forward-calls/src/create-kept-connections.ts
@@ -17,6 +17,7 @@
         state.bytesRead = socket.bytesRead;
       };
     },
+    countRequests: (socket) => states.get(socket)?.requests ?? 0,
     closeIdle: (minIdleMs) => {
       const idleSinceMs = readMonotonicMs() - minIdleMs;
       for (const [socket, state] of states) {
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -167,7 +167,11 @@
       // A pipelined response that waits for an earlier one does not notice the end of its connection.
       socket.on('close', handleClose);
     });
-    const reply = createCallerReply(response, () => isDraining);
+    const reply = createCallerReply(
+      response,
+      // An answer that closes the connection would take away those of the pipelined requests after it.
+      () => isDraining && connections.countRequests(socket) <= 1,
+    );
     let callId: string | undefined;
     try {
       server.keepAliveTimeout = fleet.getConfig()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
--- a/packages/forward-calls/test/start-forward-server.test.ts
+++ b/packages/forward-calls/test/start-forward-server.test.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import net from 'node:net';
 import { sleep } from '@laburnumshift/clock';
 import type { EdgeCodec } from '@laburnumshift/forward-types';
 import { findFreePort } from '@laburnumshift/test-utils';
@@ -121,3 +122,52 @@
   const { isReused } = await sendKept();
   t.true(isReused || idleS * 1000 < waitedMs, `closed although the last answer stated ${String(idleS)} s`);
 });
+
+const REQUEST = 'POST /a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n\r\n';
+test('a stop leaves no request of a pipelined pair and none of a fresh connection without an answer', async (t) => {
+  const port = await findFreePort();
+  const deps = {
+    codec: { decodeCall, encodeRefusal: () => [] },
+    fleet: { getConfig: () => CONFIG, getConfigAgeMs: () => 0 },
+    bounds: { configApplyMs: 2000 },
+    resends: { recordCall: () => undefined },
+    metrics: { addToCounter: () => undefined, recordDuration: () => undefined },
+    quarantine: { checkCall: () => ({ kind: 'allowed' }) },
+    placer: {
+      placeCall: async () => {
+        await sleep(300);
+        return { kind: 'refuse', reason: 'no room', retryAfterMs: 100 };
+      },
+    },
+    pickRandom: () => 0,
+  };
+  const server = await startForwardServer(
+    `127.0.0.1:${String(port)}`,
+    deps as unknown as ForwarderDependencies,
+  );
+  const openConnection = () => {
+    const socket = net.connect(port, '127.0.0.1');
+    const state = { socket, received: '' };
+    socket.on('data', (bytes) => (state.received += bytes.toString()));
+    t.teardown(() => {
+      socket.destroy();
+    });
+    return state;
+  };
+  const countAnswers = ({ received }: { readonly received: string }): number =>
+    received.split('HTTP/1.1 503').length - 1;
+  const pipelined = openConnection();
+  const fresh = openConnection();
+  pipelined.socket.write(REQUEST + REQUEST);
+  await sleep(100);
+  server.startDraining();
+  server.stopListening();
+  for (let round = 0; round < 12; round += 1) {
+    await sleep(50);
+    server.closeIdleConnections();
+  }
+  fresh.socket.write(REQUEST);
+  await sleep(100);
+  t.is(countAnswers(pipelined), 2);
+  t.is(countAnswers(fresh), 1);
+});
