Keep calls whose body is still on its way to the server

What callers saw: a call with a long body over a narrow link got 502 after 2.5 s, and an idempotent one after two attempts of 1.25 s, though no server had received it whole.

Cause: a server cannot list a call that it has not read, and its reports were taken to say that it had lost the call.

Change: reports count only once the body has arrived at 64 kB/s, or the server has answered.

--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -94,6 +94,7 @@
       server,
       canRetry: input.canRetry,
       isEngine: matchedCall.call.prompt !== undefined,
+      bodyBytes: matchedCall.body.length,
       expectedMs: input.expectedMs,
       onStalled: (reason) => {
         if (sentCall.isSent()) cancel(buildBrokenOutcome(reason), 'failed');
--- a/packages/forward-calls/src/watch-progress.ts
+++ b/packages/forward-calls/src/watch-progress.ts
@@ -20,6 +20,8 @@
  */
 const ENGINE_STALL_TIMEOUT_MS = 4000;
 const SERVICE_STALL_TIMEOUT_MS = 2000;
+/** Least rate at which the body of a call is taken to reach its server, in bytes per second: a small part of a narrow link. */
+const MIN_UPLOAD_RATE = 64_000;
 /** Number of reports that are kept. */
 const MAX_REPORTS = 4;
 
@@ -30,6 +32,8 @@
   /** True when another attempt can follow if the call is abandoned. */
   readonly canRetry: () => boolean;
   readonly isEngine: boolean;
+  /** Size of the body of the call. */
+  readonly bodyBytes: number;
   /** Expected time until the first event, in milliseconds. */
   readonly expectedMs: number;
   /** Called with the reason when the call is to be abandoned. */
@@ -45,12 +49,14 @@
   const stallTimeoutMs = isEngine ? ENGINE_STALL_TIMEOUT_MS : SERVICE_STALL_TIMEOUT_MS;
   let reports: StallReport[] = [];
   let lastProgressMs = readMonotonicMs();
+  const arrivedByMs = lastProgressMs + (input.bodyBytes / MIN_UPLOAD_RATE) * 1000;
   let pollAfterMs = Math.max(POLL_AFTER_MS, input.expectedMs * FIRST_EVENT_FACTOR);
   let nextPollMs = -Infinity;
   let pollCount = 0;
   let isPolling = false;
   let isWatching = true;
   let isPaused = false;
+  let hasProgress = false;
 
   const pollServer = async (): Promise<void> => {
     isPolling = true;
@@ -59,12 +65,21 @@
     isPolling = false;
     if (!isWatching || isPaused || polledProgressMs !== lastProgressMs) return;
     const now = readMonotonicMs();
-    reports = [...reports, { result, atMs: now }].slice(-MAX_REPORTS);
+    const isArriving = !hasProgress && now < arrivedByMs;
+    // What a server lists before a call has arrived says nothing about the call.
+    reports =
+      isArriving && result.kind === 'alive' ? [] : [...reports, { result, atMs: now }].slice(-MAX_REPORTS);
     pollCount += 1;
     const isQuick = result.kind !== 'alive' || pollCount < QUICK_POLLS;
     nextPollMs = now + (isQuick ? POLL_INTERVAL_MS : ALIVE_POLL_INTERVAL_MS);
     const silentMs = now - lastProgressMs;
-    const reason = checkStalledCall({ callId, silentMs, canRetry: canRetry(), stallTimeoutMs, reports });
+    const reason = checkStalledCall({
+      callId,
+      silentMs,
+      canRetry: canRetry(),
+      stallTimeoutMs,
+      reports,
+    });
     if (reason !== undefined) input.onStalled(reason);
   };
   const stopStallChecks = deps.startStallChecks(() => {
@@ -73,6 +88,7 @@
       void pollServer();
   });
   const observeProgress = (): void => {
+    hasProgress = true;
     lastProgressMs = readMonotonicMs();
     pollAfterMs = POLL_AFTER_MS;
     reports = [];
--- a/packages/forward-calls/test/dispatch-call.test.ts
+++ b/packages/forward-calls/test/dispatch-call.test.ts
@@ -49,6 +49,7 @@
     matchedCall: {
       call: { id: 'call-1' },
       route: { kind: CALL_KINDS.stream },
+      body: Buffer.alloc(0),
       reply: {
         isHeadSent: () => isHeadSent,
         isBodyDelimited: () => true,
