Keep calls whose engine fetches cached pieces for them

What callers saw: 502, or a second attempt, for calls whose first engine was sound and fetched pieces for them over a slow link.

Cause: an engine that fetches lists the call neither as waiting nor as running, and two such reports were taken to say that it had lost the call.

Change: reports count only after the longest time of a fetch.

--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -95,6 +95,7 @@
       canRetry: input.canRetry,
       isEngine: matchedCall.call.prompt !== undefined,
       bodyBytes: matchedCall.body.length,
+      hasFetch: backendCall.engine?.transfers.fetchFrom.some((source) => source !== undefined) ?? false,
       expectedMs: input.expectedMs,
       onStalled: (reason) => {
         if (sentCall.isSent()) cancel(buildBrokenOutcome(reason), 'failed');
--- a/packages/forward-calls/src/watch-progress.ts
+++ b/packages/forward-calls/src/watch-progress.ts
@@ -22,6 +22,8 @@
 const SERVICE_STALL_TIMEOUT_MS = 2000;
 /** Least rate at which the body of a call is taken to reach its server, in bytes per second: a small part of a narrow link. */
 const MIN_UPLOAD_RATE = 64_000;
+/** Longest time for which an engine fetches the pieces of a call, in milliseconds; it lists the call nowhere meanwhile. */
+const MAX_FETCH_MS = 3000;
 /** Number of reports that are kept. */
 const MAX_REPORTS = 4;
 
@@ -34,6 +36,8 @@
   readonly isEngine: boolean;
   /** Size of the body of the call. */
   readonly bodyBytes: number;
+  /** Whether the call begins with a fetch of cached pieces. */
+  readonly hasFetch: boolean;
   /** Expected time until the first event, in milliseconds. */
   readonly expectedMs: number;
   /** Called with the reason when the call is to be abandoned. */
@@ -49,7 +53,8 @@
   const stallTimeoutMs = isEngine ? ENGINE_STALL_TIMEOUT_MS : SERVICE_STALL_TIMEOUT_MS;
   let reports: StallReport[] = [];
   let lastProgressMs = readMonotonicMs();
-  const arrivedByMs = lastProgressMs + (input.bodyBytes / MIN_UPLOAD_RATE) * 1000;
+  const arrivedByMs =
+    lastProgressMs + (input.bodyBytes / MIN_UPLOAD_RATE) * 1000 + (input.hasFetch ? MAX_FETCH_MS : 0);
   let pollAfterMs = Math.max(POLL_AFTER_MS, input.expectedMs * FIRST_EVENT_FACTOR);
   let nextPollMs = -Infinity;
   let pollCount = 0;
@@ -66,7 +71,7 @@
     if (!isWatching || isPaused || polledProgressMs !== lastProgressMs) return;
     const now = readMonotonicMs();
     const isArriving = !hasProgress && now < arrivedByMs;
-    // What a server lists before a call has arrived says nothing about the call.
+    // What a server lists before a call has arrived, and its fetch is over, says nothing about the call.
     reports =
       isArriving && result.kind === 'alive' ? [] : [...reports, { result, atMs: now }].slice(-MAX_REPORTS);
     pollCount += 1;
--- a/packages/forward-calls/test/dispatch-call.test.ts
+++ b/packages/forward-calls/test/dispatch-call.test.ts
@@ -64,6 +64,7 @@
       stopSignal: new AbortController().signal,
     },
     server: { id: 'engine-1' },
+    backendCall: {},
     work: {},
     expectedMs: 0,
     splitter: createEventSplitter(),
