Let a stream that has begun wait for room at another server

What callers saw: streams cut 3 to 5 ms after their server was lost, with seconds left and other servers there.

Cause: the next attempt was placed like a new call, which is refused at once when there is no room, as its caller can come back. A refusal of a stream that has begun is a cut.

Change: while a server is missing for a reason that passes, a stream that has begun asks again every 200 ms until its time is over. Others are refused as before.

--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -1,4 +1,4 @@
-import { readMonotonicMs } from '@laburnumshift/clock';
+import { readMonotonicMs, sleep } from '@laburnumshift/clock';
 import {
   CALL_KINDS,
   type BackendEntry,
@@ -17,6 +17,7 @@
 import type { MatchedCall } from './matched-call.js';
 import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
 import { NOT_EXECUTED_STATUSES } from './not-executed-statuses.js';
+import { PASSING_REFUSALS } from './passing-refusals.js';
 import { replyError } from './reply-error.js';
 import { STOPPING_RETRY_AFTER_MS } from './stopping-retry-after-ms.js';
 
@@ -30,6 +31,8 @@
 const MIN_CONNECTIONS = 4;
 /** Retry-After when the servers refused the call, in milliseconds: long enough for a short queue to change. */
 const REFUSED_RETRY_AFTER_MS = 400;
+/** Delay until a server is sought again for a stream that has begun, in milliseconds. */
+const RESUME_RETRY_MS = 200;
 /** Urgency sent to an engine when the priority is not a finite number. */
 const DEFAULT_URGENCY = 5;
 /** Least urgent value that engines accept; 0 is the most urgent. */
@@ -155,6 +158,15 @@
       recordOutcome('left', 0, 'caller left');
       return;
     }
+    const isWaiting =
+      choice.kind === 'refuse' &&
+      reply.isHeadSent() &&
+      PASSING_REFUSALS.has(choice.cause) &&
+      matchedCall.endsAtMs - readMonotonicMs() >= MIN_RETRY_TIME_MS + RESUME_RETRY_MS;
+    if (isWaiting) {
+      await sleep(RESUME_RETRY_MS, endSignal);
+      continue;
+    }
     if (choice.kind === 'refuse') {
       refuse(choice.reason, choice.retryAfterMs, choice.inputs);
       return;
