Order revisions of the store over its restores

What callers saw: after the store was restored from a copy, versions of the configuration, new servers and new weights did not come into force: routes that were added got 404, keys 401.

Cause: copies of objects compare revisions, and a restored store gives them out again. A change at a known revision was taken for an old one, and a watch from such a revision misses what was written before it. The class of fault: an order that holds only within one life of its source, used across lives.

Change: the era that the store states in each answer and the revision are joined into one number, which everything that compares revisions, also between hosts, goes on to compare. Answers from before the newest era are dropped, watches of an earlier one end, conditional writes on it are conflicts. A list of a new era is compared by content, so that objects that came back unchanged are no change for followers; a follower that saw more than its relay before a restore lists again. A watch that is answered without a call says nothing about the store to the circuit breaker of relays.

Ruled out: dropping all copies at a restore (older states would be taken for the newest), and an era beside each revision (each comparison and message would have to name both).

--- a/packages/forward-types/src/backend-entry.ts
+++ b/packages/forward-types/src/backend-entry.ts
@@ -13,6 +13,8 @@
   readonly isDraining: boolean;
   /** Start time of the process, wall-clock milliseconds; distinguishes two processes with one id. 0 when not stated. */
   readonly bornMs: number;
+  /** Number of the last report of the process to the store; orders what it says of itself. 0 when not stated. */
+  readonly reportNumber?: number;
   /** Weight versions by model name. */
   readonly versions: ReadonlyMap<string, number>;
   /** Mark of the last order to load weights; it is set before the order is sent. `undefined` without any. */
--- a/packages/forward-types/src/watch-outcome.ts
+++ b/packages/forward-types/src/watch-outcome.ts
@@ -12,5 +12,9 @@
       /** Set when the changes were read from another host's copy. */
       readonly ages?: ChangeAges;
     }
-  | { readonly kind: 'compacted' }
+  | {
+      readonly kind: 'compacted';
+      /** The store was not called, or did not answer, as the revision is from before its last restore. */
+      readonly isLocal?: true;
+    }
   | UnavailableOutcome;
--- a/packages/host-channel/src/message-kinds.ts
+++ b/packages/host-channel/src/message-kinds.ts
@@ -16,4 +16,6 @@
   crashSuspects: 6,
   /** Limits that backend servers state, and the rates of calls by which the hosts share them. */
   serverLimits: 7,
+  /** Version of the configuration that the sender knows, and question for that of the receiver. */
+  configFloor: 8,
 } as const;
--- a/packages/relay-objects/src/circuit-breaker.ts
+++ b/packages/relay-objects/src/circuit-breaker.ts
@@ -10,6 +10,8 @@
    * failure opens it with a growing delay.
    */
   readonly recordOutcome: (isAnswered: boolean, sentMs: number) => void;
+  /** Takes back an admitted call that was not made, so that the next one is admitted. */
+  readonly cancelProbe: () => void;
   /** Returns the time since the last failed call was sent, milliseconds; infinite when none failed. */
   readonly getMsSinceFailure: () => number;
   /** Whether the store did not answer the last call. */
--- a/packages/relay-objects/src/create-circuit-breaker.ts
+++ b/packages/relay-objects/src/create-circuit-breaker.ts
@@ -36,6 +36,9 @@
         : Math.min(MAX_RETRY_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, retryDelayMs * BACKOFF_FACTOR));
       nextProbeMs = readMonotonicMs() + retryDelayMs * (1 - JITTER * pickRandom());
     },
+    cancelProbe: () => {
+      nextProbeMs = -Infinity;
+    },
     getMsSinceFailure: () => readMonotonicMs() - lastFailureMs,
     isOpen: () => retryDelayMs > 0,
   };
--- a/packages/relay-objects/src/create-relayed-source.ts
+++ b/packages/relay-objects/src/create-relayed-source.ts
@@ -38,6 +38,10 @@
   readonly stopTimer: () => void;
 }
 
+/** Whether an outcome says nothing about the store, because it was not called. */
+const isLocal = (outcome: WatchOutcome | ListOutcome): boolean =>
+  outcome.kind === 'compacted' && outcome.isLocal === true;
+
 /** Wraps a source of platform objects so that another host answers its calls while that host is available. */
 export function createRelayedSource(source: ObjectSource, options: RelayedSourceOptions): RelayedSource {
   const { kinds, staleTolerantKinds = [], getMaxWaitMs, pickRandom = Math.random } = options;
@@ -75,7 +79,8 @@
       };
     const sentMs = readMonotonicMs();
     const outcome = await ask();
-    breaker.recordOutcome(outcome.kind !== 'unavailable', sentMs);
+    if (isLocal(outcome)) breaker.cancelProbe();
+    else breaker.recordOutcome(outcome.kind !== 'unavailable', sentMs);
     return outcome;
   };
   const watchStore = (kind: string, after: number, waitMs: number): Promise<WatchOutcome> =>
@@ -118,9 +123,15 @@
     const after = lastRevisions.get(kind);
     if (after === undefined || !breaker.admitCall()) return false;
     const sentMs = readMonotonicMs();
-    const { kind: outcome } = await source.watchChanges(kind, after, CONFIRM_WAIT_MS);
-    breaker.recordOutcome(outcome !== 'unavailable', sentMs);
-    return outcome !== 'unavailable';
+    const outcome = await source.watchChanges(kind, after, CONFIRM_WAIT_MS);
+    if (isLocal(outcome)) {
+      // The next probe is a list, which calls the store.
+      lastRevisions.delete(kind);
+      breaker.cancelProbe();
+      return false;
+    }
+    breaker.recordOutcome(outcome.kind !== 'unavailable', sentMs);
+    return outcome.kind !== 'unavailable';
   };
   /** Used while the other host answers with an old copy: probes the store when its random delay has passed, and keeps waiting. */
   const probeStoreWhenDue = (kind: string): void => {
--- a/packages/roll-weights/src/rollout-options.ts
+++ b/packages/roll-weights/src/rollout-options.ts
@@ -1,3 +1,4 @@
+import type { StoreEra } from '@laburnumshift/order-revisions';
 import type { EngineControl, ForwardBounds, OrderMark } from '@laburnumshift/forward-types';
 import type { Lease } from '@laburnumshift/hold-lease';
 import type { FleetView } from '@laburnumshift/track-fleet';
@@ -12,6 +13,8 @@
    */
   readonly writeOrderMark: (engine: string, mark: OrderMark) => Promise<boolean>;
   readonly lease: Pick<Lease, 'getFencingToken' | 'getRemainingMs'>;
+  /** Era of the store, which may be restored from a copy without the last marks; without it no mark is ever lost. */
+  readonly era?: Pick<StoreEra, 'getAgeMs'> | undefined;
   /** Name of this host, written as the holder of marks and orders. */
   readonly host: string;
   readonly bounds: Pick<ForwardBounds, 'leaseMs'>;
--- a/packages/roll-weights/test/order-weights.test.ts
+++ b/packages/roll-weights/test/order-weights.test.ts
@@ -16,7 +16,12 @@
 const VERSION_MS = 8000;
 
 /** Starts a rollout for four fake engines, which answer orders with the given outcomes and otherwise accept them. */
-const createFixture = (outcomes: OrderOutcome[] = [], canMark = true, foreign?: OrderMark) => {
+const createFixture = (
+  outcomes: OrderOutcome[] = [],
+  canMark = true,
+  foreign?: OrderMark,
+  getEraAgeMs = () => Infinity,
+) => {
   const engines = new Map<string, Engine>(
     ['a', 'b', 'c', 'd'].map((id) => [id, { version: 1, orders: 0, mark: undefined, busyUntilMs: 0 }]),
   );
@@ -90,6 +95,7 @@
       return Promise.resolve(canMark);
     },
     lease: { getFencingToken: () => lease.fencing, getRemainingMs: () => lease.remainingMs },
+    era: { getAgeMs: getEraAgeMs },
     host: 'host-1',
     bounds: { leaseMs: 3000 },
   });
@@ -171,6 +177,34 @@
     ),
 );
 
+for (const [holder, restoredAtMs, firstMs] of [
+  ['a new holder', -100, 2900],
+  ['a holder that took the lease shortly after the restore', -1000, 2000],
+  ['a holder that kept its lease', 100, 0],
+  ['a holder long after the restore', -5000, 0],
+] as const)
+  test.serial(
+    `the engines are ordered by one holder at a time after a restore, which may lose its marks: ${holder}`,
+    (t) =>
+      runRollout(
+        () => {
+          const startMs = performance.now();
+          // Before the restore, the era before it is old.
+          const getEraAgeMs = (): number => {
+            const ageMs = performance.now() - startMs - restoredAtMs;
+            return ageMs < 0 ? Infinity : ageMs;
+          };
+          return createFixture([], true, undefined, getEraAgeMs);
+        },
+        async ({ sent }, clock) => {
+          await clock.tickAsync(firstMs);
+          t.is(sent.length, 0);
+          await clock.tickAsync(900);
+          t.true(sent.length > 0);
+        },
+      ),
+  );
+
 test.serial(
   'an engine that loads weights by the order of another holder is marked as done without another order',
   (t) =>
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -11,6 +11,7 @@
 import { computeHomeShare, computeHostShare, createResendBudget } from '@laburnumshift/limit-resends';
 import { createLogger } from '@laburnumshift/logger';
 import { createCrashQuarantine } from '@laburnumshift/quarantine-pieces';
+import { createOrderedStore } from '@laburnumshift/order-revisions';
 import { createMetrics } from '@laburnumshift/record-metrics';
 import { countEventReaders } from './count-event-readers.js';
 import { countStoreCalls } from './count-store-calls.js';
@@ -34,7 +35,8 @@
   const pool = createBackendPool(codec);
   const reservations = createReservationTable();
   let homeClient: HomeClient | undefined;
-  const store = countStoreCalls(options.source, options.leases, metrics);
+  const { source, leases, era } = createOrderedStore(options.store, settings.isFirstStart);
+  const store = { ...countStoreCalls(source, leases, metrics), era };
   const context = await openHostContext(options, store, {
     getSettled: () => homeClient?.getSettledNumber() ?? 0,
     onSettled: reservations.clearReservations,
--- a/packages/run-forwarder/src/start-weight-rollouts.ts
+++ b/packages/run-forwarder/src/start-weight-rollouts.ts
@@ -1,5 +1,6 @@
 import { holdLease, type Lease } from '@laburnumshift/hold-lease';
 import { readMonotonicMs } from '@laburnumshift/clock';
+import type { OrderedStore } from '@laburnumshift/order-revisions';
 import { listOutdatedEngines, orderWeights } from '@laburnumshift/roll-weights';
 import type { ForwarderOptions } from './forwarder-options.js';
 import { FORWARDER_TIMINGS } from './forwarder-timings.js';
@@ -14,9 +15,9 @@
  * few candidate hosts request the lease. The other hosts request it only when nothing changes, in case all candidates are lost.
  */
 export function startWeightRollouts(
-  options: Pick<ForwarderOptions, 'settings' | 'control' | 'writeOrderMark'>,
+  options: Pick<ForwarderOptions, 'settings' | 'control' | 'kinds'>,
   { self, bornMs, fleet, listPeers }: Pick<HostContext, 'self' | 'bornMs' | 'fleet' | 'listPeers'>,
-  { leases }: Pick<ForwarderOptions, 'leases'>,
+  { source, leases, era }: OrderedStore,
 ): WeightRollouts {
   const times = FORWARDER_TIMINGS;
   let lastOutdatedAtMs = -Infinity;
@@ -37,6 +38,7 @@
     name: LEASE_NAME,
     self: { host: self.host, incarnation: bornMs },
     durations: times.lease,
+    era,
     isWanted,
     getPollMs: () =>
       isHolder() || (isCandidate() && listOutdatedEngines(fleet).length > 0)
@@ -57,8 +59,9 @@
   const stop = orderWeights({
     fleet,
     control: options.control,
-    writeOrderMark: options.writeOrderMark,
+    writeOrderMark: (engine, mark) => source.writeStatus(options.kinds.backends, engine, mark),
     lease,
+    era,
     host: self.host,
     bounds: options.settings.bounds,
   });
--- a/packages/run-forwarder/test/start-weight-rollouts.test.ts
+++ b/packages/run-forwarder/test/start-weight-rollouts.test.ts
@@ -18,17 +18,36 @@
   );
 
 /** Creates a host whose store calls for the lease are counted. */
-const createHost = (t: ExecutionContext, self: (typeof PEERS)[number]) => {
+const createHost = (
+  t: ExecutionContext,
+  self: (typeof PEERS)[number],
+  { getEraAgeMs = () => Infinity, isLeaseFree = false } = {},
+) => {
   const clock = installClock();
   const engines: BackendEntry[] = [];
   let calls = 0;
+  let writes = 0;
+  let orders = 0;
   let notifyBackends = (): void => undefined;
   let notifyWeights = (): void => undefined;
-  const orders = startWeightRollouts(
+  const rollouts = startWeightRollouts(
     {
       settings: { bounds: { leaseMs: 3000 } },
-      control: { readReport: () => Promise.resolve(undefined) },
-      writeOrderMark: () => Promise.resolve(true),
+      control: {
+        readReport: () =>
+          Promise.resolve({
+            isExecutingOrder: false,
+            orderCount: 0,
+            waiting: 0,
+            running: 0,
+            versions: new Map(),
+          }),
+        sendOrder: () => {
+          orders += 1;
+          return Promise.resolve('unknown');
+        },
+      },
+      kinds: { backends: 'servers' },
     } as never,
     {
       self,
@@ -44,6 +63,8 @@
       } as never,
     },
     {
+      source: { writeStatus: () => Promise.resolve(true) } as never,
+      era: { getEra: () => 0, getAgeMs: getEraAgeMs, watchRestores: () => undefined },
       leases: {
         readObject: () => {
           calls += 1;
@@ -51,14 +72,17 @@
         },
         writeObject: () => {
           calls += 1;
-          return Promise.resolve({ kind: 'unavailable', detail: '' });
+          writes += 1;
+          return Promise.resolve(
+            isLeaseFree ? { kind: 'written', version: writes } : { kind: 'unavailable', detail: '' },
+          );
         },
       },
     },
   );
   t.teardown(() => {
-    orders.stop();
-    void orders.releaseLease();
+    rollouts.stop();
+    void rollouts.releaseLease();
     clock.uninstall();
   });
   const addOutdatedEngine = (): void => {
@@ -80,6 +104,8 @@
     clock,
     addOutdatedEngine,
     countCalls: () => calls,
+    countWrites: () => writes,
+    countOrders: () => orders,
     notifyBackends: () => {
       notifyBackends();
     },
@@ -109,6 +135,21 @@
   },
 );
 
+test.serial('a candidate does not replace a lease and orders that a restore may have lost', async (t) => {
+  if (candidate === undefined) return t.fail();
+  const times = { getEraAgeMs: () => performance.now(), isLeaseFree: true };
+  const { clock, addOutdatedEngine, countWrites, countOrders } = createHost(t, candidate, times);
+  addOutdatedEngine();
+  await clock.tickAsync(1300);
+  t.is(countWrites(), 0);
+  await clock.tickAsync(500);
+  t.true(countWrites() > 0);
+  await clock.tickAsync(1200);
+  t.is(countOrders(), 0);
+  await clock.tickAsync(1000);
+  t.true(countOrders() > 0);
+});
+
 test.serial(
   'hosts that are no candidates request the lease only after nothing has changed for a while',
   async (t) => {
--- a/packages/watch-objects/src/create-change-history.ts
+++ b/packages/watch-objects/src/create-change-history.ts
@@ -15,6 +15,8 @@
   let oldestKnownRevision: number | undefined;
   /** Revision of the newest change. */
   let newestRevision = 0;
+  /** Last revision before each restore of the store and first one after it; other copies may have seen more between them. */
+  const restores: { readonly before: number; readonly after: number }[] = [];
 
   const recordRemoval = (object: StoredObject, revision: number): void => {
     removedObjects.delete(object.name);
@@ -48,11 +50,18 @@
       }
       oldestKnownRevision ??= revision;
     },
+    addRestore: (before, after) => {
+      restores.push({ before, after });
+      // Copies that know other changes of the earlier era have to ask, so that they list again.
+      newestRevision = Math.max(newestRevision, after);
+    },
+    getRemoved: (name) => removedObjects.get(name),
     // Removals before the first list are not known, so a copy older than that list may still hold removed objects.
     getNewestRevision: () =>
       oldestKnownRevision === undefined ? undefined : Math.max(newestRevision, oldestKnownRevision),
     readSince: (after) => {
       if (oldestKnownRevision === undefined || (after > 0 && after < oldestKnownRevision)) return undefined;
+      if (restores.some((restore) => after > restore.before && after < restore.after)) return undefined;
       if (after === 0)
         return {
           changes: [...objects.values()].map((object) => ({ isRemoved: false, object })),
--- a/packages/watch-objects/src/watch-options.ts
+++ b/packages/watch-objects/src/watch-options.ts
@@ -1,4 +1,5 @@
 import type { ObjectChange, ObjectSource } from '@laburnumshift/forward-types';
+import type { RestorePolicy } from './restore-policy.js';
 
 /** Options of `watchKind`. */
 export interface WatchOptions {
@@ -17,6 +18,10 @@
   readonly maxReturnDelayMs?: number;
   /** Returns the pause after an answer with changes, milliseconds, so that further changes arrive in one answer; 0 by default. */
   readonly getBatchDelayMs?: () => number;
+  /** What is kept of the copy when the store is restored; nothing by default. */
+  readonly restorePolicy?: RestorePolicy;
+  /** Called when the copy first follows the store after a restore, after `onChanges`. */
+  readonly onRestored?: () => void;
   /**
    * Receives changes after they are applied to the copy, in store order; after a list, the differences from the previous copy.
    */
