Keep what binds a host when the store is restored from a copy

What callers would see: servers that had left get calls again, since their entries in the copy say ready, and the entries of relays hand an older configuration to hosts that follow.

Cause: the restored state was taken for the newest one.

Change: versions of configuration and weights never go back, what a server says of itself is ordered by the start of its process and the number of its report, and a server that is leaving stays so. Entries that were removed before are believed again when they are still there 5 s later. After a restore, answers confirm the configuration only once it has changed or two seconds have passed, as the operator may not have written it again yet; until then a host that has no fresh confirmation takes no keys and denies nothing.

--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -1,8 +1,10 @@
+import { isDeepStrictEqual } from 'node:util';
 import { computeElapsedMs, readMoment, startTimer, type Moment } from '@laburnumshift/clock';
 import type { BackendEntry, ForwardConfig, ObjectChange } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import { watchKind } from '@laburnumshift/watch-objects';
 import type { FleetOptions } from './fleet-options.js';
+import { createRestorePolicies } from './create-restore-policies.js';
 import type { FleetView } from './fleet-view.js';
 import type { PublishedWeights } from './published-weights.js';
 
@@ -126,7 +128,9 @@
         });
         continue;
       }
-      if (config !== undefined && decoded.version <= config.version) continue;
+      // A version that was lost with a restore of the store may be written again with other content.
+      if (config !== undefined && (decoded.version < config.version || isDeepStrictEqual(decoded, config)))
+        continue;
       logger.info('configuration in force', { version: decoded.version, before: config?.version });
       config = decoded;
       for (const handler of configHandlers) handler(decoded);
@@ -156,6 +160,7 @@
     isWeightsListed = true;
   };
 
+  const restorePolicies = createRestorePolicies(decoder);
   const watch = (kind: keyof typeof kinds, onChanges: (changes: readonly ObjectChange[]) => void) =>
     watchKind({
       source,
@@ -165,6 +170,7 @@
       maxReturnDelayMs: options.maxReturnDelayMs,
       // Only server entries change often and in large numbers at once.
       getBatchDelayMs: () => (kind === 'backends' ? options.getBatchDelayMs() : 0),
+      restorePolicy: restorePolicies[kind],
       onChanges,
     });
   const configView = watch('config', applyConfig);
