Register a host again after a restore of the store

Cause: a host registers once, and nobody else writes its registration. A copy that lacks it left the host unknown to hosts that start later: no loads, too large shares of budgets.

Change: a host writes its registration again when its copy first follows a restored store; the others keep the one that they know meanwhile.

--- a/packages/run-forwarder/src/register-host.ts
+++ b/packages/run-forwarder/src/register-host.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { sleep } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
+import { splitRevision } from '@laburnumshift/order-revisions';
 import type { PeerHost } from '@laburnumshift/share-load';
 import { watchKind } from '@laburnumshift/watch-objects';
 import { decodeHostPeer } from './decode-host-peer.js';
@@ -23,6 +24,8 @@
   const logger = createLogger('hosts');
   const abortController = new AbortController();
   let peers: readonly PeerHost[] = [];
+  /** Version of the registration in the store; `undefined` while it is being written. */
+  let registeredVersion: number | undefined;
   let resolveListed = (): void => undefined;
   const whenListed = new Promise<void>((resolve) => {
     resolveListed = resolve;
@@ -41,6 +44,10 @@
     kind,
     waitMs: WATCH_WAIT_MS,
     isStaleAllowed: true,
+    restorePolicy: { keepsMissing: true },
+    onRestored: () => {
+      renewRegistration();
+    },
     getBatchDelayMs: () => BATCH_DELAY_MS,
     onChanges: () => {
       peers = [...view.objects.values()].flatMap(({ name, spec }) => {
@@ -48,36 +55,57 @@
         return peer === undefined || peer.address === self.address ? [] : [peer];
       });
       resolveListed();
+      renewRegistration();
       logger.info('hosts', { count: peers.length });
     },
   });
-  /** Writes the registration unless an earlier process of this host left an equal one. Resolves to false when that failed. */
-  const writeRegistration = async (): Promise<boolean> => {
+  /**
+   * Writes the registration unless an earlier process of this host left an equal one. Resolves to its version in the store; `undefined`
+   * when that failed.
+   */
+  const writeRegistration = async (): Promise<number | undefined> => {
     const spec = { address: self.address, failureDomain: self.failureDomain, size: self.size };
-    const write = (version: number) => leases.writeObject(kind, host, spec, version, randomUUID(), 'status');
+    const write = async (version: number) => {
+      const result = await leases.writeObject(kind, host, spec, version, randomUUID(), 'status');
+      return result.kind === 'written' ? result : { ...result, version: undefined };
+    };
     const created = await write(0);
-    if (created.kind !== 'conflict') return created.kind === 'written';
+    if (created.kind !== 'conflict') return created.version;
     const read = await leases.readObject(kind, host, 'status');
-    if (read.kind !== 'found') return false;
+    if (read.kind !== 'found') return undefined;
     const existing = decodeHostPeer(host, read.object.value);
     const isSame =
       existing?.address === self.address &&
       existing.failureDomain === self.failureDomain &&
       existing.size === self.size;
-    return isSame || (await write(read.object.version)).kind === 'written';
+    return isSame ? read.object.version : (await write(read.object.version)).version;
   };
+  /** Whether the store was restored after the version was written, so that it may lack it. */
+  const isBeforeRestore = (version: number): boolean =>
+    splitRevision(version).era < splitRevision(view.readState()?.revision ?? 0).era;
   const registerWithRetry = async (): Promise<void> => {
     while (!abortController.signal.aborted) {
-      if (await writeRegistration()) {
+      const version = await writeRegistration();
+      if (version !== undefined && !isBeforeRestore(version)) {
+        registeredVersion = version;
         logger.info('registered', { ...self });
         return;
       }
       await sleep(REGISTRATION_RETRY_MS, abortController.signal);
     }
   };
-  registerWithRetry().catch((error: unknown) => {
-    logger.error('not registered', { detail: String(error) });
-  });
+  const startRegistration = (): void => {
+    registerWithRetry().catch((error: unknown) => {
+      logger.error('not registered', { detail: String(error) });
+    });
+  };
+  /** Registers again when the store was restored; no other host writes the registration. */
+  const renewRegistration = (): void => {
+    if (registeredVersion === undefined || !isBeforeRestore(registeredVersion)) return;
+    registeredVersion = undefined;
+    startRegistration();
+  };
+  startRegistration();
   return {
     listPeers: () => peers,
     whenListed,
