Keep leases and fencing tokens apart over restores of the store

What was seen: two hosts sent orders under one fencing token (ONE), or a lower one after a higher one.

Cause: the lease and its token go back with the copy, or are missing there, while their last holder still relies on them.

--- a/packages/hold-lease/src/hold-lease.ts
+++ b/packages/hold-lease/src/hold-lease.ts
@@ -8,15 +8,19 @@
   type Moment,
 } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
+import { splitRevision } from '@laburnumshift/order-revisions';
 import type { WriteResult } from '@laburnumshift/types';
 import type { LeaseOptions } from './lease-options.js';
 import { DEFAULT_LEASE_DURATIONS } from './default-lease-durations.js';
 import { LEASE_VALUE_SCHEMA } from './lease-value-schema.js';
 import type { Lease } from './lease.js';
 
+/** Bound of the revisions that one restore of the store takes back: five days at 2,000 changes a second. */
+const MAX_REVISIONS_LOST = 1_000_000_000;
+
 /** Competes for a lease, renews it while this node holds it, and takes it over when its holder stops renewing it. */
 export function holdLease(options: LeaseOptions): Lease {
-  const { platform, name, self } = options;
+  const { platform, name, self, era } = options;
   const times = options.durations ?? DEFAULT_LEASE_DURATIONS;
   const logger = createLogger('lease');
   /** The held lease: its fencing token, the version of its object, and when its last successful write was sent. */
@@ -45,14 +49,24 @@
     if (held !== undefined) logger.warn('lost the lease', { lease: name, reason });
     held = undefined;
   };
+  /**
+   * Returns a number that no token so far exceeds. The token in the lease is not enough: a restored store lacks those of its last seconds,
+   * and a write from before the restore may be executed after it and replace a later one. Versions rise with each write and each restore.
+   */
+  const computeMinFencing = (version: number): number => {
+    const number = era?.getEra() ?? 0;
+    return number === 0 ? 0 : number * MAX_REVISIONS_LOST + splitRevision(version).revision;
+  };
   const takeLease = async (): Promise<void> => {
     const found = await readLease();
     if (found === undefined) return;
     if (found.version !== lastSeen.version) lastSeen = { version: found.version, sinceMs: readMonotonicMs() };
+    // A restored store may lack the lease of a holder that still relies on it.
+    const isSettled = (era?.getAgeMs() ?? Infinity) >= times.takeoverMs;
     const isFree = found.holder === '' || readMonotonicMs() - lastSeen.sinceMs >= times.takeoverMs;
-    if (!isFree || closed) return;
+    if (!isSettled || !isFree || closed) return;
     const sent = readMoment();
-    const fencing = found.fencing + 1;
+    const fencing = Math.max(found.fencing, computeMinFencing(found.version)) + 1;
     const result = await writeLease(self.host, fencing, found.version);
     // After an unknown result the lease is not held. If the write was applied, this node waits for it to expire like for
     // another's.
