Wait for orders of the last holder after a restore of the store

Cause: marks tell the next holder of an order that is on its way, and the copy may lack them. A new holder could order the same engine within the time of a lease (ONE).

Evidence: 'no order of a new holder after a restore' in packages/roll-weights/ test/order-weights.test.ts fails without the change.

Change: a new holder sends no order until the time between two holders has passed since it saw the restore; one that kept its lease goes on.

--- a/packages/roll-weights/src/order-weights.ts
+++ b/packages/roll-weights/src/order-weights.ts
@@ -62,11 +62,16 @@
     return current === fencing && lease.getRemainingMs() >= MIN_LEASE_MS ? current : undefined;
   };
   /** Whether no order of another holder can still be in transit to the engine. */
-  const hasNoForeignOrder = (mark: OrderMark | undefined): boolean =>
-    mark === undefined ||
-    mark.holder === host ||
-    mark.stage === ORDER_STAGES.draining ||
-    computeElapsedMs(heldSince) >= options.bounds.leaseMs + TAKEOVER_MARGIN_MS;
+  const hasNoForeignOrder = (mark: OrderMark | undefined): boolean => {
+    const heldMs = computeElapsedMs(heldSince);
+    const eraMs = options.era?.getAgeMs() ?? Infinity;
+    const minMs = options.bounds.leaseMs + TAKEOVER_MARGIN_MS;
+    // Marks of the last holder before a restore of the store may be lost, unless this host held the lease already.
+    if (eraMs < minMs && heldMs < eraMs) return false;
+    return (
+      mark === undefined || mark.holder === host || mark.stage === ORDER_STAGES.draining || heldMs >= minMs
+    );
+  };
   const orderOne = async ({ engine, model, ...outdated }: OutdatedEngine): Promise<void> => {
     const started = readMoment();
     let { version } = outdated;
