Confirm the configuration with other hosts after a restore

What was seen: a host that starts after a restore accepts keys that were taken away, until the operator has written the configuration again.

Cause: it knows only the copy.

Change: hosts ask each other which version they know, when they start and when they see a restore. One that knows only an older one does not rely on it until the store has that version again; a host that the store confirmed long ago relies on the confirmation of another one.

--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -1,15 +1,16 @@
 import { readWallMs, runEvery, waitWithTimeout } from '@laburnumshift/clock';
-import type { BackendEntry, ObjectSource } from '@laburnumshift/forward-types';
+import { createConfigFloor } from '@laburnumshift/confirm-config';
+import type { BackendEntry } from '@laburnumshift/forward-types';
 import { openHostChannel } from '@laburnumshift/host-channel';
 import { createPieceTransferPlanner, getStoreId } from '@laburnumshift/keep-pieces';
 import { createServerLimits } from '@laburnumshift/limit-server-rates';
 import { createLogger } from '@laburnumshift/logger';
+import type { OrderedStore } from '@laburnumshift/order-revisions';
 import { createEventsRelay } from '@laburnumshift/relay-events';
 import { createRelayedSource } from '@laburnumshift/relay-objects';
 import { createLoadSharing } from '@laburnumshift/share-load';
 import { createServerTracker, createServerNotices } from '@laburnumshift/track-engines';
-import { trackFleet } from '@laburnumshift/track-fleet';
-import type { PlatformClient } from '@laburnumshift/types';
+import { trackFleet, type FleetView } from '@laburnumshift/track-fleet';
 import { computeMinOutage } from './compute-min-outage.js';
 import { computeWatchWaits } from './compute-watch-waits.js';
 import type { ForwarderOptions } from './forwarder-options.js';
@@ -26,10 +27,7 @@
  */
 export async function openHostContext(
   options: Pick<ForwarderOptions, 'settings' | 'decoder' | 'kinds' | 'control'>,
-  store: {
-    readonly source: ObjectSource;
-    readonly leases: Pick<PlatformClient, 'readObject' | 'writeObject'>;
-  },
+  store: OrderedStore,
   settledRequests: SettledRequestHooks,
 ): Promise<HostContext> {
   const { settings, kinds, control } = options;
@@ -114,7 +112,7 @@
     listBackups: () => sharing.getPlan().otherRelays.map(({ address }) => address),
   });
   const watchWaits = computeWatchWaits(settings.bounds);
-  const fleet = trackFleet({
+  const trackedFleet = trackFleet({
     source: objects,
     decoder: options.decoder,
     kinds,
@@ -127,6 +125,21 @@
     minOutageMs: computeMinOutage(settings.heartbeatMs, watchWaits.backends),
     maxReturnDelayMs: Math.max(0, settings.bounds.settleMs - times.lapseGraceMs - times.sendMarginMs),
   });
+  const configFloor = createConfigFloor({
+    self,
+    channel,
+    listPeers,
+    getPlan: sharing.getPlan,
+    era: store.era,
+    isFirstStart: settings.isFirstStart,
+    getConfigVersion: () => trackedFleet.getConfig()?.version,
+    getConfigAgeMs: trackedFleet.getConfigAgeMs,
+  });
+  const fleet: FleetView = {
+    ...trackedFleet,
+    // A restored store confirms a configuration that other hosts know to be replaced.
+    getConfigAgeMs: configFloor.getAgeMs,
+  };
   isInitialized = true;
 
   /** A home host reads the engines of its failure domain directly; in small fleets every host reads all engines. */
@@ -189,6 +202,7 @@
       events.close();
       sharing.close();
       limits.close();
+      configFloor.close();
       hostRegistry.close();
       fleet.close();
       channel.close();
