--- a/packages/measure-capacity/src/measurements.ts
+++ b/packages/measure-capacity/src/measurements.ts
@@ -14,6 +14,7 @@
 import { measureQuarantine } from './measure-quarantine.js';
 import { measureRegistry } from './measure-registry.js';
 import { measureServerLimits } from './measure-server-limits.js';
+import { measureStoreRestores } from './measure-store-restores.js';
 import { measureIdle } from './measure-idle.js';
 import { measureRetention } from './measure-retention.js';
 import type { Measurement } from './measurement.js';
@@ -37,6 +38,10 @@
     description: 'limits that servers state, at a forwarding host',
     run: measureServerLimits,
   },
+  'store-restores': {
+    description: 'restores of the store from a copy, at a forwarding host',
+    run: measureStoreRestores,
+  },
   membership: { description: 'failure detector of a node', run: measureMembership },
   links: { description: 'links between nodes: heartbeats, memory and calls', run: measureLinks },
   polls: { description: 'polls of engines, stores, services and the host list', run: measurePolls },
