Count calls to the store that fail together as one failure

What callers saw: after the store had cut all watches for a moment, a host made no call for 1.0 s on average, so a change that came then was in force late (CONFIG).

Cause: the circuit breaker grew its delay for each of the four watches that were cut at the same moment.

Change: a failure of a call that was sent before the last failure was noticed does not count.

--- a/packages/relay-objects/src/create-circuit-breaker.ts
+++ b/packages/relay-objects/src/create-circuit-breaker.ts
@@ -21,6 +21,8 @@
   let retryDelayMs = 0;
   let nextProbeMs = -Infinity;
   let lastFailureMs = -Infinity;
+  /** When the last counted failure was noticed. */
+  let lastFailedMs = -Infinity;
   return {
     admitCall: () => {
       if (retryDelayMs === 0) return true;
@@ -30,7 +32,11 @@
       return true;
     },
     recordOutcome: (isAnswered, sentMs) => {
+      // Calls that were under way together fail together, which is one failure.
+      const isCounted = isAnswered || sentMs >= lastFailedMs;
       if (!isAnswered) lastFailureMs = Math.max(lastFailureMs, sentMs);
+      if (!isCounted) return;
+      if (!isAnswered) lastFailedMs = readMonotonicMs();
       retryDelayMs = isAnswered
         ? 0
         : Math.min(MAX_RETRY_DELAY_MS, Math.max(MIN_RETRY_DELAY_MS, retryDelayMs * BACKOFF_FACTOR));
