Follow a restored store as soon as one answer tells of the restore

Cause: each kind of objects waited for the end of its own pause after failed calls, up to 0.4 s, though another call of the host had been answered in the new era.

The new test of watch-objects fails without the change.

Change: the pause ends when the source learns of a restore.

--- a/packages/forward-types/src/object-source.ts
+++ b/packages/forward-types/src/object-source.ts
@@ -11,6 +11,8 @@
   readonly listObjects: (kind: string, isStaleAllowed?: boolean) => Promise<ListOutcome>;
   /** Waits up to `waitMs` milliseconds for changes after a revision. */
   readonly watchChanges: (kind: string, revision: number, waitMs: number) => Promise<WatchOutcome>;
+  /** Calls the handler when the source learns that the store was restored from a copy, so that pauses after failed calls can end. */
+  readonly watchRestores?: (handler: () => void) => void;
   /** Writes the status of an object that belongs to another owner; false when that failed or its result is unknown. */
   readonly writeStatus: (kind: string, name: string, status: unknown) => Promise<boolean>;
 }
--- a/packages/order-revisions/src/create-ordered-store.ts
+++ b/packages/order-revisions/src/create-ordered-store.ts
@@ -85,8 +85,13 @@
   const orderWritten = (result: WriteResult, era: number): WriteResult =>
     'version' in result ? { ...result, version: joinRevision({ era, revision: result.version }) } : result;
 
+  const watchRestores = (handler: () => void): void => {
+    restoreHandlers.push(handler);
+  };
+
   return {
     source: {
+      watchRestores,
       listObjects,
       watchChanges,
       writeStatus: async (kind, name, status) => {
@@ -124,9 +129,7 @@
     era: {
       getEra: () => newestEra,
       getAgeMs: () => (newestSince === undefined ? Infinity : computeElapsedMs(newestSince)),
-      watchRestores: (handler) => {
-        restoreHandlers.push(handler);
-      },
+      watchRestores,
     },
   };
 }
--- a/packages/order-revisions/test/create-ordered-store.test.ts
+++ b/packages/order-revisions/test/create-ordered-store.test.ts
@@ -160,11 +160,11 @@
 for (const first of [0, 1]) {
   const startStore = () => {
     const state = { era: first };
-    const answer = (result: unknown) => () => Promise.resolve({ era: state.era, result });
+    const buildAnswer = (result: unknown) => () => Promise.resolve({ era: state.era, result });
     const ordered = createOrderedStore({
-      listObjects: answer({ kind: 'listed', objects: [], revision: 5 }),
-      readObject: answer({ kind: 'absent' }),
-      writeObject: answer({ kind: 'written', version: 6 }),
+      listObjects: buildAnswer({ kind: 'listed', objects: [], revision: 5 }),
+      readObject: buildAnswer({ kind: 'absent' }),
+      writeObject: buildAnswer({ kind: 'written', version: 6 }),
     } as never);
     return { state, ordered };
   };
--- a/packages/relay-objects/src/create-relayed-source.ts
+++ b/packages/relay-objects/src/create-relayed-source.ts
@@ -206,6 +206,7 @@
   };
 
   return {
+    ...(source.watchRestores !== undefined && { watchRestores: source.watchRestores }),
     listObjects: (kind, isStaleAllowed) =>
       kinds.includes(kind) && isFollower()
         ? waitForHost(pendingLists, kind, 0)
--- a/packages/run-forwarder/src/count-store-calls.ts
+++ b/packages/run-forwarder/src/count-store-calls.ts
@@ -15,6 +15,7 @@
   };
   return {
     source: {
+      ...source,
       listObjects: async (kind, isStaleAllowed) => {
         const outcome = await source.listObjects(kind, isStaleAllowed);
         count(isStaleAllowed === true ? 'list stale' : 'list', kind, outcome.kind);
--- a/packages/watch-objects/src/watch-kind.ts
+++ b/packages/watch-objects/src/watch-kind.ts
@@ -73,6 +73,8 @@
   let stopRelistTimer = (): void => undefined;
   /** Whether the objects have to be listed again although no change was missed. */
   let isListDue = false;
+  /** Ends the pause after a failed call. */
+  let finishPause = (): void => undefined;
 
   const computeSinceMs = (moment: Moment | undefined): number =>
     moment === undefined ? Infinity : computeElapsedMs(moment);
@@ -130,9 +132,13 @@
     lastFailure = failedMs === undefined ? sent : moveMoment(readMoment(), -failedMs);
     // Logs failures 1, 2, 4, 8 and so on, so that an outage does not flood the log.
     if ((failures & (failures - 1)) === 0) logger.warn('store call failed', { kind, call, reason, failures });
+    const pauseController = new AbortController();
+    finishPause = () => {
+      pauseController.abort();
+    };
     await sleep(
       Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** (failures - 1)),
-      abortController.signal,
+      AbortSignal.any([abortController.signal, pauseController.signal]),
     );
   };
   /** Applies the changes after the revision `from`. */
@@ -237,6 +243,9 @@
       }
     }
   };
+  source.watchRestores?.(() => {
+    finishPause();
+  });
   void runLoop();
 
   return {
--- a/packages/watch-objects/test/restored-store.test.ts
+++ b/packages/watch-objects/test/restored-store.test.ts
@@ -42,6 +42,7 @@
     clock.uninstall();
   });
   let reply: (outcome: never) => void = () => undefined;
+  let notifyRestore = (): void => undefined;
   const calls: string[] = [];
   const waitForReply = (call: string): Promise<never> => {
     calls.push(call);
@@ -53,6 +54,9 @@
     listObjects: () => waitForReply('list'),
     watchChanges: () => waitForReply('watch'),
     writeStatus: () => Promise.resolve(true),
+    watchRestores: (handler) => {
+      notifyRestore = handler;
+    },
   };
   const seen: string[] = [];
   const view = watchKind({
@@ -83,7 +87,17 @@
     seen.length = 0;
     await list(revision, objects);
   };
-  return { clock, view, calls, seen, replyWith, list, watch, listAgain };
+  return {
+    clock,
+    view,
+    calls,
+    seen,
+    replyWith,
+    list,
+    watch,
+    listAgain,
+    getNotifyRestore: () => notifyRestore,
+  };
 };
 
 test.serial(
@@ -266,3 +280,39 @@
     await watch(join(2, 9), [update('b', join(2, 9))], NO_OUTAGE);
     t.true(view.objects.has('b'));
   });
+
+test.serial('a copy does not wait after failed calls when the host has learned of a restore', async (t) => {
+  const { clock, calls, list, replyWith, getNotifyRestore } = start(t);
+  await list(join(1, 9), []);
+  for (const pauseMs of [0, 150, 250]) await replyWith({ kind: 'unavailable', reason: 'refused' }, pauseMs);
+  const count = calls.length;
+  await clock.tickAsync(50);
+  t.is(calls.length, count);
+  getNotifyRestore()();
+  await clock.tickAsync(0);
+  t.is(calls.length, count + 1);
+});
+
+test.serial('the answers of a restored store do not confirm a copy that may lack changes', async (t) => {
+  const { clock, view, list, listAgain } = start(t, { unconfirmedMs: 2000 });
+  await list(join(1, 9), [createObject('a', join(1, 5))]);
+  await clock.tickAsync(3000);
+  await listAgain(join(2, 8), [createObject('a', join(2, 5))]);
+  t.true(view.getAgeMs() >= 3000);
+  t.is(view.readState()?.ageMs, 0, 'other hosts follow the copy meanwhile');
+});
+
+test.serial('a change after a restore, or two seconds, confirm a copy again', async (t) => {
+  const { clock, view, list, watch, listAgain } = start(t, { unconfirmedMs: 2000 });
+  await list(join(1, 9), [createObject('a', join(1, 5))]);
+  await clock.tickAsync(3000);
+  await listAgain(join(2, 8), [createObject('a', join(2, 5))]);
+  await watch(join(2, 9), [update('a', join(2, 9), 2)]);
+  t.is(view.getAgeMs(), 0);
+  await clock.tickAsync(1000);
+  await listAgain(join(3, 8), [createObject('a', join(3, 5), 2)]);
+  t.true(view.getAgeMs() >= 1000);
+  await clock.tickAsync(2000);
+  await watch(join(3, 8), []);
+  t.true(view.getAgeMs() <= 2000);
+});
