Take a confirmation of the configuration only for the same version

What could happen: a host that the store had not confirmed for long took the fresh confirmation of a newer version by another host for its own, and accepted keys that the newer version had taken away. Found by reading the diff; the new test fails without the change.

--- a/packages/confirm-config/src/create-config-floor.ts
+++ b/packages/confirm-config/src/create-config-floor.ts
@@ -20,14 +20,17 @@
 /** Longest time for which a host that starts waits for the answer of another one, milliseconds. */
 const START_WAIT_MS = 800;
 
-/** Starts to exchange the versions that hosts know from before a restore of the store. */
+/**
+ * Asks other hosts which version of the configuration they know, when this host starts and after each restore of the store, and answers
+ * them.
+ */
 export function createConfigFloor(options: ConfigFloorOptions): ConfigFloor {
   const { self, channel, listPeers, getPlan, era, isFirstStart, getConfigVersion, getConfigAgeMs } = options;
   const logger = createLogger('config');
   const startedMs = readMonotonicMs();
   /** Highest version that this host or another one knew at a restore; 0 without any. */
   let floor = 0;
-  /** Latest time at which another host had the floor confirmed by the store. */
+  /** Latest time at which another host had the version of this one confirmed by the store. */
   let confirmedAt: Moment | undefined;
   let isAnswered = false;
   let sendUntilMs = -Infinity;
@@ -96,7 +99,8 @@
     // Without a restore, a host that starts may only be some milliseconds behind.
     const isNews = era.getAgeMs() < Infinity;
     if (isNews) applyVersion(version, host);
-    if (ageMs === null || version < floor) return true;
+    // A confirmation of another version says nothing about the one of this host.
+    if (ageMs === null || version !== getConfigVersion()) return true;
     const confirmed = moveMoment(readMoment(), -ageMs);
     if (confirmedAt === undefined || ageMs < computeElapsedMs(confirmedAt)) confirmedAt = confirmed;
     return true;
--- a/packages/confirm-config/test/create-config-floor.test.ts
+++ b/packages/confirm-config/test/create-config-floor.test.ts
@@ -45,7 +45,7 @@
       getPlan: () => plan as unknown as RelayPlan,
       era: {
         getEra: () => (isRestored ? 2 : 1),
-        getAgeMs: () => 0,
+        getAgeMs: () => (isFirstStart && !isRestored ? Infinity : 0),
         watchRestores: (handler) => notifyRestore.push(handler),
       },
       isFirstStart,
@@ -147,3 +147,11 @@
     t.true(late.getAgeMs() < 1100);
   },
 );
+
+test.serial('the confirmation of a newer version does not make an older configuration fresh', async (t) => {
+  const { clock, startHost } = startHosts(t, { a: 6, b: 5 }, false, { a: 0, b: 4500 });
+  const old = startHost('b', true);
+  startHost('a');
+  await clock.tickAsync(450);
+  t.true(old.getAgeMs() >= 4500);
+});
