--- a/packages/order-revisions/src/create-ordered-store.ts
+++ b/packages/order-revisions/src/create-ordered-store.ts
@@ -73,8 +73,7 @@
     const answer = await watchUntilRestore(kind, from.revision, waitMs);
     const era = observeEra(answer);
     const { result } = answer;
-    if (result.kind === 'unavailable') return result;
-    if (result.kind === 'compacted') return result;
+    if (result.kind !== 'changes') return result;
     if (era !== from.era) return { kind: 'compacted' };
     const changes = result.changes.map(({ isRemoved, object }) => ({
       isRemoved,
