--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -109,6 +109,17 @@
   };
   const stoppers = [() => fs.rmSync(folder, { recursive: true, force: true })];
   let code = 2;
+  const finish = (exitCode) => {
+    for (const stop of stoppers) stop();
+    fs.writeFileSync(recordFile, `${lines.join('\n')}\n`);
+    console.log(lines.at(-1));
+    process.exit(exitCode);
+  };
+  for (const kind of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT'])
+    process.on(kind, (error) => {
+      record(`the case could not run: ${error?.stack ?? error}`);
+      finish(2);
+    });
   record(hasTrouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
   try {
     const store = await startStore();
@@ -132,8 +143,5 @@
   } catch (error) {
     record(`the case could not run: ${error.stack}`);
   }
-  for (const stop of stoppers) stop();
-  fs.writeFileSync(recordFile, `${lines.join('\n')}\n`);
-  console.log(lines.at(-1));
-  process.exit(code);
+  finish(code);
 }
