--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -18,6 +18,8 @@
   store.put('versions', MODEL, { spec: { model: MODEL, version: 1 } });
   const models = [{ name: MODEL, version: 1, adapters: [] }];
   const turns = new Map();
+  /** The desk that ran each seat check. */
+  const ran = new Map();
   const respondStream = (id) => (call, response, help) => {
     const turn = (turns.get(call.id) ?? 0) + 1;
     turns.set(call.id, turn);
@@ -39,7 +41,12 @@
   for (const [index, zone] of ['kochi', 'alappuzha'].entries()) {
     const engineId = `engine-${index + 1}`;
     await addServer('models', zone, { id: engineId, models, respond: respondStream(engineId) });
-    await addServer('desk', zone, { id: `desk-${index + 1}`, respond: respondPlain(20) });
+    const deskId = `desk-${index + 1}`;
+    const respond = (call, response, help) => {
+      ran.set(call.id, deskId);
+      respondPlain(20)(call, response, help);
+    };
+    await addServer('desk', zone, { id: deskId, respond });
   }
   const host = await createHost({
     name: 'front-kochi-1',
@@ -88,7 +95,10 @@
   const streamed = await stream;
   record(`the stream: status ${streamed.status}, whole ${streamed.isWhole}, ${streamed.end}`);
   for (const { id, status, tookMs, end } of answers)
-    record(`seat check ${id}: status ${status} after ${tookMs} ms, connection ${end}`);
+    record(
+      `seat check ${id}: status ${status} after ${tookMs} ms, connection ${end}, ` +
+        (ran.has(id) ? `ran at ${ran.get(id)}` : 'did not run'),
+    );
   const late = answers.filter(({ status, tookMs }) => status === 0 || tookMs > CHECK_TIMEOUT_MS);
   const unanswered = late.filter(
     ({ status, tookMs }) => status === 0 || tookMs > CHECK_TIMEOUT_MS + SLACK_MS,
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -86,6 +86,7 @@
       deadlineMs: 15_000,
     });
     if (answer.status !== 200) throw new Error(`a request of ${name} gets status ${answer.status}`);
+    record(`${answer.id}, sent by ${name}, gets status ${answer.status}, whole ${answer.isWhole}`);
     return answer.id;
   };
   for (let count = 0; count < REQUESTS; count += 1) await send('anna', `a0${count}`);
