--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,4 +1,5 @@
 import eslint from '@eslint/js';
+import regexp from 'eslint-plugin-regexp';
 import tseslint from 'typescript-eslint';
 import { houseRules } from './eslint-rules/index.js';
 
@@ -14,7 +15,7 @@
       tseslint.configs.stylisticTypeChecked,
     ],
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
-    plugins: { house: houseRules },
+    plugins: { house: houseRules, regexp },
     rules: {
       'house/function-verbs': 'error',
       'house/import-boundaries': 'error',
@@ -26,6 +27,14 @@
     },
   },
   { files: ['packages/*/src/**/*.ts'], rules: { 'house/no-wire-names': 'error' } },
+  {
+    // Most patterns run on bytes of other processes, and on the event loop.
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    rules: {
+      'regexp/no-super-linear-backtracking': ['error', { report: 'potential' }],
+      'regexp/no-super-linear-move': ['error', { report: 'potential' }],
+    },
+  },
   {
     files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     ignores: ['packages/*/src/**/index.ts', 'platform/src/index.ts'],
--- a/packages/forward-calls/test/create-event-splitter.test.ts
+++ b/packages/forward-calls/test/create-event-splitter.test.ts
@@ -1,3 +1,4 @@
+import vm from 'node:vm';
 import { createEventSplitter } from '@laburnumshift/forward-calls';
 import fc from 'fast-check';
 import test from 'ava';
@@ -40,3 +41,23 @@
   splitter.clearPartialEvent();
   t.is(splitter.getPartialEvent().length, 0);
 });
+
+// Guards against a pattern that backtracks without end on foreign bytes and stops the event loop for good.
+test('wrong bytes of any kind in a resumed stream are examined in linear time', (t) => {
+  const foreign = [`${':'.repeat(64)}\nx`, `: ${'\r'.repeat(2000)}\nx`, `${':\n'.repeat(2000)}x`];
+  for (const text of foreign) {
+    const splitter = createEventSplitter();
+    splitter.addBytes(Buffer.from('id: 1\ndata: a\n\n'));
+    // The limit of `vm` interrupts a pattern, which no timeout of the test runner does.
+    const addBytes = (): unknown => splitter.addBytes(Buffer.from(`${text}\n\n`), true);
+    t.is(vm.runInNewContext('addBytes()', { addBytes }, { timeout: 10_000 }), 'foreign');
+  }
+});
+
+test('comments and empty lines between the events of a resumed stream belong to it', (t) => {
+  const splitter = createEventSplitter();
+  splitter.addBytes(Buffer.from('id: 1\ndata: a\n\n'));
+  const resumed = `${':'.repeat(64)}\n: b\r\n\n\r\n:c\nid: 2\ndata: b\n\n`;
+  t.is(splitter.addBytes(Buffer.from(resumed), true)?.toString(), resumed);
+  t.is(splitter.getLastEventId(), '2');
+});
