Give each answer to a caller chunks or a length of its own

What callers saw: an engine sent streams with neither a length nor chunks, and the host that passed them on was killed.

Cause: the host copied the framing of the engine, so the end of the caller's connection was the end of the body, and the system closes the connections of a killed process in order. A reset by the host itself does not help there.

Change: streams go out in chunks, buffered answers with a length. Callers of HTTP/1.0 know no chunks: buffered answers have a length for them, streaming routes answer 505.

--- a/packages/forward-calls/src/caller-reply.ts
+++ b/packages/forward-calls/src/caller-reply.ts
@@ -2,12 +2,10 @@
 export interface CallerReply {
   readonly isHeadSent: () => boolean;
   /**
-   * Writes the status line and the headers. When `isDelimited` is false, the body has neither a length nor chunks and ends with
-   * the connection, so that the response does not claim a completeness that the backend server did not state.
+   * Writes the status line and the headers. Without a `Content-Length` the body is sent in chunks, so that it never ends with the
+   * connection: a process that is killed would make a truncated response look complete.
    */
-  readonly sendHead: (status: number, headers: readonly string[], isDelimited: boolean) => void;
-  /** True when the body has a length or is chunked, so that the caller can detect a truncated response. */
-  readonly isBodyDelimited: () => boolean;
+  readonly sendHead: (status: number, headers: readonly string[]) => void;
   /** Returns false when the write buffer is full; `onDrain` calls its handler once when it has drained. */
   readonly write: (bytes: Buffer) => boolean;
   readonly onDrain: (handler: () => void) => void;
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -76,7 +76,7 @@
         tracked.observeFirstEvent();
         input.onFirstEvent();
       }
-      if (!reply.isHeadSent()) reply.sendHead(head.status, head.forwardedHeaders, head.hasLength);
+      if (!reply.isHeadSent()) reply.sendHead(head.status, head.forwardedHeaders);
       if (!reply.write(events)) {
         sentCall.pause();
         progressWatch.setPaused(true);
@@ -179,16 +179,8 @@
             finish(buildBrokenOutcome(`stream ended ${where}`), 'failed');
             return;
           }
-          if (reply.isHeadSent() && reply.isBodyDelimited() && !head.hasLength) {
-            // The caller's response would look complete although the engine did not delimit its answer.
-            finish(
-              buildBrokenOutcome('the resumed stream ended with the connection and may be truncated'),
-              'failed',
-            );
-            return;
-          }
           if (partialEvent.length > 0) relayEvents(partialEvent);
-          if (!reply.isHeadSent()) reply.sendHead(head.status, head.forwardedHeaders, head.hasLength);
+          if (!reply.isHeadSent()) reply.sendHead(head.status, head.forwardedHeaders);
           reply.end();
           observed.finish('whole');
           finish({ kind: 'delivered', status: head.status }, 'served');
--- a/packages/forward-calls/src/error-texts.ts
+++ b/packages/forward-calls/src/error-texts.ts
@@ -8,4 +8,5 @@
   502: 'The backend server gave no whole answer. The call may have run.',
   503: 'The call has not run. Come back later.',
   504: 'The time for the call is over. It may have run.',
+  505: 'Streams need HTTP/1.1. The call has not run.',
 } as const;
--- a/packages/forward-calls/src/reply-error.ts
+++ b/packages/forward-calls/src/reply-error.ts
@@ -12,10 +12,6 @@
 ): void {
   const body = Buffer.from(`${ERROR_TEXTS[status]}\n`);
   const headers = codec.encodeRefusal(callId, retryAfterMs);
-  reply.sendHead(
-    status,
-    [...headers, 'Content-Type', 'text/plain', 'Content-Length', String(body.length)],
-    true,
-  );
+  reply.sendHead(status, [...headers, 'Content-Type', 'text/plain', 'Content-Length', String(body.length)]);
   reply.end(body);
 }
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '@laburnumshift/logger';
 import { createSuspectCall } from '@laburnumshift/quarantine-pieces';
 import { estimateHeldTokens } from '@laburnumshift/place-calls';
+import { addContentLength } from './add-content-length.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { dispatchCall } from './dispatch-call.js';
 import { createEventSplitter } from './create-event-splitter.js';
@@ -89,7 +90,7 @@
     else logger.warn('call ended', fields);
   };
   const relayAnswer = (head: ResponseHead, body: Buffer): void => {
-    reply.sendHead(head.status, head.forwardedHeaders, head.hasLength);
+    reply.sendHead(head.status, addContentLength(head, call.method, body.length));
     reply.end(body);
     recordOutcome(head.status < 400 ? 'served' : 'failed', head.status, 'server answered');
   };
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import { openListener } from '@laburnumshift/addresses';
 import { readMonotonicMs } from '@laburnumshift/clock';
-import type { CallDecodeFailure, ForwardCall } from '@laburnumshift/forward-types';
+import { CALL_KINDS, type CallDecodeFailure, type ForwardCall } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import type { CallerReply } from './caller-reply.js';
 import { createCallerReply } from './create-caller-reply.js';
@@ -33,6 +33,7 @@
  * found is reported as unknown.
  */
 const MAX_CONFIG_AGE_RATIO = 0.85;
+const HTTP_WITHOUT_CHUNKS = '1.0';
 
 /** Starts the HTTP server for callers on `IP:port`. Rejects when the address cannot be bound. */
 export async function startForwardServer(
@@ -102,6 +103,11 @@
       refuseNotFound(404, 'no route');
       return;
     }
+    // Without chunks such a stream would end with its connection, and a truncated one would look complete.
+    if (route.kind === CALL_KINDS.stream && request.httpVersion === HTTP_WITHOUT_CHUNKS) {
+      refuse(505, 'streams need HTTP/1.1');
+      return;
+    }
     const needsKey = config.accountsByKey !== undefined && !route.isPublic;
     if (needsKey && fleet.getConfigAgeMs() > maxKeyAgeMs) {
       refuse(503, 'configuration is too old to accept keys', CONFIG_RETRY_AFTER_MS);
--- a/packages/forward-calls/test/dispatch-call.test.ts
+++ b/packages/forward-calls/test/dispatch-call.test.ts
@@ -52,7 +52,6 @@
       body: Buffer.alloc(0),
       reply: {
         isHeadSent: () => isHeadSent,
-        isBodyDelimited: () => true,
         sendHead: () => {
           isHeadSent = true;
         },
--- a/packages/forward-calls/test/run-forward.test.ts
+++ b/packages/forward-calls/test/run-forward.test.ts
@@ -83,7 +83,6 @@
     body: Buffer.alloc(0),
     reply: {
       isHeadSent: () => received.length > 0,
-      isBodyDelimited: () => true,
       sendHead: () => received.push('head'),
       write: (bytes: Buffer) => received.push(String(/id: \d/.exec(bytes.toString()))) > 0,
       end: () => received.push('end'),
