Count the age of a confirmed configuration from the host's own question

Cause: the age in a datagram was counted from when it was read. It may have waited in the socket while the host stood still.

Evidence: two new tests, for a question and for an answer that waited 4 s, failed before (age 20 ms) and pass now.

Change: a question has a random number, an answer repeats it, and only answers to own questions confirm, with the age counted from when the question was sent. Relayed copies and answers of the store count from the request already.

--- a/packages/confirm-config/src/create-config-floor.ts
+++ b/packages/confirm-config/src/create-config-floor.ts
@@ -1,3 +1,4 @@
+import { randomInt } from 'node:crypto';
 import {
   computeElapsedMs,
   createEarliestTimer,
@@ -19,6 +20,10 @@
 const MIN_ROUNDS = 2;
 /** Longest time for which a host that starts waits for the answer of another one, milliseconds. */
 const START_WAIT_MS = 800;
+/** Number of questions whose answers are still taken: those of two restores. */
+const MAX_QUESTIONS = 16;
+/** Bound of the numbers of questions, which are drawn at random so that the answer to an earlier process has none of this one. */
+const MAX_QUESTION_NUMBER = 2 ** 47;
 
 /**
  * Asks other hosts which version of the configuration they know, when this host starts and after each restore of the store, and answers
@@ -32,6 +37,8 @@
   let floor = 0;
   /** Latest time at which another host had the version of this one confirmed by the store. */
   let confirmedAt: Moment | undefined;
+  /** When the last questions were sent, by number. */
+  const questions = new Map<number, Moment>();
   let isAnswered = false;
   let sendUntilMs = -Infinity;
   let rounds = 0;
@@ -54,7 +61,7 @@
       : plan.reportTo;
     return [...new Set(relayed.map(({ address }) => address))];
   };
-  const sendVersion = (addresses: readonly string[], isQuestion: boolean): void => {
+  const sendVersion = (addresses: readonly string[], isQuestion: boolean, question: number): void => {
     const version = Math.max(floor, isWaiting() ? 0 : (getConfigVersion() ?? 0));
     const ageMs = isBehind() ? Infinity : getConfigAgeMs();
     channel.sendMessage(addresses, [
@@ -63,10 +70,18 @@
       version,
       Number.isFinite(ageMs) ? ageMs : null,
       isQuestion,
+      question,
     ]);
   };
+  const sendQuestion = (): void => {
+    const question = randomInt(MAX_QUESTION_NUMBER);
+    questions.set(question, readMoment());
+    const [oldest] = questions.keys();
+    if (questions.size > MAX_QUESTIONS && oldest !== undefined) questions.delete(oldest);
+    sendVersion(listReceivers(), true, question);
+  };
   const timer = createEarliestTimer(() => {
-    sendVersion(listReceivers(), true);
+    sendQuestion();
     rounds += 1;
     if (readMonotonicMs() < sendUntilMs && (rounds < MIN_ROUNDS || !isAnswered))
       timer.schedule(SEND_INTERVAL_MS);
@@ -91,18 +106,21 @@
   channel.handleMessages(MESSAGE_KINDS.configFloor, (raw, from) => {
     const message = FLOOR_MESSAGE_SCHEMA.safeParse(raw).data;
     if (message === undefined) return false;
-    const [, host, version, ageMs, isQuestion] = message;
+    const [, host, version, ageMs, isQuestion, question] = message;
     // A host that has just started may not be registered yet; the answer tells it nothing but a number.
-    if (isQuestion && !isWaiting()) sendVersion([from], false);
+    if (isQuestion && !isWaiting()) sendVersion([from], false, question);
     if (!listPeers().some((peer) => peer.host === host && peer.address === from)) return true;
     isAnswered ||= !isQuestion;
     // Without a restore, a host that starts may only be some milliseconds behind.
     const isNews = era.getAgeMs() < Infinity;
     if (isNews) applyVersion(version, host);
+    // A message may have waited while this host was suspended or busy, so only the time of its own question bounds the age of an answer.
+    const askedAt = isQuestion ? undefined : questions.get(question);
     // A confirmation of another version says nothing about the one of this host.
-    if (ageMs === null || version !== getConfigVersion()) return true;
-    const confirmed = moveMoment(readMoment(), -ageMs);
-    if (confirmedAt === undefined || ageMs < computeElapsedMs(confirmedAt)) confirmedAt = confirmed;
+    if (askedAt === undefined || ageMs === null || version !== getConfigVersion()) return true;
+    const confirmed = moveMoment(askedAt, -ageMs);
+    if (confirmedAt === undefined || computeElapsedMs(confirmed) < computeElapsedMs(confirmedAt))
+      confirmedAt = confirmed;
     return true;
   });
   if (!isFirstStart) startSending();
--- a/packages/confirm-config/test/create-config-floor.test.ts
+++ b/packages/confirm-config/test/create-config-floor.test.ts
@@ -18,6 +18,7 @@
   versions: Record<string, number | undefined>,
   isRelayed = false,
   ages: Record<string, number> = {},
+  held: { readonly by: string; readonly messages: (() => void)[] } = { by: '', messages: [] },
 ) => {
   const clock = installClock();
   const handlers = new Map<string, Handler>();
@@ -37,7 +38,11 @@
       self,
       channel: {
         sendMessage: (addresses, message) => {
-          for (const address of addresses) handlers.get(address)?.(message, self.address);
+          for (const address of addresses) {
+            const sendNow = (): void => void handlers.get(address)?.(message, self.address);
+            if (HOSTS.find((peer) => peer.address === address)?.host === held.by) held.messages.push(sendNow);
+            else sendNow();
+          }
         },
         handleMessages: (_, handler) => handlers.set(self.address, handler),
       },
@@ -155,3 +160,28 @@
   await clock.tickAsync(450);
   t.true(old.getAgeMs() >= 4500);
 });
+
+// A host that wakes reads what waited in its socket, with ages of the time at which it was sent.
+for (const [name, askMs] of [
+  ['a question of a host that starts', undefined],
+  ['an answer to its own question', 0],
+] as const)
+  test.serial(`${name} that waited while the host was suspended confirms no old configuration`, async (t) => {
+    const held = { by: 'a', messages: [] as (() => void)[] };
+    const ages = { a: 300, b: 20 };
+    const { clock, startHost, resetStore } = startHosts(t, { a: 5, b: 5 }, false, ages, held);
+    const woken = startHost('a', true);
+    if (askMs === undefined) {
+      startHost('b');
+    } else {
+      startHost('b', true);
+      resetStore();
+    }
+    await clock.tickAsync(1000);
+    t.true(held.messages.length > 0);
+    await clock.tickAsync(3000);
+    ages.a += 4000;
+    for (const sendNow of held.messages.splice(0)) sendNow();
+    // The last question was sent within the first second.
+    t.true(woken.getAgeMs() >= 3000, String(woken.getAgeMs()));
+  });
