Name the scope of shared pieces after the set of isolated accounts

Cause: all accounts without isolation shared one scope, whatever was isolated, and pieces stay there as long as their weights.

Change: the owner of shared pieces is a digest of the isolated accounts' names, 'shared' while there are none, so nothing changes where no account is isolated. Placement requests between hosts carry the owner instead of the account.

--- a/packages/ask-home/src/decode-placement-request.ts
+++ b/packages/ask-home/src/decode-placement-request.ts
@@ -5,7 +5,7 @@
 export function decodePlacementRequest(value: unknown): PlacementRequest | undefined {
   const parsed = PLACEMENT_REQUEST_SCHEMA.safeParse(value);
   if (!parsed.success) return undefined;
-  const [callId, service, prompt, account, priority, targetMs, ...rest] = parsed.data;
+  const [callId, service, prompt, cacheOwner, priority, targetMs, ...rest] = parsed.data;
   const [remainingMs, waitedMs, bodyBytes, failureDomain, isResend, excluded] = rest;
   return {
     callId,
@@ -20,7 +20,7 @@
             expectedOutputTokens: prompt[3] ?? undefined,
             pieces: prompt[4].map(([id, tokens]) => ({ id, tokens })),
           },
-    account: account === null ? undefined : { name: account[0], isIsolated: account[1] },
+    cacheOwner,
     priority,
     targetMs,
     remainingMs,
--- a/packages/ask-home/src/encode-placement-request.ts
+++ b/packages/ask-home/src/encode-placement-request.ts
@@ -4,7 +4,7 @@
 
 /** Encodes a placement request as the tuple of `PLACEMENT_REQUEST_SCHEMA`; absent values become null. */
 export function encodePlacementRequest(request: PlacementRequest): z.infer<typeof PLACEMENT_REQUEST_SCHEMA> {
-  const { prompt, account } = request;
+  const { prompt } = request;
   return [
     request.callId,
     request.service,
@@ -17,7 +17,7 @@
           prompt.expectedOutputTokens ?? null,
           prompt.pieces.map(({ id, tokens }) => [id, tokens]),
         ],
-    account === undefined ? null : [account.name, account.isIsolated],
+    request.cacheOwner,
     request.priority,
     request.targetMs,
     request.remainingMs,
--- a/packages/ask-home/src/placement-request-schema.ts
+++ b/packages/ask-home/src/placement-request-schema.ts
@@ -19,7 +19,7 @@
     ])
     .nullable()
     .describe('prompt'),
-  z.tuple([z.string(), z.boolean()]).nullable().describe('client account and whether its cache is isolated'),
+  z.string().describe('owner of the cached pieces'),
   count.describe('priority'),
   count.describe('target time to first token, milliseconds'),
   z.number().describe('time until the deadline, milliseconds'),
--- a/packages/ask-home/test/codec.test.ts
+++ b/packages/ask-home/test/codec.test.ts
@@ -24,7 +24,7 @@
     }),
     { nil: undefined },
   ),
-  account: fc.option(fc.record({ name: fc.string(), isIsolated: fc.boolean() }), { nil: undefined }),
+  cacheOwner: fc.string(),
   priority: count,
   targetMs: count,
   remainingMs: fc.integer(),
--- a/packages/ask-home/test/fixtures.ts
+++ b/packages/ask-home/test/fixtures.ts
@@ -7,7 +7,7 @@
     callId: 'c',
     service: 'm',
     prompt: undefined,
-    account: undefined,
+    cacheOwner: 'shared',
     priority: 1,
     targetMs: 1000,
     remainingMs: 10_000,
--- a/packages/ask-home/test/simulate-fleet.ts
+++ b/packages/ask-home/test/simulate-fleet.ts
@@ -213,7 +213,7 @@
         expectedOutputTokens: kind.output,
         pieces: [{ id: String(Math.floor(pickRandom() * 500)), tokens }],
       },
-      account: undefined,
+      cacheOwner: 'shared',
       priority: kind.priority,
       targetMs: kind.targetMs,
       remainingMs: endsMs - performance.now(),
--- a/packages/choose-server/src/choose-engine.ts
+++ b/packages/choose-server/src/choose-engine.ts
@@ -35,7 +35,7 @@
   request: EnginePlacementRequest,
   servers: readonly BackendEntry[],
 ): ServerChoice {
-  const { prompt, engine, account, service } = request;
+  const { prompt, engine, cacheOwner, service } = request;
   const weights = checkWeights(deps, prompt.model);
   const usable = servers.filter(weights.isUsable);
   if (usable.length === 0) return buildRefusal(REFUSAL_CAUSES.weights, CHOICE_TIMES.noServerRetryMs);
@@ -61,7 +61,7 @@
   /** Plans the fetches for all engines that have one weight version. */
   const createVersionPlan = (version: number | undefined) => {
     const fetchRequest = {
-      scope: buildCacheScope(account, prompt.model, version),
+      scope: buildCacheScope(cacheOwner, prompt.model, version),
       pieces: prompt.pieces,
       // A home host does not know what engines of other failure domains have cached.
       engines: usable.filter(
--- a/packages/choose-server/test/choose-server.test.ts
+++ b/packages/choose-server/test/choose-server.test.ts
@@ -31,7 +31,7 @@
   callId: 'c',
   service: 'm',
   prompt: PROMPT,
-  account: undefined,
+  cacheOwner: 'shared',
   priority: 1,
   targetMs: 500,
   remainingMs: 60_000,
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -5,7 +5,7 @@
   type ResponseHead,
   type PlacementRequest,
 } from '@laburnumshift/forward-types';
-import { buildCacheScope } from '@laburnumshift/keep-pieces';
+import { buildCacheScope, computeCacheOwner } from '@laburnumshift/keep-pieces';
 import type { Logger } from '@laburnumshift/logger';
 import { createSuspectCall } from '@laburnumshift/quarantine-pieces';
 import { estimateHeldTokens } from '@laburnumshift/place-calls';
@@ -36,6 +36,7 @@
 const RESUME_RETRY_MS = 200;
 /** Urgency sent to an engine when the priority is not a finite number. */
 const DEFAULT_URGENCY = 5;
+const NO_ACCOUNTS: ReadonlySet<string> = new Set();
 /** Least urgent value that engines accept; 0 is the most urgent. */
 const MAX_URGENCY = 9;
 
@@ -122,13 +123,16 @@
     return true;
   };
 
+  /** The call may have waited while an account was isolated, so the newest configuration decides. */
+  const getCacheOwner = (): string =>
+    computeCacheOwner(account, deps.fleet.getConfig()?.isolatedAccounts ?? NO_ACCOUNTS);
   const buildPlacementRequest = (): PlacementRequest => {
     const now = readMonotonicMs();
     return {
       callId: call.id,
       service: service.name,
       prompt: call.prompt,
-      account: account && { name: account.name, isIsolated: account.isIsolated },
+      cacheOwner: getCacheOwner(),
       priority: account?.priority ?? route.priority,
       targetMs: route.targetMs,
       remainingMs: matchedCall.endsAtMs - now,
@@ -177,7 +181,7 @@
     const { server } = choice;
     const startedMs = readMonotonicMs();
     const remainingMs = Math.floor(matchedCall.endsAtMs - startedMs);
-    const cacheScope = buildCacheScope(account, call.prompt?.model ?? '', choice.version);
+    const cacheScope = buildCacheScope(getCacheOwner(), call.prompt?.model ?? '', choice.version);
     attempts += 1;
     let connectionMs: number | undefined;
     const attemptOutcome = await dispatchCall(deps, {
--- a/packages/forward-calls/test/run-forward.test.ts
+++ b/packages/forward-calls/test/run-forward.test.ts
@@ -59,6 +59,7 @@
       getPieceTable: () => ({ addPiece: dropValue }),
     },
     limits: { observeLimit: dropValue },
+    fleet: { getConfig: () => undefined },
     startStallChecks: () => dropValue,
     quarantine: {
       checkCall: () => ({ kind: 'allowed' }),
--- a/packages/forward-types/src/forward-config.ts
+++ b/packages/forward-types/src/forward-config.ts
@@ -11,6 +11,8 @@
   readonly services: ReadonlyMap<string, ForwardService>;
   readonly stores: readonly CacheStore[];
   readonly limits: CallerLimits;
+  /** Names of the accounts that share no cached pieces, those without keys too. */
+  readonly isolatedAccounts: ReadonlySet<string>;
   /** Accounts by API key; `undefined` when callers need no keys. */
   readonly accountsByKey: ReadonlyMap<string, ClientAccount> | undefined;
 }
--- a/packages/forward-types/src/placement-request.ts
+++ b/packages/forward-types/src/placement-request.ts
@@ -1,4 +1,3 @@
-import type { ClientAccount } from './client-account.js';
 import type { PromptMetadata } from './prompt-metadata.js';
 
 /** The call-side inputs to the choice of a server for one call; the state of the servers is not included. */
@@ -7,7 +6,8 @@
   readonly service: string;
   /** `undefined` for calls of plain services. */
   readonly prompt: PromptMetadata | undefined;
-  readonly account: Pick<ClientAccount, 'name' | 'isIsolated'> | undefined;
+  /** Owner of the cached pieces that the call uses and makes. */
+  readonly cacheOwner: string;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Target latency to the start of the answer, milliseconds; a later answer loses value. */
--- a/packages/keep-pieces/test/create-piece-transfer-planner.test.ts
+++ b/packages/keep-pieces/test/create-piece-transfer-planner.test.ts
@@ -1,11 +1,6 @@
 import { readMoment } from '@laburnumshift/clock';
 import type { CacheStore, PromptPiece } from '@laburnumshift/forward-types';
-import {
-  buildCacheScope,
-  createPieceTransferPlanner,
-  getStoreId,
-  parseCacheScope,
-} from '@laburnumshift/keep-pieces';
+import { buildCacheScope, createPieceTransferPlanner, getStoreId } from '@laburnumshift/keep-pieces';
 import { installClock } from '@laburnumshift/test-utils';
 import { createServerTracker } from '@laburnumshift/track-engines';
 import type { PublishedWeights } from '@laburnumshift/track-fleet';
@@ -30,7 +25,7 @@
   { id: 'e1', address: '10.0.0.1:80' },
   { id: 'e2', address: '10.0.0.2:80' },
 ];
-const OLD = buildCacheScope(undefined, 'm', 1);
+const OLD = buildCacheScope('shared', 'm', 1);
 
 const createFixture = () => {
   const serverTracker = createServerTracker();
@@ -92,21 +87,6 @@
   };
 };
 
-test('an isolated account and another weight version get their own cache scopes', (t) => {
-  const isolated = { name: 'anna', isIsolated: true };
-  const scopes = [
-    buildCacheScope(undefined, 'm', 1),
-    buildCacheScope({ name: 'bert', isIsolated: false }, 'm', 1),
-    buildCacheScope(isolated, 'm', 1),
-    buildCacheScope({ ...isolated, name: 'shared' }, 'm', 1),
-    buildCacheScope(undefined, 'm', 2),
-  ];
-  t.is(scopes[0], scopes[1]);
-  t.is(new Set(scopes).size, 4);
-  t.deepEqual(parseCacheScope(scopes[4] ?? ''), { model: 'm', version: 2 });
-  t.is(parseCacheScope('of another system'), undefined);
-});
-
 test('a piece is fetched from a store that holds it completely, otherwise from another engine', (t) => {
   const { serverTracker, addPieceToStore, listSources } = createFixture();
   serverTracker.getPieceTable('e2').addPiece(OLD, 'a', 500);
@@ -144,7 +124,7 @@
     const { state, freed, transferPlanner, request, addPieceToStore, setNewWeights, listSources } =
       createFixture();
     addPieceToStore(OLD, { id: 'a', tokens: 500 });
-    addPieceToStore(buildCacheScope(undefined, 'm', 2), { id: 'c', tokens: 500 });
+    addPieceToStore(buildCacheScope('shared', 'm', 2), { id: 'c', tokens: 500 });
     setNewWeights();
     const fetchMs =
       (transferPlanner.planTransfers(request, transferPlanner.planFetches(request)('e1')).fetchUntilMs ?? 0) -
