Keep bytes from outside within the memory of the process

Cause: chunks were kept as lists of buffers, with 100 to 200 bytes of heap for each, while limits counted bodies alone and for one call each. The body of a refused request and interim responses to control calls were read without end.

Change: collect-bytes copies chunks into one buffer, bounds their size, the smallness of chunks and, for each kind, what a process keeps: request bodies, answers, control calls, store. A body that finds no memory is refused with 503. The rest of a refused body is read up to the configured limit, then the connection is closed. A server that sends nothing but such answers is left alone for 2 s at a time.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -63,11 +63,11 @@
         logger.error('call cannot be sent', { server: backend.id, request: call.id, detail: String(error) });
         return failUnsentCall(handlers, String(error));
       }
-      const fail = (type: SendFailure['type'], reason: string): void => {
+      const fail = (type: SendFailure['type'], reason: string, isEndless = false): void => {
         if (!isPending) return;
         isPending = false;
         request.destroy();
-        handlers.onFailure({ type, reason });
+        handlers.onFailure({ type, reason, isEndless });
       };
       /** Limits the bytes outside the answer, which a faulty server may send without end: the parser ignores some of them. */
       const watchReceivedBytes = (socket: net.Socket): void => {
@@ -86,7 +86,7 @@
             startHeaderTimer();
           }
           if (!framingMeter.isFramingExceeded()) return;
-          fail(phase, 'bytes that are no answer');
+          fail(phase, 'bytes that are no answer', true);
           request.destroy();
         };
         socket.on('data', observeBytes);
--- a/packages/call-backend/src/send-failure.ts
+++ b/packages/call-backend/src/send-failure.ts
@@ -9,4 +9,6 @@
 export interface SendFailure {
   readonly type: 'not-sent' | 'sent' | 'answering' | 'foreign';
   readonly reason: string;
+  /** The server sent more bytes that are no answer than any answer has. */
+  readonly isEndless?: boolean;
 }
--- a/packages/forward-calls/src/create-event-splitter.ts
+++ b/packages/forward-calls/src/create-event-splitter.ts
@@ -1,3 +1,4 @@
+import { createByteCollector, type ByteReservation, type CollectFault } from '@laburnumshift/collect-bytes';
 import type { EventSplitter } from './event-splitter.js';
 import { isContinuation } from './is-continuation.js';
 
@@ -12,26 +13,17 @@
 /**
  * Creates a splitter for one event stream. Only complete events are written to the caller, so another engine can resume the
  * stream after the last one.
+ *
+ * @param reservation memory of the incomplete event
  */
-export function createEventSplitter(): EventSplitter {
-  let partialChunks: Buffer[] = [];
-  let partialBytes = 0;
+export function createEventSplitter(reservation: ByteReservation): EventSplitter {
+  const partial = createByteCollector({ maxBytes: MAX_EVENT_BYTES, reservation });
+  let fault: CollectFault | undefined;
   let lastEventId: string | undefined;
 
-  const setPartialEvent = (bytes: Buffer): void => {
-    partialChunks = bytes.length === 0 ? [] : [bytes];
-    partialBytes = bytes.length;
-  };
-  /** Returns the last bytes of the incomplete event. */
-  const readOverlap = (): Buffer => {
-    const chunks: Buffer[] = [];
-    let missing = MAX_OVERLAP_BYTES;
-    for (let index = partialChunks.length - 1; index >= 0 && missing > 0; index -= 1) {
-      const part = partialChunks[index]?.subarray(-missing) ?? Buffer.alloc(0);
-      chunks.unshift(part);
-      missing -= part.length;
-    }
-    return Buffer.concat(chunks);
+  const clearPartialEvent = (): void => {
+    partial.clear();
+    fault = undefined;
   };
   const findEventsEnd = (bytes: Buffer): number => {
     // An empty line ends an event. The search runs backwards, so that one call returns all complete events.
@@ -44,28 +36,25 @@
   return {
     addBytes: (bytes, isResumed = false) => {
       // Only the new bytes are searched, because an event may arrive in many chunks.
-      const overlap = readOverlap();
+      const overlap = partial.getBytes().subarray(-MAX_OVERLAP_BYTES);
       const end =
         findEventsEnd(overlap.length === 0 ? bytes : Buffer.concat([overlap, bytes])) - overlap.length;
       if (end <= 0) {
-        partialChunks.push(bytes);
-        partialBytes += bytes.length;
+        fault ??= partial.addChunk(bytes);
         return undefined;
       }
+      const completing = bytes.subarray(0, end);
       const events =
-        partialBytes === 0
-          ? bytes.subarray(0, end)
-          : Buffer.concat([...partialChunks, bytes.subarray(0, end)]);
-      setPartialEvent(bytes.subarray(end));
+        partial.countBytes() === 0 ? completing : Buffer.concat([partial.getBytes(), completing]);
+      partial.clear();
+      if (end < bytes.length) fault ??= partial.addChunk(bytes.subarray(end));
       if (isResumed && lastEventId !== undefined && !isContinuation(events, lastEventId)) return 'foreign';
       for (const [, id] of events.toString('latin1').matchAll(ID_FIELD)) lastEventId = id;
       return events;
     },
     getLastEventId: () => lastEventId,
-    getPartialEvent: () => Buffer.concat(partialChunks),
-    isPartialEventTooLong: () => partialBytes > MAX_EVENT_BYTES,
-    clearPartialEvent: () => {
-      setPartialEvent(Buffer.alloc(0));
-    },
+    getPartialEvent: partial.getBytes,
+    getFault: () => fault,
+    clearPartialEvent,
   };
 }
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -1,3 +1,4 @@
+import { COLLECT_FAULTS, createByteCollector, type CollectFault } from '@laburnumshift/collect-bytes';
 import { isUsableServer } from '@laburnumshift/choose-server';
 import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
 import { CALL_KINDS, type ResponseHead } from '@laburnumshift/forward-types';
@@ -12,6 +13,11 @@
 /** Maximum size of the body of an answer that is no stream, in bytes. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
+/** Milliseconds for which a server that sent bytes without end gets no calls while others are left: a short restart. */
+const ENDLESS_PAUSE_MS = 2000;
+/** Number of such answers in a row from which on the server gets no calls at all for that time. */
+const MAX_ENDLESS_ANSWERS = 3;
+
 const LAST_WHITE_SPACE = 0x20;
 /** True when the bytes after the last event are at most empty lines. */
 const isBlank = (bytes: Buffer): boolean => bytes.every((byte) => byte <= LAST_WHITE_SPACE);
@@ -26,8 +32,10 @@
   const tracked = deps.serverTracker.beginCall(server.id, input.work);
 
   return new Promise((resolve) => {
-    const bufferedChunks: Buffer[] = [];
-    let bufferedBytes = 0;
+    const buffered = createByteCollector({
+      maxBytes: MAX_BUFFERED_BYTES,
+      reservation: matchedCall.answerMemory,
+    });
     let head: ResponseHead | undefined;
     let isPending = true;
     let hasFirstEvent = false;
@@ -42,6 +50,7 @@
       matchedCall.callerSignal.removeEventListener('abort', handleCallerGone);
       matchedCall.stopSignal.removeEventListener('abort', handleStop);
       tracked.finish(result);
+      if (outcome.kind !== 'answered') buffered.clear();
       resolve(outcome);
     };
     const cancel = (outcome: AttemptOutcome, result: Parameters<typeof tracked.finish>[0]): void => {
@@ -65,6 +74,16 @@
       splitter.clearPartialEvent();
       return reply.isHeadSent() ? { kind: 'cut', reason } : { kind: 'broken', reason };
     };
+    /** Leaves a server alone that only sends such answers, as they cost the host more time than any others. */
+    const handleEndlessAnswer = (): void => {
+      deps.serverTracker.avoidServer(server.id, ENDLESS_PAUSE_MS);
+      if (deps.serverTracker.recordEndlessAnswer(server.id) >= MAX_ENDLESS_ANSWERS)
+        deps.notices.markPaused(server, ENDLESS_PAUSE_MS);
+    };
+    const cancelUnkept = (what: string, fault: CollectFault): void => {
+      if (fault === COLLECT_FAULTS.tooSmallChunks) handleEndlessAnswer();
+      cancel(buildBrokenOutcome(`${what}: ${fault}`), 'failed');
+    };
     const isStreamAnswer = (): boolean => head?.status === 200 && route.kind === CALL_KINDS.stream;
     const relayEvents = (events: Buffer): void => {
       if (head === undefined) return;
@@ -150,25 +169,20 @@
             if (events === 'foreign')
               cancel(buildBrokenOutcome('the answer does not continue the stream'), 'failed');
             else if (events !== undefined) relayEvents(events);
-            if (splitter.isPartialEventTooLong())
-              cancel(buildBrokenOutcome('an event exceeds the size limit'), 'failed');
+            const eventFault = splitter.getFault();
+            if (eventFault !== undefined) cancelUnkept('event', eventFault);
             return;
           }
           progressWatch.observeProgress();
-          bufferedBytes += bytes.length;
-          if (bufferedBytes > MAX_BUFFERED_BYTES)
-            cancel(buildBrokenOutcome('the answer exceeds the size limit'), 'failed');
-          else bufferedChunks.push(bytes);
+          const fault = buffered.addChunk(bytes);
+          if (fault !== undefined) cancelUnkept('answer', fault);
         },
         onEnd: () => {
           if (head === undefined) return;
           if (!isStreamAnswer()) {
             const isFailure = head.status >= 500;
             observed.finish('whole');
-            finish(
-              { kind: 'answered', head, body: Buffer.concat(bufferedChunks) },
-              isFailure ? 'failed' : 'served',
-            );
+            finish({ kind: 'answered', head, body: buffered.getBytes() }, isFailure ? 'failed' : 'served');
             return;
           }
           const partialEvent = splitter.getPartialEvent();
@@ -185,7 +199,8 @@
           observed.finish('whole');
           finish({ kind: 'delivered', status: head.status }, 'served');
         },
-        onFailure: ({ type, reason }) => {
+        onFailure: ({ type, reason, isEndless }) => {
+          if (isEndless === true) handleEndlessAnswer();
           if (type === 'not-sent') {
             finish({ kind: 'not-run', reason, isSent: false }, 'failed');
           } else {
--- a/packages/forward-calls/src/event-splitter.ts
+++ b/packages/forward-calls/src/event-splitter.ts
@@ -1,3 +1,5 @@
+import type { CollectFault } from '@laburnumshift/collect-bytes';
+
 /** Splits a server-sent event stream at the ends of complete events. */
 export interface EventSplitter {
   /**
@@ -9,8 +11,8 @@
   readonly getLastEventId: () => string | undefined;
   /** Returns the bytes after the last complete event; empty when there are none. */
   readonly getPartialEvent: () => Buffer;
-  /** True when the incomplete event exceeds the size limit for one event. */
-  readonly isPartialEventTooLong: () => boolean;
+  /** Returns the reason when bytes of the incomplete event could not be kept, which ends the stream. */
+  readonly getFault: () => CollectFault | undefined;
   /** Discards the incomplete event, as is needed before the stream is resumed on another connection. */
   readonly clearPartialEvent: () => void;
 }
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -1,5 +1,6 @@
 import type { CallPlacer } from '@laburnumshift/ask-home';
 import type { BackendPool } from '@laburnumshift/call-backend';
+import type { ByteBudget } from '@laburnumshift/collect-bytes';
 import type { EdgeCodec, EngineControl, ForwardBounds } from '@laburnumshift/forward-types';
 import type { ResendBudget } from '@laburnumshift/limit-resends';
 import type { ServerLimits } from '@laburnumshift/limit-server-rates';
@@ -23,6 +24,8 @@
   readonly resends: Pick<ResendBudget, 'recordCall' | 'hasResend'>;
   readonly metrics: Metrics;
   readonly bounds: ForwardBounds;
+  /** Memory of the bodies of all requests, and of the answers that are kept until they or an event of theirs are complete. */
+  readonly memory: { readonly bodies: ByteBudget; readonly answers: ByteBudget };
   /** Failure domain of this host. */
   readonly failureDomain: string;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive), which selects the service of a call by weight. */
--- a/packages/forward-calls/src/matched-call.ts
+++ b/packages/forward-calls/src/matched-call.ts
@@ -1,3 +1,4 @@
+import type { ByteReservation } from '@laburnumshift/collect-bytes';
 import type { ClientAccount, ForwardCall, ForwardRoute, ForwardService } from '@laburnumshift/forward-types';
 import type { CallerReply } from './caller-reply.js';
 
@@ -10,6 +11,8 @@
   readonly account: ClientAccount | undefined;
   readonly body: Buffer;
   readonly reply: CallerReply;
+  /** Memory of the answers to the call, until it has ended. */
+  readonly answerMemory: ByteReservation;
   /** Monotonic times of the arrival and of the deadline of the call, in milliseconds. */
   readonly arrivedAtMs: number;
   readonly endsAtMs: number;
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -48,7 +48,7 @@
 ): Promise<void> {
   const { call, route, account, service, reply, callerSignal, stopSignal } = matchedCall;
   const endSignal = AbortSignal.any([callerSignal, stopSignal]);
-  const splitter = createEventSplitter();
+  const splitter = createEventSplitter(matchedCall.answerMemory);
   const suspectCall = createSuspectCall(call, account?.name, matchedCall.body);
   const triedServers = new Set<string>();
   const trail: Record<string, unknown>[] = [];
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -1,11 +1,14 @@
 import http from 'node:http';
 import { openListener } from '@laburnumshift/addresses';
 import { readMonotonicMs } from '@laburnumshift/clock';
+import type { ByteReservation } from '@laburnumshift/collect-bytes';
 import { CALL_KINDS, type CallDecodeFailure, type ForwardCall } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import type { CallerReply } from './caller-reply.js';
+import { BODY_REFUSALS } from './body-refusals.js';
 import { createCallerReply } from './create-caller-reply.js';
 import { createKeptConnections } from './create-kept-connections.js';
+import { dropBody } from './drop-body.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import type { ForwardServer } from './forward-server.js';
 import { matchRoute } from './match-route.js';
@@ -27,6 +30,10 @@
 const IDLE_MARGIN_MS = 1000;
 /** Retry-After while the host has no current configuration, in milliseconds. */
 const CONFIG_RETRY_AFTER_MS = 500;
+/** Retry-After when the bodies of other requests take all memory for them, in milliseconds: a few calls end in this time. */
+const MEMORY_RETRY_AFTER_MS = 1000;
+/** Maximum size of the body of a refused request that is read while no configuration is known, in bytes. */
+const DEFAULT_DISCARD_BYTES = 1_048_576;
 /**
  * Fraction of a configured bound up to which the host relies on its copy of the configuration. The bound on key revocation limits
  * the age at which keys are accepted. The bound on applying a configuration limits the age at which a route or a key that is not
@@ -66,6 +73,7 @@
     reply: CallerReply,
     call: ForwardCall | CallDecodeFailure,
     callerSignal: AbortSignal,
+    { bodyMemory, answerMemory }: Record<'bodyMemory' | 'answerMemory', ByteReservation>,
   ): Promise<void> => {
     const arrivedAtMs = readMonotonicMs();
     const refuse = (
@@ -74,7 +82,7 @@
       retryAfterMs?: number,
     ): void => {
       const id = 'id' in call ? call.id : undefined;
-      request.resume();
+      dropBody(request, fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES);
       replyError(codec, reply, id, status, retryAfterMs);
       deps.metrics.addToCounter('refused_calls_total', { reason });
       const config = fleet.getConfig();
@@ -124,12 +132,13 @@
       return;
     }
     deps.resends.recordCall(service.name);
-    const body = await readBody(request, config.limits.maxBodyBytes);
-    if (body === 'too-long') {
-      refuse(413, 'body is too long');
+    const body = await readBody(request, config.limits.maxBodyBytes, bodyMemory);
+    if (body === 'left') return;
+    if (typeof body === 'string') {
+      const status = BODY_REFUSALS[body];
+      refuse(status, `body: ${body}`, status === 503 ? MEMORY_RETRY_AFTER_MS : undefined);
       return;
     }
-    if (body === 'left') return;
     // The body may have taken until the host no longer begins calls.
     if (isStopping()) {
       refuse(503, 'the host is stopping', STOPPING_RETRY_AFTER_MS);
@@ -144,6 +153,7 @@
       account,
       body,
       reply,
+      answerMemory,
       arrivedAtMs,
       endsAtMs,
       callerSignal,
@@ -178,6 +188,8 @@
       // An answer that closes the connection would take away those of the pipelined requests after it.
       () => isDraining && connections.countRequests(socket) <= 1,
     );
+    const bodyMemory = deps.memory.bodies.openReservation();
+    const answerMemory = deps.memory.answers.openReservation();
     let callId: string | undefined;
     try {
       server.keepAliveTimeout = fleet.getConfig()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
@@ -187,12 +199,14 @@
         headers: request.rawHeaders,
       });
       if ('id' in call) callId = call.id;
-      await handleCall(request, reply, call, callerAbort.signal);
+      await handleCall(request, reply, call, callerAbort.signal, { bodyMemory, answerMemory });
     } catch (error) {
       failCall(reply, callId, error);
     }
+    bodyMemory.close();
     // A stop waits for answers that are still being sent.
     await whenClosed;
+    answerMemory.close();
   };
 
   const server = http.createServer(
--- a/packages/forward-calls/test/dispatch-call.test.ts
+++ b/packages/forward-calls/test/dispatch-call.test.ts
@@ -1,3 +1,4 @@
+import { createByteBudget } from '@laburnumshift/collect-bytes';
 import { readMonotonicMs } from '@laburnumshift/clock';
 import { CALL_KINDS, type ResponseHead } from '@laburnumshift/forward-types';
 import type { SendHandlers } from '@laburnumshift/call-backend';
@@ -45,8 +46,10 @@
       },
     },
   };
+  const answerMemory = createByteBudget(1_000_000).openReservation();
   const input = {
     matchedCall: {
+      answerMemory,
       call: { id: 'call-1' },
       route: { kind: CALL_KINDS.stream },
       body: Buffer.alloc(0),
@@ -66,7 +69,7 @@
     backendCall: {},
     work: {},
     expectedMs: 0,
-    splitter: createEventSplitter(),
+    splitter: createEventSplitter(answerMemory),
     canRetry: () => false,
     onConnection: dropValue,
     onEvents: dropValue,
--- a/packages/forward-calls/test/run-forward.test.ts
+++ b/packages/forward-calls/test/run-forward.test.ts
@@ -1,3 +1,4 @@
+import { createByteBudget } from '@laburnumshift/collect-bytes';
 import { REFUSAL_CAUSES, type RefusalCause, type ServerChoice } from '@laburnumshift/choose-server';
 import { readMonotonicMs } from '@laburnumshift/clock';
 import { CALL_KINDS, type ResponseHead } from '@laburnumshift/forward-types';
@@ -89,6 +90,7 @@
       end: () => received.push('end'),
       abort: () => received.push('cut'),
     },
+    answerMemory: createByteBudget(1_000_000).openReservation(),
     arrivedAtMs: readMonotonicMs(),
     endsAtMs: readMonotonicMs() + 3000,
     callerSignal: new AbortController().signal,
--- a/packages/forward-calls/test/start-forward-server.test.ts
+++ b/packages/forward-calls/test/start-forward-server.test.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import { sleep } from '@laburnumshift/clock';
+import { createByteBudget } from '@laburnumshift/collect-bytes';
 import type { EdgeCodec } from '@laburnumshift/forward-types';
 import { findFreePort } from '@laburnumshift/test-utils';
 import test from 'ava';
@@ -27,6 +28,7 @@
   stores: [],
   limits: { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
 };
+const MEMORY = { bodies: createByteBudget(100_000), answers: createByteBudget(100_000) };
 const fail = (): never => {
   throw new TypeError('a part of the host failed');
 };
@@ -63,6 +65,7 @@
       codec: { decodeCall, encodeRefusal: () => [] },
       fleet: { getConfig: () => CONFIG, getConfigAgeMs: () => 0 },
       bounds: { configApplyMs: 2000 },
+      memory: MEMORY,
       resends: { recordCall: () => undefined },
       metrics: { addToCounter: () => undefined },
       quarantine: { checkCall: () => ({ kind: 'allowed' }) },
@@ -89,6 +92,7 @@
       getConfigAgeMs: () => 0,
     },
     bounds: { configApplyMs: 2000 },
+    memory: MEMORY,
     metrics: { addToCounter: () => undefined },
   };
   const server = await startForwardServer(
@@ -130,6 +134,7 @@
     codec: { decodeCall, encodeRefusal: () => [] },
     fleet: { getConfig: () => CONFIG, getConfigAgeMs: () => 0 },
     bounds: { configApplyMs: 2000 },
+    memory: MEMORY,
     resends: { recordCall: () => undefined },
     metrics: { addToCounter: () => undefined, recordDuration: () => undefined },
     quarantine: { checkCall: () => ({ kind: 'allowed' }) },
--- a/packages/forward-types/src/forward-settings.ts
+++ b/packages/forward-types/src/forward-settings.ts
@@ -15,6 +15,8 @@
   readonly sharingAddress: string;
   /** Processor cores available to the host; may be a fraction. */
   readonly cores: number;
+  /** Memory of the machine for the process, bytes. */
+  readonly memoryBytes: number;
   /** Bandwidth of the host's link, megabits per second. */
   readonly linkMbps: number;
   /** The whole system is starting for the first time. */
--- a/packages/relay-events/src/fetch-relay-page.ts
+++ b/packages/relay-events/src/fetch-relay-page.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import { startTimer } from '@laburnumshift/clock';
+import { createByteBudget, createByteCollector } from '@laburnumshift/collect-bytes';
 import { unpack } from 'msgpackr';
 import { RELAY_PAGE } from './relay-page-schema.js';
 import type { RelayPage } from './relay-page.js';
@@ -31,19 +32,18 @@
     if (waitMs > 0) query.set('wait', String(waitMs));
     for (const [kind, after] of wanted) query.append('kind', `${kind}:${String(after)}`);
     const request = http.get(`http://${address}/?${query.toString()}`, { agent }, (response) => {
-      const parts: Buffer[] = [];
-      let bytes = 0;
+      const reservation = createByteBudget(MAX_PAGE_BYTES).openReservation();
+      const collector = createByteCollector({ maxBytes: MAX_PAGE_BYTES, reservation });
       response.on('data', (part: Buffer) => {
-        bytes += part.length;
-        if (bytes > MAX_PAGE_BYTES) request.destroy(new Error('page exceeds the maximum size'));
-        else parts.push(part);
+        const fault = collector.addChunk(part);
+        if (fault !== undefined) request.destroy(new Error(`page: ${fault}`));
       });
       response.on('error', (error) => {
         resolve(error.message);
       });
       response.on('end', () => {
         try {
-          const page = RELAY_PAGE.safeParse(unpack(Buffer.concat(parts)));
+          const page = RELAY_PAGE.safeParse(unpack(collector.getBytes()));
           resolve(response.statusCode === OK && page.success ? page.data : 'unreadable page');
         } catch (error) {
           resolve(String(error));
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -1,5 +1,6 @@
 import { createReservationTable, type HomeClient } from '@laburnumshift/ask-home';
 import { createBackendPool } from '@laburnumshift/call-backend';
+import { createByteBudget } from '@laburnumshift/collect-bytes';
 import {
   createSharedInterval,
   readMonotonicMs,
@@ -25,6 +26,10 @@
 import { serveStatus } from './serve-status.js';
 import { startWeightRollouts } from './start-weight-rollouts.js';
 
+/** Fractions of the memory of the machine for request bodies and for answers that are not complete; the program itself takes half. */
+const BODY_MEMORY_RATIO = 0.125;
+const ANSWER_MEMORY_RATIO = 0.0625;
+
 /** Starts a forwarding host. Resolves when it listens, and rejects when an address cannot be bound. */
 export async function runForwarder(options: ForwarderOptions): Promise<RunningForwarder> {
   const { settings, codec } = options;
@@ -81,6 +86,10 @@
     },
     pickRandom: Math.random,
   });
+  const memory = {
+    bodies: createByteBudget(settings.memoryBytes * BODY_MEMORY_RATIO),
+    answers: createByteBudget(settings.memoryBytes * ANSWER_MEMORY_RATIO),
+  };
   let isDraining = false;
   const callerServer = await startForwardServer(settings.callerAddress, {
     codec,
@@ -94,6 +103,7 @@
     sharing,
     resends,
     metrics,
+    memory,
     bounds,
     failureDomain: settings.failureDomain,
     pickRandom: Math.random,
@@ -103,6 +113,8 @@
   metrics.registerGauge('calls_in_flight', callerServer.countCallsInFlight);
   metrics.registerGauge('quarantined_traits', quarantine.countConvicted);
   metrics.registerGauge('limited_servers', limits.countLimited);
+  metrics.registerGauge('body_bytes_kept', memory.bodies.countReserved);
+  metrics.registerGauge('answer_bytes_kept', memory.answers.countReserved);
   metrics.registerGauge('config_age_ms', fleet.getConfigAgeMs);
   let wasLastReady: boolean | undefined;
   const checkReady = (): boolean => {
--- a/packages/track-engines/src/create-server-tracker.ts
+++ b/packages/track-engines/src/create-server-tracker.ts
@@ -45,6 +45,8 @@
   failureShare: number;
   failureAtMs: number;
   avoidedUntilMs: number;
+  /** Number of answers without end since the last call that was served. */
+  endlessAnswers: number;
   readonly pieces: PieceTable;
 }
 
@@ -88,6 +90,7 @@
       failureShare: 0,
       failureAtMs: 0,
       avoidedUntilMs: 0,
+      endlessAnswers: 0,
       pieces: createPieceTable(),
     };
     entries.set(server, entry);
@@ -143,6 +146,7 @@
           entry.inFlight -= 1;
           entry.heldTokens -= work.totalTokens;
           if (result !== 'served' && result !== 'failed') return;
+          if (result === 'served') entry.endlessAnswers = 0;
           recordResult(entry, result === 'failed');
           countResult(server, result === 'failed');
         },
@@ -190,8 +194,14 @@
       entry.loadAtMs = readMonotonicMs();
       entry.inFlightAtLoad = entry.inFlight;
     },
+    recordEndlessAnswer: (server) => {
+      const entry = getEntry(server);
+      entry.endlessAnswers += 1;
+      return entry.endlessAnswers;
+    },
     avoidServer: (server, ms) => {
-      getEntry(server).avoidedUntilMs = readMonotonicMs() + ms;
+      const entry = getEntry(server);
+      entry.avoidedUntilMs = Math.max(entry.avoidedUntilMs, readMonotonicMs() + ms);
     },
     getPieceTable: (server) => getEntry(server).pieces,
     expectPieces: expected.addPieces,
--- a/packages/track-engines/src/server-tracker.ts
+++ b/packages/track-engines/src/server-tracker.ts
@@ -35,6 +35,8 @@
   readonly getFetchSlowdown: (source: string, fetchPerMs: number) => number;
   /** Avoids a server that refused a connection or reset calls: it gets no new calls for `ms` milliseconds while others are left. */
   readonly avoidServer: (server: string, ms: number) => void;
+  /** Records an answer that did not end; returns how many the server has sent since a call of this host was served. */
+  readonly recordEndlessAnswer: (server: string) => number;
   /** Returns the table of cached pieces of an engine or a store. */
   readonly getPieceTable: (server: string) => PieceTable;
   /** Records that a call was placed on an engine, which will have these pieces in its cache. */
