--- a/packages/forward-calls/test/dispatch-call.test.ts
+++ b/packages/forward-calls/test/dispatch-call.test.ts
@@ -16,7 +16,9 @@
 } as unknown as ResponseHead;
 const dropValue = (): void => undefined;
 
-test('a stream that has begun is not cut when a part of its call is convicted of crashes elsewhere', async (t) => {
+/** Starts a stream at one server, which has sent `endlessAnswers` answers without end, with the one of this call. */
+const startStream = (endlessAnswers = 0) => {
+  const servers = { avoided: 0, paused: 0 };
   const received: string[] = [];
   let isHeadSent = false;
   let handlers: SendHandlers | undefined;
@@ -24,7 +26,10 @@
   const deps = {
     serverTracker: {
       beginCall: () => ({ observeBytes: dropValue, observeFirstEvent: dropValue, finish: dropValue }),
+      avoidServer: () => (servers.avoided += 1),
+      recordEndlessAnswer: () => endlessAnswers,
     },
+    notices: { markPaused: () => (servers.paused += 1) },
     limits: { observeLimit: dropValue },
     startStallChecks: () => dropValue,
     quarantine: {
@@ -76,11 +81,39 @@
     onFirstEvent: dropValue,
   };
   const ended = dispatchCall(deps as unknown as ForwarderDependencies, input as unknown as AttemptInput);
-  handlers?.onHeaders(HEAD);
-  handlers?.onBodyBytes(Buffer.from('id: 1\ndata: a\n\n'));
+  if (handlers === undefined) throw new Error('the call was not sent');
+  return {
+    ended,
+    received,
+    servers,
+    handlers,
+    convict: (reason: string) => {
+      convict(reason);
+    },
+  };
+};
+
+test('a stream that has begun is not cut when a part of its call is convicted of crashes elsewhere', async (t) => {
+  const { ended, received, handlers, convict } = startStream();
+  handlers.onHeaders(HEAD);
+  handlers.onBodyBytes(Buffer.from('id: 1\ndata: a\n\n'));
   convict('servers crash under a piece');
-  handlers?.onBodyBytes(Buffer.from('id: 2\ndata: b\n\n'));
-  handlers?.onEnd();
+  handlers.onBodyBytes(Buffer.from('id: 2\ndata: b\n\n'));
+  handlers.onEnd();
   t.is((await ended).kind, 'delivered');
   t.is(received.length, 2);
 });
+
+// Such answers cost the host more time than any others, and a server may send nothing else.
+for (const [endlessAnswers, paused] of [
+  [2, 0],
+  [3, 1],
+] as const)
+  test(`a server is avoided after an event in endless small chunks, and paused after several: ${String(endlessAnswers)}`, async (t) => {
+    const { ended, servers, handlers } = startStream(endlessAnswers);
+    handlers.onHeaders(HEAD);
+    for (let sent = 0; sent < 5000; sent += 1) handlers.onBodyBytes(Buffer.from('x'));
+    t.is((await ended).kind, 'broken');
+    t.true(servers.avoided > 0);
+    t.is(servers.paused > 0, paused > 0);
+  });
