State the limit on small chunks once

The collector and the reader of refused bodies had the same limit and the same comparison, each with constants of its own. Both call hasTooSmallChunks now; behaviour is the same. A parameter of a test that was only true or false has that type.

--- a/packages/collect-bytes/src/create-byte-collector.ts
+++ b/packages/collect-bytes/src/create-byte-collector.ts
@@ -1,12 +1,9 @@
 import type { ByteReservation } from './byte-reservation.js';
 import type { ByteCollector } from './byte-collector.js';
 import { COLLECT_FAULTS } from './collect-faults.js';
+import { hasTooSmallChunks } from './has-too-small-chunks.js';
 
 const EMPTY = Buffer.alloc(0);
-/** Number of chunks that may be of any size, such as a short answer that is written byte by byte. */
-const MAX_ANY_SIZE_CHUNKS = 4096;
-/** Least mean size of further chunks, bytes. */
-const MIN_MEAN_CHUNK_BYTES = 16;
 
 /**
  * Creates a collector. It copies the chunks, as each is an object on the heap and a part of a larger buffer, whatever it holds.
@@ -27,7 +24,7 @@
       const needed = length + chunk.length;
       chunks += 1;
       if (needed > maxBytes) return COLLECT_FAULTS.tooLong;
-      if (chunks > MAX_ANY_SIZE_CHUNKS + needed / MIN_MEAN_CHUNK_BYTES) return COLLECT_FAULTS.tooSmallChunks;
+      if (hasTooSmallChunks(chunks, needed)) return COLLECT_FAULTS.tooSmallChunks;
       if (needed > buffer.length) {
         // Doubling keeps the cost of copying linear.
         const capacity = Math.min(maxBytes, Math.max(needed, 2 * buffer.length));
--- a/packages/confirm-config/test/create-config-floor.test.ts
+++ b/packages/confirm-config/test/create-config-floor.test.ts
@@ -162,21 +162,17 @@
 });
 
 // A host that wakes reads what waited in its socket, with ages of the time at which it was sent.
-for (const [name, askMs] of [
-  ['a question of a host that starts', undefined],
-  ['an answer to its own question', 0],
+for (const [name, isAsking] of [
+  ['a question of a host that starts', false],
+  ['an answer to its own question', true],
 ] as const)
   test.serial(`${name} that waited while the host was suspended confirms no old configuration`, async (t) => {
     const held = { by: 'a', messages: [] as (() => void)[] };
     const ages = { a: 300, b: 20 };
     const { clock, startHost, resetStore } = startHosts(t, { a: 5, b: 5 }, false, ages, held);
     const woken = startHost('a', true);
-    if (askMs === undefined) {
-      startHost('b');
-    } else {
-      startHost('b', true);
-      resetStore();
-    }
+    startHost('b', isAsking);
+    if (isAsking) resetStore();
     await clock.tickAsync(1000);
     t.true(held.messages.length > 0);
     await clock.tickAsync(3000);
--- a/packages/forward-calls/src/drop-body.ts
+++ b/packages/forward-calls/src/drop-body.ts
@@ -1,10 +1,8 @@
 import type http from 'node:http';
 import { startTimer } from '@laburnumshift/clock';
+import { hasTooSmallChunks } from '@laburnumshift/collect-bytes';
 import { createLogger } from '@laburnumshift/logger';
 
-/** Number of chunks that are read of any size, and the least mean size of further ones, bytes. */
-const MAX_ANY_SIZE_CHUNKS = 4096;
-const MIN_MEAN_CHUNK_BYTES = 16;
 /** Delay before the connection is closed, in milliseconds: a round trip with room to spare, so that the caller can read the response. */
 const CLOSE_DELAY_MS = 50;
 
@@ -18,7 +16,7 @@
   const dropChunk = (chunk: Buffer): void => {
     bytes += chunk.length;
     chunks += 1;
-    if (bytes <= maxBytes && chunks <= MAX_ANY_SIZE_CHUNKS + bytes / MIN_MEAN_CHUNK_BYTES) return;
+    if (bytes <= maxBytes && !hasTooSmallChunks(chunks, bytes)) return;
     request.off('data', dropChunk);
     request.pause();
     createLogger('callers').warn('connection of a refused request is closed', { bytes, chunks });
