--- /dev/null
+++ b/packages/run-daemon/src/daemon-signal.ts
@@ -0,0 +1,2 @@
+/** Signals that a daemon handles. */
+export type DaemonSignal = 'SIGTERM' | 'SIGINT' | 'SIGHUP';
--- /dev/null
+++ b/packages/run-daemon/src/signal-action.ts
@@ -0,0 +1,2 @@
+/** What a daemon does on a signal. */
+export type SignalAction = 'stop' | 'continueStop' | 'keepSettings';
