Finish the drain of a node when signals come in series

What callers saw: a node of the product's own interface that got SIGTERM twice, or SIGHUP after SIGTERM, ended while it drained; one that got SIGTERM just after it had printed its addresses ended without a stop.

SIGTERM and SIGINT were taken with `once`, SIGHUP not at all, and the handlers were installed after the node had started and said so.

--- a/packages/cli/src/commands/serve-command.ts
+++ b/packages/cli/src/commands/serve-command.ts
@@ -1,4 +1,6 @@
+import { createLogger } from '@laburnumshift/logger';
 import { readSettings } from '@laburnumshift/read-settings';
+import { holdSignals, runDaemon } from '@laburnumshift/run-daemon';
 import type { NodeSettings } from '@laburnumshift/types';
 import { Command, Option } from 'clipanion';
 import { CliCommand } from '../cli-command.js';
@@ -15,15 +17,6 @@
   }>;
 }
 
-const waitForSignal = (): Promise<void> =>
-  new Promise((resolve) => {
-    for (const signal of ['SIGTERM', 'SIGINT']) {
-      process.once(signal, () => {
-        resolve();
-      });
-    }
-  });
-
 /** `serve`: runs a node until SIGTERM or SIGINT, then shuts it down gracefully. */
 export class ServeCommand extends CliCommand {
   static override paths = [['serve']];
@@ -39,19 +32,25 @@
   });
 
   async runCommand(): Promise<CommandResult> {
+    const signals = holdSignals();
     const settings = await readSettings(this.settings);
     // Imported on demand, so that the other commands start without loading the node's code.
     const { runNode } = (await import('@laburnumshift/run-node')) as NodeModule;
     if (runNode === undefined) {
       return { result: 'unavailable', text: 'this build has no daemon', value: { detail: 'no daemon' } };
     }
-    const node = await runNode(settings);
-    const { callersUrl, operatorsUrl, meshAddress } = node;
-    const addresses = { callersUrl, operatorsUrl, meshAddress };
-    this.context.stdout.write(`${JSON.stringify(addresses)}\n`);
-    // A drain request also stops the node; the process then ends without a signal.
-    await Promise.race([waitForSignal(), node.stopped]);
-    await node.stop();
+    let addresses: Readonly<Record<string, string>> = {};
+    await runDaemon({
+      signals,
+      logger: createLogger('node'),
+      start: async () => {
+        const node = await runNode(settings);
+        const { callersUrl, operatorsUrl, meshAddress } = node;
+        addresses = { callersUrl, operatorsUrl, meshAddress };
+        this.context.stdout.write(`${JSON.stringify(addresses)}\n`);
+        return node;
+      },
+    });
     return { result: 'ok', text: 'the node has stopped', value: addresses };
   }
 }
