Keep a daemon that gets an unexpected error while it starts or stops

An error in a timer or a rejected promise ended the process when it came before the host had started, and at any time in the product's own daemon, with all calls in progress.

Cause: the handlers of such errors were installed after the start, and only in the forwarding host.

Change: `runDaemon` installs them before the start. Errors are logged, and counted once the host has metrics.

--- a/packages/run-daemon/src/run-daemon.ts
+++ b/packages/run-daemon/src/run-daemon.ts
@@ -3,6 +3,7 @@
 import type { DaemonState } from './daemon-state.js';
 import type { SignalAction } from './signal-action.js';
 import { SIGNAL_ACTIONS } from './signal-actions.js';
+import { watchUnhandledErrors } from './watch-unhandled-errors.js';
 
 /**
  * Starts a daemon, keeps it until the first stop signal and stops it. A stop signal that arrives during the start takes effect when the
@@ -37,12 +38,14 @@
   });
   const isStopRequested = (): boolean => stopSignal.aborted;
   if (isStopRequested()) return;
+  const setErrorRecorder = watchUnhandledErrors(logger);
   const running = await start(stopSignal).catch((error: unknown) => {
     if (!isStopRequested()) throw error;
     logger.info('stopped before the start had ended', { detail: String(error) });
     return undefined;
   });
   if (running === undefined) return;
+  if (running.recordUnhandledError !== undefined) setErrorRecorder(running.recordUnhandledError);
   if (!isStopRequested()) state = 'serving';
   await Promise.race([stopRequested, ...(running.stopped === undefined ? [] : [running.stopped])]);
   state = 'stopping';
