Serve calls while the port of the metrics is in use

What callers saw: a host whose metrics port another process had never listened and exited with 1 (FAULT: the system doesn't start). Two hosts on one machine have the same port, as the deploy file names it.

Cause: the start waited for each listener, also for one that no call needs.

--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -24,6 +24,7 @@
 import { openPlacement } from './open-placement.js';
 import type { RunningForwarder } from './running-forwarder.js';
 import { serveStatus } from './serve-status.js';
+import { startMetricsServer } from './start-metrics-server.js';
 import { startWeightRollouts } from './start-weight-rollouts.js';
 
 /** Fractions of the memory of the machine for request bodies and for answers that are not complete; the program itself takes half. */
@@ -129,10 +130,10 @@
     [options.readinessPath]: () =>
       checkReady() ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' },
   });
-  const metricsServer =
+  const closeMetrics =
     settings.metricsAddress === undefined
       ? undefined
-      : await serveStatus(settings.metricsAddress, {
+      : startMetricsServer(settings.metricsAddress, {
           '/metrics': () => ({ status: 200, text: metrics.renderMetrics() }),
         });
 
@@ -205,7 +206,7 @@
       quarantine.close();
       context.close();
       ready.close();
-      metricsServer?.close();
+      closeMetrics?.();
       await Promise.race([leaseReleased, sleep(times.drainCheckIntervalMs * 4)]);
       pool.close();
       logger.info('stopped', {
