Wait for an address that a stopping process still holds

What callers saw: a host that was started while the process before it still finished its calls exited with 1 and did not come back (FAULT), so that its callers had no host once the first process had ended.

Cause: a start opened each listener once. Class: a resource that is taken for free because the process before it was told to stop.

Evidence: process-starts.test.ts, "the process before it still stops" and "waits for its address when it is to stop" failed before with exit code 1; both pass now. A port that stays in use still ends the start with 1, after the grace period instead of at once (serve-command.test.ts, 9.5 s).

Change: the addresses for callers, readiness and other hosts are tried again every 100 ms during the grace period of a stop, which bounds the life of the process before. The datagram port comes first and is held to the end of a stop, so the new process registers itself only after the old one has left.

--- a/packages/host-channel/src/open-host-channel.ts
+++ b/packages/host-channel/src/open-host-channel.ts
@@ -42,9 +42,13 @@
   });
   await new Promise<void>((resolve, reject) => {
     const { host, port } = parseAddress(address);
-    socket.once('error', reject);
+    const fail = (error: Error): void => {
+      socket.close();
+      reject(error);
+    };
+    socket.once('error', fail);
     socket.bind(port, host, () => {
-      socket.off('error', reject);
+      socket.off('error', fail);
       resolve();
     });
   });
--- a/packages/run-forwarder/src/forwarder-options.ts
+++ b/packages/run-forwarder/src/forwarder-options.ts
@@ -12,6 +12,8 @@
   readonly control: EngineControl;
   /** Closes all connections of the store clients and of `control`; calls on them fail. */
   readonly closeConnections: () => void;
+  /** Ends a start that waits for an address. */
+  readonly stopSignal?: AbortSignal;
   /** Path of the readiness check that the load balancer calls. */
   readonly readinessPath: string;
 }
--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -29,6 +29,7 @@
   options: Pick<ForwarderOptions, 'settings' | 'decoder' | 'kinds' | 'control'>,
   store: OrderedStore,
   settledRequests: SettledRequestHooks,
+  openWhenFree: <T>(open: () => Promise<T>) => Promise<T>,
 ): Promise<HostContext> {
   const { settings, kinds, control } = options;
   const times = FORWARDER_TIMINGS;
@@ -40,7 +41,7 @@
     address: settings.sharingAddress,
     size: settings.cores * Math.min(1, settings.linkMbps / times.fullSizeLinkMbps),
   };
-  const channel = await openHostChannel(settings.sharingAddress);
+  const channel = await openWhenFree(() => openHostChannel(settings.sharingAddress));
   const serverTracker = createServerTracker();
   const notices = createServerNotices();
   const registration: { hosts?: HostRegistry } = {};
@@ -96,21 +97,23 @@
   registration.hosts = hostRegistry;
   // While the other hosts are unknown, this one would read the events of every engine.
   await waitWithTimeout(hostRegistry.whenListed, times.firstHostListTimeoutMs);
-  const events = await createEventsRelay({
-    control,
-    serverTracker,
-    address: settings.sharingAddress,
-    getUpstream: () => sharing.getPlan().upstream?.address,
-    getObjectsUpstream: () => sharing.getPlan().objectsUpstream?.address,
-    objects,
-    readObjects: (kind, after) =>
-      kind === kinds.hosts ? hostRegistry.readChangesSince(after) : fleet.readObjects(kind, after),
-    wantsEvents: () => {
-      const { isRelayed, isRelay } = sharing.getPlan();
-      return !isRelayed || isRelay;
-    },
-    listBackups: () => sharing.getPlan().otherRelays.map(({ address }) => address),
-  });
+  const events = await openWhenFree(() =>
+    createEventsRelay({
+      control,
+      serverTracker,
+      address: settings.sharingAddress,
+      getUpstream: () => sharing.getPlan().upstream?.address,
+      getObjectsUpstream: () => sharing.getPlan().objectsUpstream?.address,
+      objects,
+      readObjects: (kind, after) =>
+        kind === kinds.hosts ? hostRegistry.readChangesSince(after) : fleet.readObjects(kind, after),
+      wantsEvents: () => {
+        const { isRelayed, isRelay } = sharing.getPlan();
+        return !isRelayed || isRelay;
+      },
+      listBackups: () => sharing.getPlan().otherRelays.map(({ address }) => address),
+    }),
+  );
   const watchWaits = computeWatchWaits(settings.bounds);
   const trackedFleet = trackFleet({
     source: objects,
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -1,3 +1,4 @@
+import { retryWhileInUse } from '@laburnumshift/addresses';
 import { createReservationTable, type HomeClient } from '@laburnumshift/ask-home';
 import { createBackendPool } from '@laburnumshift/call-backend';
 import { createByteBudget } from '@laburnumshift/collect-bytes';
@@ -31,7 +32,10 @@
 const BODY_MEMORY_RATIO = 0.125;
 const ANSWER_MEMORY_RATIO = 0.0625;
 
-/** Starts a forwarding host. Resolves when it listens, and rejects when an address cannot be bound. */
+/**
+ * Starts a forwarding host. Resolves when it listens, and rejects when an address cannot be bound. An address in use is waited for during
+ * the grace period of a stop: the process before this one may still finish its calls.
+ */
 export async function runForwarder(options: ForwarderOptions): Promise<RunningForwarder> {
   const { settings, codec } = options;
   const { bounds } = settings;
@@ -43,10 +47,19 @@
   let homeClient: HomeClient | undefined;
   const { source, leases, era } = createOrderedStore(options.store, settings.isFirstStart);
   const store = { ...countStoreCalls(source, leases, metrics), era };
-  const context = await openHostContext(options, store, {
+  const openWhenFree = <T>(open: () => Promise<T>): Promise<T> =>
+    retryWhileInUse(open, {
+      timeoutMs: bounds.graceMs,
+      signal: options.stopSignal,
+      onWait: (error) => {
+        logger.warn('address in use, waiting for it', { timeoutMs: bounds.graceMs, detail: String(error) });
+      },
+    });
+  const settledRequests = {
     getSettled: () => homeClient?.getSettledNumber() ?? 0,
     onSettled: reservations.clearReservations,
-  });
+  };
+  const context = await openHostContext(options, store, settledRequests, openWhenFree);
   const { serverTracker, notices, limits, sharing, fleet, transferPlanner } = context;
   fleet.watchBackends((id, entry) => {
     if (entry === undefined) pool.removeBackend(id);
@@ -92,25 +105,27 @@
     answers: createByteBudget(settings.memoryBytes * ANSWER_MEMORY_RATIO),
   };
   let isDraining = false;
-  const callerServer = await startForwardServer(settings.callerAddress, {
-    codec,
-    fleet,
-    serverTracker,
-    notices,
-    limits,
-    quarantine,
-    pool,
-    placer,
-    sharing,
-    resends,
-    metrics,
-    memory,
-    bounds,
-    failureDomain: settings.failureDomain,
-    pickRandom: Math.random,
-    probeServer: createSharedReportReader(options.control.probeServer),
-    startStallChecks: createSharedInterval(times.stallCheckIntervalMs),
-  });
+  const callerServer = await openWhenFree(() =>
+    startForwardServer(settings.callerAddress, {
+      codec,
+      fleet,
+      serverTracker,
+      notices,
+      limits,
+      quarantine,
+      pool,
+      placer,
+      sharing,
+      resends,
+      metrics,
+      memory,
+      bounds,
+      failureDomain: settings.failureDomain,
+      pickRandom: Math.random,
+      probeServer: createSharedReportReader(options.control.probeServer),
+      startStallChecks: createSharedInterval(times.stallCheckIntervalMs),
+    }),
+  );
   metrics.registerGauge('calls_in_flight', callerServer.countCallsInFlight);
   metrics.registerGauge('quarantined_traits', quarantine.countConvicted);
   metrics.registerGauge('limited_servers', limits.countLimited);
@@ -126,10 +141,12 @@
     wasLastReady = isReady;
     return isReady;
   };
-  const ready = await serveStatus(settings.readyAddress, {
-    [options.readinessPath]: () =>
-      checkReady() ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' },
-  });
+  const ready = await openWhenFree(() =>
+    serveStatus(settings.readyAddress, {
+      [options.readinessPath]: () =>
+        checkReady() ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' },
+    }),
+  );
   const closeMetrics =
     settings.metricsAddress === undefined
       ? undefined
