Keep the signal handlers of a host until its process exits

Between the end of a stop and the exit of the process, a signal had its default effect again. Only a start that fails gives the signals and the handlers of unhandled errors back, which also keeps them out of tests that start a host in their own process.

--- a/packages/run-daemon/src/run-daemon.ts
+++ b/packages/run-daemon/src/run-daemon.ts
@@ -7,7 +7,8 @@
 
 /**
  * Starts a daemon, keeps it until the first stop signal and stops it. A stop signal that arrives during the start takes effect when the
- * start has ended, as calls may have been accepted by then.
+ * start has ended, as calls may have been accepted by then. Signals and unhandled errors keep their handlers until the process exits,
+ * unless the start fails.
  *
  * @throws what `start` throws, unless a stop signal came before; what `stop` throws
  */
@@ -38,14 +39,18 @@
   });
   const isStopRequested = (): boolean => stopSignal.aborted;
   if (isStopRequested()) return;
-  const setErrorRecorder = watchUnhandledErrors(logger);
+  const unhandledErrors = watchUnhandledErrors(logger);
   const running = await start(stopSignal).catch((error: unknown) => {
-    if (!isStopRequested()) throw error;
+    if (!isStopRequested()) {
+      unhandledErrors.stop();
+      signals.release();
+      throw error;
+    }
     logger.info('stopped before the start had ended', { detail: String(error) });
     return undefined;
   });
   if (running === undefined) return;
-  if (running.recordUnhandledError !== undefined) setErrorRecorder(running.recordUnhandledError);
+  if (running.recordUnhandledError !== undefined) unhandledErrors.setRecorder(running.recordUnhandledError);
   if (!isStopRequested()) state = 'serving';
   await Promise.race([stopRequested, ...(running.stopped === undefined ? [] : [running.stopped])]);
   state = 'stopping';
--- a/packages/run-daemon/src/watch-unhandled-errors.ts
+++ b/packages/run-daemon/src/watch-unhandled-errors.ts
@@ -2,21 +2,30 @@
 
 type ErrorRecorder = (kind: string, error: unknown) => void;
 
-/**
- * Keeps the process running after errors that no handler caught, which would end the calls of all handlers. Logs them.
- *
- * @returns a function that sets what records these errors from then on
- */
-export function watchUnhandledErrors(logger: Logger): (recorder: ErrorRecorder) => void {
+/** Keeps the process running after errors that no handler caught, which would end the calls of all handlers. Logs them. */
+export function watchUnhandledErrors(logger: Logger): {
+  /** Sets what records these errors from then on. */
+  readonly setRecorder: (recorder: ErrorRecorder) => void;
+  /** Restores the default effect of these errors. */
+  readonly stop: () => void;
+} {
   let recordError: ErrorRecorder = (kind, error) => {
     const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
     logger.error('unhandled error', { kind, detail });
   };
-  for (const kind of ['uncaughtException', 'unhandledRejection'] as const)
-    process.on(kind, (error: unknown) => {
+  const listeners = (['uncaughtException', 'unhandledRejection'] as const).map((kind) => {
+    const handleError = (error: unknown): void => {
       recordError(kind, error);
-    });
-  return (recorder) => {
-    recordError = recorder;
+    };
+    process.on(kind, handleError);
+    return { kind, handleError };
+  });
+  return {
+    setRecorder: (recorder) => {
+      recordError = recorder;
+    },
+    stop: () => {
+      for (const { kind, handleError } of listeners) process.off(kind, handleError);
+    },
   };
 }
