Wait for addresses that a draining node still holds

What callers saw: a node of the product's own interface that was started while the process before it still drained ended with an error.

The port of the mesh comes first and is held to the end of a drain. A stop signal ends the wait.

--- a/packages/cli/src/commands/serve-command.ts
+++ b/packages/cli/src/commands/serve-command.ts
@@ -8,7 +8,11 @@
 
 /** The part of `@laburnumshift/run-node` that this command uses. */
 interface NodeModule {
-  readonly runNode?: (settings: NodeSettings) => Promise<{
+  readonly runNode?: (
+    settings: NodeSettings,
+    options: undefined,
+    stopSignal: AbortSignal,
+  ) => Promise<{
     readonly callersUrl: string;
     readonly operatorsUrl: string;
     readonly meshAddress: string;
@@ -43,8 +47,8 @@
     await runDaemon({
       signals,
       logger: createLogger('node'),
-      start: async () => {
-        const node = await runNode(settings);
+      start: async (stopSignal) => {
+        const node = await runNode(settings, undefined, stopSignal);
         const { callersUrl, operatorsUrl, meshAddress } = node;
         addresses = { callersUrl, operatorsUrl, meshAddress };
         this.context.stdout.write(`${JSON.stringify(addresses)}\n`);
--- a/packages/run-node/src/run-node.ts
+++ b/packages/run-node/src/run-node.ts
@@ -1,6 +1,6 @@
 import { randomInt } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
-import { parseAddress } from '@laburnumshift/addresses';
+import { parseAddress, retryWhileInUse } from '@laburnumshift/addresses';
 import { createRunRegistry } from '@laburnumshift/attach-runs';
 import { createNodeMesh } from '@laburnumshift/call-node';
 import { createPlatformClient } from '@laburnumshift/call-platform';
@@ -34,27 +34,50 @@
 import { setGauges } from './set-gauges.js';
 import { stopNode } from './stop-node.js';
 
+/** Opens a listener, and waits while its address is in use. */
+type OpenWhenFree = <T>(open: () => Promise<T>) => Promise<T>;
+
 const MAX_SEED = 2 ** 31;
 
 /**
  * Starts one node. Resolves when the node listens for callers and operators. The node is ready while it has a configuration
  * that is not stale and it is not draining.
  *
+ * An address in use is waited for while a node before this one may drain.
+ *
  * @param options - replacements for the decision functions, for measurements only
+ * @param stopSignal - ends a start that waits for an address
  */
-export async function runNode(settings: NodeSettings, options: NodeOptions = {}): Promise<RunningNode> {
-  const parts = await createParts(settings, options);
+export async function runNode(
+  settings: NodeSettings,
+  options: NodeOptions = {},
+  stopSignal?: AbortSignal,
+): Promise<RunningNode> {
+  const logger = createLogger('node');
+  const { balancerDelayMs, drainMs } = settings.shutdown;
+  const openWhenFree: OpenWhenFree = (open) =>
+    retryWhileInUse(open, {
+      timeoutMs: balancerDelayMs + drainMs,
+      signal: stopSignal,
+      onWait: (error) => {
+        logger.warn('address in use, waiting for it', { detail: String(error) });
+      },
+    });
+  const parts = await createParts(settings, options, openWhenFree);
   registerHandlers(parts);
   setGauges(parts);
   let draining = false;
   const isReady = (): boolean =>
     !draining && parts.configWatch.getConfig() !== undefined && !parts.configWatch.isStale();
 
-  const callers = await startCallerServer(
-    { ...parseAddress(settings.callers), limits: settings.limits, tls: await readTls(settings) },
-    createCallerHandlers(
-      parts,
-      () => parts.configWatch.getConfig() !== undefined && !parts.configWatch.isStale(),
+  const tls = await readTls(settings);
+  const callers = await openWhenFree(() =>
+    startCallerServer(
+      { ...parseAddress(settings.callers), limits: settings.limits, tls },
+      createCallerHandlers(
+        parts,
+        () => parts.configWatch.getConfig() !== undefined && !parts.configWatch.isStale(),
+      ),
     ),
   );
   let stopping: Promise<void> | undefined;
@@ -67,13 +90,15 @@
     stopping ??= stopNode(parts, callers, operators).finally(reportStopped);
     return stopping;
   };
-  const operators = await serveOperators({
-    listen: settings.operators,
-    token: settings.operatorToken,
-    handlers: createOperatorHandlers(parts, isReady, () => {
-      void stop();
+  const operators = await openWhenFree(() =>
+    serveOperators({
+      listen: settings.operators,
+      token: settings.operatorToken,
+      handlers: createOperatorHandlers(parts, isReady, () => {
+        void stop();
+      }),
     }),
-  });
+  );
   const scheme = settings.tls === undefined ? 'http' : 'https';
   parts.logger.info('listening', { callers: callers.address, operators: operators.url });
   return {
@@ -85,16 +110,18 @@
   };
 }
 
-async function createParts(settings: NodeSettings, options: NodeOptions): Promise<NodeParts> {
+async function createParts(
+  settings: NodeSettings,
+  options: NodeOptions,
+  openWhenFree: OpenWhenFree,
+): Promise<NodeParts> {
   const logger = createLogger('node');
   logger.setLevel(settings.log.level);
   const metrics = createMetrics();
   const platform = createPlatformClient({ url: settings.platformUrl, ...settings.platform });
-  const mesh = await createNodeMesh({
-    listen: settings.mesh,
-    secret: settings.meshSecret,
-    tls: settings.tls,
-  });
+  const mesh = await openWhenFree(() =>
+    createNodeMesh({ listen: settings.mesh, secret: settings.meshSecret, tls: settings.tls }),
+  );
   // Membership reads the host watch and is therefore created after it. The host watch reads membership through this object.
   const membershipRef: { membership?: Membership } = {};
   const hostWatch = createHostWatch(platform, mesh, () => membershipRef.membership, logger);
