Tell connections that the kernel refused to open from kept ones

Cause: a socket whose connect() fails at once no longer connects when the request gets it, and was taken for a kept connection on which the call had been sent.

Evidence: failed-connects.test.ts failed before (502 in 5 of 5 calls, 3 of 3 runs) and passes now: 503, with Retry-After. The clients of the platform and of the store had the same condition (read) and have the same change.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -122,7 +122,8 @@
         watchReceivedBytes(socket);
         watchReset(socket);
         if (!socket.connecting) {
-          phase = 'sent';
+          // A connection that the system refused to open does not connect either.
+          if (!socket.destroyed) phase = 'sent';
           return;
         }
         const stopConnectTimer = startTimer(CONNECT_TIMEOUT_MS, () => {
--- a/packages/call-platform/src/send-http-request.ts
+++ b/packages/call-platform/src/send-http-request.ts
@@ -52,7 +52,7 @@
       finish({ kind: 'failed', sent, detail: error instanceof Error ? error.message : String(error) });
     };
     request.on('socket', (socket) => {
-      if (!socket.connecting) sent = true;
+      if (!socket.connecting && !socket.destroyed) sent = true;
       else socket.once('connect', () => (sent = true));
     });
     request.on('error', fail);
--- a/packages/call-store/src/start-request.ts
+++ b/packages/call-store/src/start-request.ts
@@ -62,7 +62,7 @@
           sent = true;
         });
       } else {
-        sent = true;
+        sent = !socket.destroyed;
       }
     });
     request.on('response', (opened) => {
