Run no call behind the answer that closes its connection

What callers saw: in a stop, a call that crossed the head of an answer with `Connection: close` was sent to a server, and its connection closed without an answer to it (LOST). Found by playing clients that do not wait for answers.

Cause: the close was announced for the connection, and later requests on it were handled like any other.

Change: a connection remembers that an answer closes it; a request behind that answer is read and dropped, and does not run.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -13,5 +13,6 @@
 export { sleep } from './sleep.js';
 export { startLoop } from './start-loop.js';
 export { startTimer } from './start-timer.js';
+export { waitForReads } from './wait-for-reads.js';
 export { waitWithTimeout } from './wait-with-timeout.js';
 export { watchSuspension } from './watch-suspension.js';
--- a/packages/forward-calls/src/create-kept-connections.ts
+++ b/packages/forward-calls/src/create-kept-connections.ts
@@ -2,19 +2,51 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
 import type { KeptConnections } from './kept-connections.js';
 
+interface ConnectionState {
+  requests: number;
+  idleSinceMs: number;
+  bytesRead: number;
+  isClosing: boolean;
+  runIdle: (() => void) | undefined;
+}
+
 /** Creates an empty table. Connections leave it when they close. */
 export function createKeptConnections(): KeptConnections {
-  const states = new Map<net.Socket, { requests: number; idleSinceMs: number; bytesRead: number }>();
+  const states = new Map<net.Socket, ConnectionState>();
+  const openState = (socket: net.Socket): ConnectionState => {
+    const known = states.get(socket);
+    if (known !== undefined) return known;
+    const state = {
+      requests: 0,
+      idleSinceMs: readMonotonicMs(),
+      bytesRead: 0,
+      isClosing: false,
+      runIdle: undefined,
+    };
+    states.set(socket, state);
+    socket.once('close', () => states.delete(socket));
+    return state;
+  };
   return {
+    addConnection: openState,
+    countConnections: () => states.size,
+    markClosing: (socket) => {
+      openState(socket).isClosing = true;
+    },
+    isClosing: (socket) => states.get(socket)?.isClosing === true,
+    runWhenIdle: (socket, handler) => {
+      const state = openState(socket);
+      if (state.requests === 0) handler();
+      else state.runIdle = handler;
+    },
     beginRequest: (socket) => {
-      const state = states.get(socket) ?? { requests: 0, idleSinceMs: 0, bytesRead: 0 };
-      if (!states.has(socket)) socket.once('close', () => states.delete(socket));
-      states.set(socket, state);
+      const state = openState(socket);
       state.requests += 1;
       return () => {
         state.requests -= 1;
         state.idleSinceMs = readMonotonicMs();
         state.bytesRead = socket.bytesRead;
+        if (state.requests === 0) state.runIdle?.();
       };
     },
     countRequests: (socket) => states.get(socket)?.requests ?? 0,
--- a/packages/forward-calls/src/kept-connections.ts
+++ b/packages/forward-calls/src/kept-connections.ts
@@ -1,7 +1,16 @@
 import type net from 'node:net';
 
-/** Connections of callers that have had a request. */
+/** Connections of callers. */
 export interface KeptConnections {
+  /** Adds a new connection, on which no request has come. */
+  readonly addConnection: (socket: net.Socket) => void;
+  /** Returns the number of open connections. */
+  readonly countConnections: () => number;
+  /** Notes that an answer closes the connection when it ends: later requests on it get no answer. */
+  readonly markClosing: (socket: net.Socket) => void;
+  readonly isClosing: (socket: net.Socket) => boolean;
+  /** Runs the handler when the connection has no request, at once if it has none now. */
+  readonly runWhenIdle: (socket: net.Socket, handler: () => void) => void;
   /** Counts a request on a connection until the returned function is called. */
   readonly beginRequest: (socket: net.Socket) => () => void;
   /** Returns the number of requests on a connection; pipelined ones come before the answers of earlier ones. */
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -168,6 +168,7 @@
   ): Promise<void> => {
     const callerAbort = new AbortController();
     const { socket } = request;
+    const isBehindLast = connections.isClosing(socket);
     const endRequest = connections.beginRequest(socket);
     // Node.js states the limit that holds as a request begins, and closes by the one that holds as its response ends.
     const statedIdleMs = server.keepAliveTimeout + IDLE_MARGIN_MS;
@@ -186,8 +187,20 @@
     const reply = createCallerReply(
       response,
       // An answer that closes the connection would take away those of the pipelined requests after it.
-      () => isDraining && connections.countRequests(socket) <= 1,
+      () => {
+        const isLast = isDraining && connections.countRequests(socket) <= 1;
+        if (isLast) connections.markClosing(socket);
+        return isLast;
+      },
     );
+    if (isBehindLast) {
+      // No answer can follow the one that closes the connection, so the call must not run.
+      dropBody(request, fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES);
+      logger.info('call not taken: its connection closes after an earlier answer');
+      deps.metrics.addToCounter('refused_calls_total', { reason: 'the connection closes' });
+      await whenClosed;
+      return;
+    }
     const bodyMemory = deps.memory.bodies.openReservation();
     const answerMemory = deps.memory.answers.openReservation();
     let callId: string | undefined;
