Read the rest of an upload before a stopping host closes its connection

Cause: in a stop each answer closes its connection, also a refusal that is sent while the body of its request still arrives, which resets the connection.

Such a connection is kept and closed when it is idle.

--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -188,7 +188,8 @@
       response,
       // An answer that closes the connection would take away those of the pipelined requests after it.
       () => {
-        const isLast = isDraining && connections.countRequests(socket) <= 1;
+        // A connection that closes within an upload is reset, and its caller may not have read the answer.
+        const isLast = isDraining && request.complete && connections.countRequests(socket) <= 1;
         if (isLast) connections.markClosing(socket);
         return isLast;
       },
