Answer the calls in progress before a malformed request behind them

A stream in progress was cut.

Cause: the handler of parse errors ended the connection with 400, whatever was in progress on it.

--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { Socket } from 'node:net';
 import { openListener } from '@laburnumshift/addresses';
 import { readMonotonicMs } from '@laburnumshift/clock';
 import type { ByteReservation } from '@laburnumshift/collect-bytes';
@@ -238,9 +239,15 @@
     },
   );
   server.on('clientError', (error, socket) => {
+    // Further bytes of a connection that could not be parsed fail as well.
+    if (!(socket instanceof Socket) || connections.isClosing(socket)) return;
     logger.warn('request could not be parsed', { detail: error.message });
-    if (socket.writable)
-      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+    connections.markClosing(socket);
+    // Before the answers to the requests before it, the caller would take this for one of them.
+    connections.runWhenIdle(socket, () => {
+      if (socket.writable)
+        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+    });
   });
   await openListener(server, address, LISTEN_BACKLOG);
   logger.info('listening for callers', { address });
