Read what has arrived before closing idle connections and the listener

What callers saw: neither an answer nor a refusal. A host that stood still for a moment reset whole calls: 20 of 20 around the end of the listener of a stop (100 to 800 ms), 10 of 10 at the idle limit (1.8 s).

Cause: after a stall of the event loop, timers run before connections are accepted and read. The stop and the idle timer of Node.js then closed connections with calls on them, and the stop closed connections that had just become idle. Class: a decision on what has arrived, taken before it is read.

Change: the idle timer and the end of the listener first let the runtime read. Idle connections are closed after 0.2 s without a request, as later in a stop; a stop lasts up to 0.5 s longer for that.

--- a/packages/forward-calls/src/create-kept-connections.ts
+++ b/packages/forward-calls/src/create-kept-connections.ts
@@ -13,6 +13,7 @@
 /** Creates an empty table. Connections leave it when they close. */
 export function createKeptConnections(): KeptConnections {
   const states = new Map<net.Socket, ConnectionState>();
+  let opened = 0;
   const openState = (socket: net.Socket): ConnectionState => {
     const known = states.get(socket);
     if (known !== undefined) return known;
@@ -28,7 +29,10 @@
     return state;
   };
   return {
-    addConnection: openState,
+    countOpened: () => opened,
+    recordOpened: () => {
+      opened += 1;
+    },
     countConnections: () => states.size,
     markClosing: (socket) => {
       openState(socket).isClosing = true;
--- a/packages/forward-calls/src/kept-connections.ts
+++ b/packages/forward-calls/src/kept-connections.ts
@@ -2,9 +2,11 @@
 
 /** Connections of callers. */
 export interface KeptConnections {
-  /** Adds a new connection, on which no request has come. */
-  readonly addConnection: (socket: net.Socket) => void;
-  /** Returns the number of open connections. */
+  /** Counts a connection that was opened. */
+  readonly recordOpened: () => void;
+  /** Returns the number of connections that were ever opened. */
+  readonly countOpened: () => number;
+  /** Returns the number of open connections that have had a request. */
   readonly countConnections: () => number;
   /** Notes that an answer closes the connection when it ends: later requests on it get no answer. */
   readonly markClosing: (socket: net.Socket) => void;
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
-import { Socket } from 'node:net';
+import net from 'node:net';
 import { openListener } from '@laburnumshift/addresses';
-import { readMonotonicMs } from '@laburnumshift/clock';
+import { readMonotonicMs, waitForReads } from '@laburnumshift/clock';
 import type { ByteReservation } from '@laburnumshift/collect-bytes';
 import { CALL_KINDS, type CallDecodeFailure, type ForwardCall } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
@@ -240,7 +240,7 @@
   );
   server.on('clientError', (error, socket) => {
     // Further bytes of a connection that could not be parsed fail as well.
-    if (!(socket instanceof Socket) || connections.isClosing(socket)) return;
+    if (!(socket instanceof net.Socket) || connections.isClosing(socket)) return;
     logger.warn('request could not be parsed', { detail: error.message });
     connections.markClosing(socket);
     // Before the answers to the requests before it, the caller would take this for one of them.
@@ -249,6 +249,13 @@
         socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
     });
   });
+  server.on('connection', connections.recordOpened);
+  server.on('timeout', (socket: net.Socket) => {
+    const { bytesRead } = socket;
+    void waitForReads().then(() => {
+      if (socket.bytesRead === bytesRead && connections.countRequests(socket) === 0) socket.destroy();
+    });
+  });
   await openListener(server, address, LISTEN_BACKLOG);
   logger.info('listening for callers', { address });
 
@@ -257,11 +264,18 @@
       isDraining = true;
     },
     countCallsInFlight: () => inFlight,
-    stopListening: () => {
+    stopListening: async () => {
+      // The runtime accepts one connection a turn.
+      for (let opened = -1; opened !== connections.countOpened();) {
+        opened = connections.countOpened();
+        await waitForReads();
+      }
       isListening = false;
-      server.close();
-      server.closeIdleConnections();
+      // `http.Server` would also close connections on which a request may be on its way.
+      net.Server.prototype.close.call(server);
+      connections.closeIdle(MIN_IDLE_MS);
     },
+    countConnections: connections.countConnections,
     endCalls: () => {
       stopController.abort();
     },
--- a/packages/forward-calls/test/start-forward-server.test.ts
+++ b/packages/forward-calls/test/start-forward-server.test.ts
@@ -166,7 +166,7 @@
   pipelined.socket.write(REQUEST + REQUEST);
   await sleep(100);
   server.startDraining();
-  server.stopListening();
+  await server.stopListening();
   for (let round = 0; round < 12; round += 1) {
     await sleep(50);
     server.closeIdleConnections();
--- a/packages/run-forwarder/src/forwarder-timings.ts
+++ b/packages/run-forwarder/src/forwarder-timings.ts
@@ -28,6 +28,8 @@
   sendMarginMs: 300,
   /** Time until the load balancer stops sending connections: it removes a host after two failed checks at one-second intervals. */
   balancerRemovalMs: 2600,
+  /** Time after the end of the listener in which connections that were just in use become idle and are closed. */
+  idleCloseMs: 500,
   /** Part of the grace period that is reserved for the exit of the process. */
   exitReserveMs: 700,
   /** Part of that time in which calls without an answer get one. */
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -224,9 +224,13 @@
       const computeElapsed = (): number => readMonotonicMs() - startedMs;
       const drainEndMs = bounds.graceMs - times.exitReserveMs;
       while (computeElapsed() < times.balancerRemovalMs) await sleep(times.drainCheckIntervalMs);
-      // The load balancer sends no new connections by now. Idle ones are closed, so that no late call arrives that cannot be finished.
-      callerServer.stopListening();
-      while (computeElapsed() < drainEndMs && callerServer.countCallsInFlight() > 0) {
+      // The load balancer sends no new connections by now. Idle ones are closed after a while, so that no late call arrives that cannot be finished.
+      await callerServer.stopListening();
+      const idleEndMs = Math.min(drainEndMs, computeElapsed() + times.idleCloseMs);
+      const isInUse = (): boolean =>
+        callerServer.countCallsInFlight() > 0 ||
+        (callerServer.countConnections() > 0 && computeElapsed() < idleEndMs);
+      while (computeElapsed() < drainEndMs && isInUse()) {
         await sleep(times.drainCheckIntervalMs);
         callerServer.closeIdleConnections();
       }
