Wait longer for addresses, and for those that the machine gets a moment later

Cause: the wait was one grace period from the start of the new process, for each listener anew, and only for EADDRINUSE.

Change: all listeners share twice the grace period; EADDRNOTAVAIL is waited for as well. Readiness is answered before the listener for callers opens, and says no until then.

--- a/packages/addresses/src/index.ts
+++ b/packages/addresses/src/index.ts
@@ -2,4 +2,4 @@
 export { isAddress } from './is-address.js';
 export { openListener } from './open-listener.js';
 export { parseAddress } from './parse-address.js';
-export { retryWhileInUse } from './retry-while-in-use.js';
+export { retryUntilBound } from './retry-until-bound.js';
--- a/packages/addresses/test/retry-while-in-use.test.ts
+++ b/packages/addresses/test/retry-until-bound.test.ts
@@ -1,4 +1,4 @@
-import { retryWhileInUse } from '@laburnumshift/addresses';
+import { retryUntilBound } from '@laburnumshift/addresses';
 import { installClock } from '@laburnumshift/test-utils';
 import test from 'ava';
 
@@ -22,9 +22,12 @@
     t.teardown(() => {
       clock.uninstall();
     });
-    const { open, calls } = createOpen(Array<string>(20).fill('EADDRINUSE'));
+    const { open, calls } = createOpen([
+      ...Array<string>(10).fill('EADDRNOTAVAIL'),
+      ...Array<string>(10).fill('EADDRINUSE'),
+    ]);
     const waits: unknown[] = [];
-    const opened = retryWhileInUse(open, { timeoutMs: 8000, onWait: (error) => waits.push(error) });
+    const opened = retryUntilBound(open, { timeoutMs: 8000, onWait: (error) => waits.push(error) });
     await clock.tickAsync(3000);
     t.is(await opened, 'open');
     t.deepEqual([calls.length, waits.length], [21, 1]);
@@ -39,11 +42,11 @@
       clock.uninstall();
     });
     const inUse = createOpen(Array<string>(1000).fill('EADDRINUSE'));
-    const failed = t.throwsAsync(retryWhileInUse(inUse.open, { timeoutMs: 8000, onWait: () => undefined }));
+    const failed = t.throwsAsync(retryUntilBound(inUse.open, { timeoutMs: 8000, onWait: () => undefined }));
     await clock.tickAsync(9000);
     t.is(((await failed) as NodeJS.ErrnoException).code, 'EADDRINUSE');
     const denied = createOpen(['EACCES']);
-    await t.throwsAsync(retryWhileInUse(denied.open, { timeoutMs: 8000, onWait: () => undefined }));
+    await t.throwsAsync(retryUntilBound(denied.open, { timeoutMs: 8000, onWait: () => undefined }));
     t.is(denied.calls.length, 1);
   },
 );
@@ -52,7 +55,7 @@
   const { open } = createOpen(Array<string>(1000).fill('EADDRINUSE'));
   const stop = new AbortController();
   const failed = t.throwsAsync(
-    retryWhileInUse(open, { timeoutMs: 60_000, signal: stop.signal, onWait: () => undefined }),
+    retryUntilBound(open, { timeoutMs: 60_000, signal: stop.signal, onWait: () => undefined }),
   );
   stop.abort();
   t.is(((await failed) as NodeJS.ErrnoException).code, 'EADDRINUSE');
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -1,4 +1,4 @@
-import { retryWhileInUse } from '@laburnumshift/addresses';
+import { retryUntilBound } from '@laburnumshift/addresses';
 import { createReservationTable, type HomeClient } from '@laburnumshift/ask-home';
 import { createBackendPool } from '@laburnumshift/call-backend';
 import { createByteBudget } from '@laburnumshift/collect-bytes';
@@ -39,8 +39,8 @@
 const ANSWER_MEMORY_RATIO = 0.0625;
 
 /**
- * Starts a forwarding host. Resolves when it listens, and rejects when an address cannot be bound. An address in use is waited for during
- * the grace period of a stop: the process before this one may still finish its calls.
+ * Starts a forwarding host. Resolves when it listens, and rejects when an address cannot be bound. An address in use is waited for: the
+ * process before this one may still finish its calls. After a stop signal no listener for callers is opened, and the start rejects.
  */
 export async function runForwarder(options: ForwarderOptions): Promise<RunningForwarder> {
   const { settings, codec } = options;
@@ -53,14 +53,18 @@
   let homeClient: HomeClient | undefined;
   const { source, leases, era } = createOrderedStore(options.store, settings.isFirstStart);
   const store = { ...countStoreCalls(source, leases, metrics), era };
-  const openWhenFree = <T>(open: () => Promise<T>): Promise<T> =>
-    retryWhileInUse(open, {
-      timeoutMs: bounds.graceMs,
+  // The process before this one may get its stop signal only now.
+  const openEndMs = readMonotonicMs() + 2 * bounds.graceMs;
+  const openWhenFree = <T>(open: () => Promise<T>): Promise<T> => {
+    const timeoutMs = openEndMs - readMonotonicMs();
+    return retryUntilBound(open, {
+      timeoutMs,
       signal: options.stopSignal,
       onWait: (error) => {
-        logger.warn('address in use, waiting for it', { timeoutMs: bounds.graceMs, detail: String(error) });
+        logger.warn('address in use, waiting for it', { timeoutMs, detail: String(error) });
       },
     });
+  };
   const settledRequests = {
     getSettled: () => homeClient?.getSettledNumber() ?? 0,
     onSettled: reservations.clearReservations,
@@ -111,6 +115,24 @@
     answers: createByteBudget(settings.memoryBytes * ANSWER_MEMORY_RATIO),
   };
   let isDraining = false;
+  let isListening = false;
+  let wasLastReady: boolean | undefined;
+  const checkReady = (): boolean => {
+    const configAgeMs = fleet.getConfigAgeMs();
+    const isComplete = fleet.isComplete();
+    const isReady =
+      isListening && isHostReady({ isDraining, isComplete, configAgeMs, revokeMs: bounds.revokeMs });
+    if (isReady !== wasLastReady)
+      logger.info('readiness', { isReady, isListening, isDraining, isComplete, configAgeMs });
+    wasLastReady = isReady;
+    return isReady;
+  };
+  const ready = await openWhenFree(() =>
+    serveStatus(settings.readyAddress, {
+      [options.readinessPath]: () =>
+        checkReady() ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' },
+    }),
+  );
   const callerServer = await openWhenFree(() =>
     startForwardServer(settings.callerAddress, {
       codec,
@@ -132,6 +154,7 @@
       startStallChecks: createSharedInterval(times.stallCheckIntervalMs),
     }),
   );
+  isListening = true;
   metrics.registerGauge('calls_in_flight', callerServer.countCallsInFlight);
   metrics.registerGauge('quarantined_traits', quarantine.countConvicted);
   metrics.registerGauge('limited_servers', limits.countLimited);
@@ -139,21 +162,6 @@
   metrics.registerGauge('answer_bytes_kept', memory.answers.countReserved);
   metrics.registerGauge('resident_bytes', () => process.memoryUsage.rss());
   metrics.registerGauge('config_age_ms', fleet.getConfigAgeMs);
-  let wasLastReady: boolean | undefined;
-  const checkReady = (): boolean => {
-    const configAgeMs = fleet.getConfigAgeMs();
-    const isComplete = fleet.isComplete();
-    const isReady = isHostReady({ isDraining, isComplete, configAgeMs, revokeMs: bounds.revokeMs });
-    if (isReady !== wasLastReady) logger.info('readiness', { isReady, isDraining, isComplete, configAgeMs });
-    wasLastReady = isReady;
-    return isReady;
-  };
-  const ready = await openWhenFree(() =>
-    serveStatus(settings.readyAddress, {
-      [options.readinessPath]: () =>
-        checkReady() ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' },
-    }),
-  );
   const closeMetrics =
     settings.metricsAddress === undefined
       ? undefined
--- a/packages/run-node/src/run-node.ts
+++ b/packages/run-node/src/run-node.ts
@@ -1,6 +1,6 @@
 import { randomInt } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
-import { parseAddress, retryWhileInUse } from '@laburnumshift/addresses';
+import { parseAddress, retryUntilBound } from '@laburnumshift/addresses';
 import { createRunRegistry } from '@laburnumshift/attach-runs';
 import { createNodeMesh } from '@laburnumshift/call-node';
 import { createPlatformClient } from '@laburnumshift/call-platform';
@@ -56,7 +56,7 @@
   const logger = createLogger('node');
   const { balancerDelayMs, drainMs } = settings.shutdown;
   const openWhenFree: OpenWhenFree = (open) =>
-    retryWhileInUse(open, {
+    retryUntilBound(open, {
       timeoutMs: balancerDelayMs + drainMs,
       signal: stopSignal,
       onWait: (error) => {
