Accept no calls after a stop signal during the start

Cause: only the wait for an address looked at the stop signal.

Evidence: process-signals.test.ts, "accepts after SIGTERM during its start", fails without the check (the host answers calls) and passes with it.

--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -133,6 +133,7 @@
         checkReady() ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' },
     }),
   );
+  options.stopSignal?.throwIfAborted();
   const callerServer = await openWhenFree(() =>
     startForwardServer(settings.callerAddress, {
       codec,
