Bound a start that has met an error or a stop signal

Cause: errors that no handler caught no longer end a process that starts, and nothing bounded the start. A stop that failed was logged as a failed start.

--- a/packages/run-daemon/src/run-daemon.ts
+++ b/packages/run-daemon/src/run-daemon.ts
@@ -1,3 +1,4 @@
+import { createStartLimit } from './create-start-limit.js';
 import type { DaemonOptions } from './daemon-options.js';
 import type { DaemonSignal } from './daemon-signal.js';
 import type { DaemonState } from './daemon-state.js';
@@ -28,7 +29,7 @@
       stopController.abort();
     },
     continueStop: (signal) => {
-      logger.info('the stop is in progress; calls in progress are finished', { signal });
+      logger.info('a stop is already in progress, waiting for calls', { signal });
     },
     keepSettings: (signal) => {
       logger.info('settings are read only when the process starts', { signal, state });
@@ -39,8 +40,10 @@
   });
   const isStopRequested = (): boolean => stopSignal.aborted;
   if (isStopRequested()) return;
-  const unhandledErrors = watchUnhandledErrors(logger);
-  const running = await start(stopSignal).catch((error: unknown) => {
+  const startLimit = createStartLimit();
+  stopSignal.addEventListener('abort', startLimit.begin);
+  const unhandledErrors = watchUnhandledErrors(logger, startLimit.begin);
+  const running = await Promise.race([start(stopSignal), startLimit.whenExceeded]).catch((error: unknown) => {
     if (!isStopRequested()) {
       unhandledErrors.stop();
       signals.release();
@@ -49,10 +52,14 @@
     logger.info('stopped before the start had ended', { detail: String(error) });
     return undefined;
   });
+  startLimit.end();
   if (running === undefined) return;
   if (running.recordUnhandledError !== undefined) unhandledErrors.setRecorder(running.recordUnhandledError);
   if (!isStopRequested()) state = 'serving';
   await Promise.race([stopRequested, ...(running.stopped === undefined ? [] : [running.stopped])]);
   state = 'stopping';
-  await running.stop();
+  await running.stop().catch((error: unknown) => {
+    logger.error('the stop failed', { detail: String(error) });
+    throw error;
+  });
 }
--- a/packages/run-daemon/test/run-daemon.test.ts
+++ b/packages/run-daemon/test/run-daemon.test.ts
@@ -5,6 +5,7 @@
   type HeldSignals,
   type RunningDaemon,
 } from '@laburnumshift/run-daemon';
+import { installClock } from '@laburnumshift/test-utils';
 import test from 'ava';
 
 /** Signals that a test sends, in place of those of the process. */
@@ -113,3 +114,58 @@
   daemon.failStart(new Error('in use'));
   await t.throwsAsync(daemon.whenEnded, { message: 'in use' });
 });
+
+for (const trouble of ['a stop signal', 'an error that no handler caught'] as const)
+  test.serial(`guards against a start that never ends after ${trouble}`, async (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const { signals, send } = createFakeSignals();
+    const handlers = process.listeners('unhandledRejection').length;
+    const ended = runDaemon({
+      signals,
+      logger: createLogger('test'),
+      start: () => new Promise(() => undefined),
+    }).then(
+      () => 'stopped',
+      () => 'failed',
+    );
+    const [listener] = process.listeners('unhandledRejection').slice(handlers);
+    if (trouble === 'a stop signal') send('SIGTERM');
+    else listener?.(new Error('injected fault'), Promise.resolve());
+    await clock.tickAsync(10_000);
+    t.is(await ended, trouble === 'a stop signal' ? 'stopped' : 'failed');
+  });
+
+test('guards against a daemon that starts after a stop signal', async (t) => {
+  let starts = 0;
+  await runDaemon({
+    signals: {
+      setHandler: (handler) => {
+        handler('SIGTERM');
+      },
+      release: () => undefined,
+    },
+    logger: createLogger('test'),
+    start: () => {
+      starts += 1;
+      return Promise.reject(new Error('not to be started'));
+    },
+  });
+  t.is(starts, 0);
+});
+
+test('guards against a daemon that stays although it has stopped for another reason', async (t) => {
+  let stops = 0;
+  const stop = (): Promise<void> => {
+    stops += 1;
+    return Promise.resolve();
+  };
+  await runDaemon({
+    signals: createFakeSignals().signals,
+    logger: createLogger('test'),
+    start: () => Promise.resolve({ stop, stopped: Promise.resolve() }),
+  });
+  t.is(stops, 1);
+});
