Exit when the start or stop of a node has failed

Cause: the command line set the exit code and waited for the event loop to become empty, which open parts of the node prevent.

Evidence: serve-starts.test.ts, "stays alive, or ignores signals".

--- a/packages/cli/bin/laburnumshift.js
+++ b/packages/cli/bin/laburnumshift.js
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
 import { runCli } from '@laburnumshift/cli';
 
-process.exitCode = await runCli(process.argv.slice(2));
+// Parts of a daemon whose start or stop failed would keep the process alive.
+process.exit(await runCli(process.argv.slice(2)));
--- a/packages/cli/test/serve-starts.test.ts
+++ b/packages/cli/test/serve-starts.test.ts
@@ -1,6 +1,7 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtemp, writeFile } from 'node:fs/promises';
+import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import { findFreePort, waitFor } from '@laburnumshift/test-utils';
@@ -52,3 +53,25 @@
   after.child.kill('SIGTERM');
   t.deepEqual((await after.exited)[0], 0);
 });
+
+test('guards against a node that stays alive, or ignores signals, as its start ends without serving', async (t) => {
+  const file = path.join(await mkdtemp(path.join(os.tmpdir(), 'serve-starts-')), 'node.jsonc');
+  const first = await findFreePort(3);
+  const blocker = net.createServer();
+  await new Promise<void>((resolve) => blocker.listen(first, '127.0.0.1', resolve));
+  const [callers, operators, mesh] = [0, 1, 2].map((index) => `127.0.0.1:${String(first + index)}`);
+  const settings = { host: 'entry-1', failureDomain: 'domain-1', callers, operators, mesh };
+  const secret = 'mesh-secret-of-a-test-and-not-more';
+  await writeFile(
+    file,
+    JSON.stringify({ ...settings, platformUrl: 'http://127.0.0.1:1', meshSecret: secret }),
+  );
+  const node = startNode(file);
+  t.teardown(() => {
+    node.child.kill('SIGKILL');
+    blocker.close();
+  });
+  await waitFor('the wait for the address', () => node.output.includes('in use'));
+  node.child.kill('SIGTERM');
+  t.deepEqual((await node.exited)[0], 0);
+});
