Hold signals before the command line of the product is loaded

Cause: the signals were held when the command ran, after all of the program had been loaded.

No test: the moment cannot be told from outside without a sleep.

--- a/packages/cli/src/commands/serve-command.ts
+++ b/packages/cli/src/commands/serve-command.ts
@@ -1,6 +1,6 @@
 import { createLogger } from '@laburnumshift/logger';
 import { readSettings } from '@laburnumshift/read-settings';
-import { holdSignals, runDaemon } from '@laburnumshift/run-daemon';
+import { holdSignals, runDaemon, type HeldSignals } from '@laburnumshift/run-daemon';
 import type { NodeSettings } from '@laburnumshift/types';
 import { Command, Option } from 'clipanion';
 import { CliCommand } from '../cli-command.js';
@@ -35,8 +35,11 @@
     description: 'Settings file, JSON with comments',
   });
 
+  /** Signals of the process, set before the command runs. */
+  signals: HeldSignals | undefined;
+
   async runCommand(): Promise<CommandResult> {
-    const signals = holdSignals();
+    const signals = this.signals ?? holdSignals();
     const settings = await readSettings(this.settings);
     // Imported on demand, so that the other commands start without loading the node's code.
     const { runNode } = (await import('@laburnumshift/run-node')) as NodeModule;
