Refuse a request whose own body is malformed at once

What was seen: with a call whose chunked body is malformed waited until its caller left; before, it got 400. Found by reading the change.

Cause: the 400 waited for the request in progress, which was the malformed one.

Evidence: malformed-requests.test.ts, "its own body is malformed", timed out before and passes now. The 400 waits only for requests that arrived in whole. The wait for new connections at the end of the listener is bounded as well.

--- a/packages/forward-calls/src/create-kept-connections.ts
+++ b/packages/forward-calls/src/create-kept-connections.ts
@@ -1,15 +1,22 @@
+import type http from 'node:http';
 import type net from 'node:net';
 import { readMonotonicMs } from '@laburnumshift/clock';
 import type { KeptConnections } from './kept-connections.js';
 
 interface ConnectionState {
   requests: number;
+  /** The newest request. */
+  request: http.IncomingMessage | undefined;
   idleSinceMs: number;
   bytesRead: number;
   isClosing: boolean;
-  runIdle: (() => void) | undefined;
+  runAnswered: (() => void) | undefined;
 }
 
+/** Whether each request that has arrived in whole has its answer. */
+const isAnswered = ({ requests, request }: ConnectionState): boolean =>
+  requests === 0 || (requests === 1 && request?.complete === false);
+
 /** Creates an empty table. Connections leave it when they close. */
 export function createKeptConnections(): KeptConnections {
   const states = new Map<net.Socket, ConnectionState>();
@@ -17,12 +24,13 @@
   const openState = (socket: net.Socket): ConnectionState => {
     const known = states.get(socket);
     if (known !== undefined) return known;
-    const state = {
+    const state: ConnectionState = {
       requests: 0,
+      request: undefined,
       idleSinceMs: readMonotonicMs(),
       bytesRead: 0,
       isClosing: false,
-      runIdle: undefined,
+      runAnswered: undefined,
     };
     states.set(socket, state);
     socket.once('close', () => states.delete(socket));
@@ -38,19 +46,20 @@
       openState(socket).isClosing = true;
     },
     isClosing: (socket) => states.get(socket)?.isClosing === true,
-    runWhenIdle: (socket, handler) => {
+    runWhenAnswered: (socket, handler) => {
       const state = openState(socket);
-      if (state.requests === 0) handler();
-      else state.runIdle = handler;
+      if (isAnswered(state)) handler();
+      else state.runAnswered = handler;
     },
-    beginRequest: (socket) => {
+    beginRequest: (socket, request) => {
       const state = openState(socket);
       state.requests += 1;
+      state.request = request;
       return () => {
         state.requests -= 1;
         state.idleSinceMs = readMonotonicMs();
         state.bytesRead = socket.bytesRead;
-        if (state.requests === 0) state.runIdle?.();
+        if (isAnswered(state)) state.runAnswered?.();
       };
     },
     countRequests: (socket) => states.get(socket)?.requests ?? 0,
--- a/packages/forward-calls/src/kept-connections.ts
+++ b/packages/forward-calls/src/kept-connections.ts
@@ -1,3 +1,4 @@
+import type http from 'node:http';
 import type net from 'node:net';
 
 /** Connections of callers. */
@@ -11,10 +12,10 @@
   /** Notes that an answer closes the connection when it ends: later requests on it get no answer. */
   readonly markClosing: (socket: net.Socket) => void;
   readonly isClosing: (socket: net.Socket) => boolean;
-  /** Runs the handler when the connection has no request, at once if it has none now. */
-  readonly runWhenIdle: (socket: net.Socket, handler: () => void) => void;
+  /** Runs the handler when each request that has arrived in whole has its answer, at once if that is so now. */
+  readonly runWhenAnswered: (socket: net.Socket, handler: () => void) => void;
   /** Counts a request on a connection until the returned function is called. */
-  readonly beginRequest: (socket: net.Socket) => () => void;
+  readonly beginRequest: (socket: net.Socket, request: http.IncomingMessage) => () => void;
   /** Returns the number of requests on a connection; pipelined ones come before the answers of earlier ones. */
   readonly countRequests: (socket: net.Socket) => number;
   /** Closes the connections that have neither had a request nor received a byte for `minIdleMs`. */
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -170,7 +170,7 @@
     const callerAbort = new AbortController();
     const { socket } = request;
     const isBehindLast = connections.isClosing(socket);
-    const endRequest = connections.beginRequest(socket);
+    const endRequest = connections.beginRequest(socket, request);
     // Node.js states the limit that holds as a request begins, and closes by the one that holds as its response ends.
     const statedIdleMs = server.keepAliveTimeout + IDLE_MARGIN_MS;
     const whenClosed = new Promise<void>((resolve) => {
@@ -244,7 +244,7 @@
     logger.warn('request could not be parsed', { detail: error.message });
     connections.markClosing(socket);
     // Before the answers to the requests before it, the caller would take this for one of them.
-    connections.runWhenIdle(socket, () => {
+    connections.runWhenAnswered(socket, () => {
       if (socket.writable)
         socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
     });
@@ -266,7 +266,8 @@
     countCallsInFlight: () => inFlight,
     stopListening: async () => {
       // The runtime accepts one connection a turn.
-      for (let opened = -1; opened !== connections.countOpened();) {
+      let opened = -1;
+      for (let round = 0; round < LISTEN_BACKLOG && opened !== connections.countOpened(); round += 1) {
         opened = connections.countOpened();
         await waitForReads();
       }
