--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -123,9 +123,9 @@
     return true;
   };
 
-  /** The call may have waited while an account was isolated, so the newest configuration decides. */
+  /** The call may have waited while an account was isolated or removed, so the newest configuration decides. */
   const getCacheOwner = (): string =>
-    computeCacheOwner(account, deps.fleet.getConfig()?.isolatedAccounts ?? NO_ACCOUNTS);
+    computeCacheOwner(account, deps.fleet.getConfig()?.sharingAccounts ?? NO_ACCOUNTS);
   const buildPlacementRequest = (): PlacementRequest => {
     const now = readMonotonicMs();
     return {
--- a/packages/forward-types/src/forward-config.ts
+++ b/packages/forward-types/src/forward-config.ts
@@ -11,8 +11,8 @@
   readonly services: ReadonlyMap<string, ForwardService>;
   readonly stores: readonly CacheStore[];
   readonly limits: CallerLimits;
-  /** Names of the accounts that share no cached pieces, those without keys too. */
-  readonly isolatedAccounts: ReadonlySet<string>;
+  /** Names of the accounts that share cached pieces with each other, those without keys too; isolated accounts are not among them. */
+  readonly sharingAccounts: ReadonlySet<string>;
   /** Accounts by API key; `undefined` when callers need no keys. */
   readonly accountsByKey: ReadonlyMap<string, ClientAccount> | undefined;
 }
--- a/packages/keep-pieces/test/cache-scopes.test.ts
+++ b/packages/keep-pieces/test/cache-scopes.test.ts
@@ -3,10 +3,15 @@
 import test from 'ava';
 
 const NAMES = ['anna', 'berta', 'carla', 'shared'];
-const getOwner = (name: string | undefined, isolated: readonly string[]): string =>
+/** Owner for an account of a configuration in which all of `NAMES`, but for those in `removed`, are accounts. */
+const getOwner = (
+  name: string | undefined,
+  isolated: readonly string[],
+  removed: readonly string[] = [],
+): string =>
   computeCacheOwner(
     name === undefined ? undefined : { name, isIsolated: isolated.includes(name) },
-    new Set(isolated),
+    new Set(NAMES.filter((other) => !isolated.includes(other) && !removed.includes(other))),
   );
 
 test('an isolated account and another weight version get their own cache scopes', (t) => {
@@ -23,36 +28,47 @@
   t.is(parseCacheScope('of another system'), undefined);
 });
 
-// Engines and stores keep the pieces of an account for as long as its weights are in use, also when it is isolated meanwhile.
-test('guards against pieces of another account while one of the two is isolated, whatever was isolated before', (t) => {
-  const isolated = fc.uniqueArray(fc.constantFrom(...NAMES));
+// Engines and stores keep the pieces of an account for as long as its weights are in use, also when it is isolated or removed meanwhile.
+// A restored store may bring back any earlier configuration, so every order of configurations is a possible history.
+test('guards against pieces of an account whose last state is isolated, whatever was isolated, removed or restored before', (t) => {
+  const some = fc.uniqueArray(fc.constantFrom(...NAMES));
   t.notThrows(() => {
     fc.assert(
-      fc.property(fc.array(isolated, { minLength: 1, maxLength: 8 }), (history) => {
-        const makers = new Map<string, Set<string>>();
-        for (const now of history)
-          for (const user of NAMES) {
-            const scope = buildCacheScope(getOwner(user, now), 'm', 1);
-            const known = makers.get(scope) ?? new Set();
-            makers.set(scope, known.add(user));
-            for (const maker of known)
-              if (maker !== user && (now.includes(maker) || now.includes(user))) return false;
+      fc.property(
+        fc.array(fc.record({ isolated: some, removed: some }), { minLength: 1, maxLength: 8 }),
+        (history) => {
+          const makers = new Map<string, Set<string>>();
+          const isolatedLast = new Set<string>();
+          for (const { isolated, removed } of history) {
+            const present = NAMES.filter((name) => !removed.includes(name));
+            for (const name of present)
+              if (isolated.includes(name)) isolatedLast.add(name);
+              else isolatedLast.delete(name);
+            for (const user of present) {
+              const scope = buildCacheScope(getOwner(user, isolated, removed), 'm', 1);
+              const known = makers.get(scope) ?? new Set();
+              makers.set(scope, known.add(user));
+              for (const maker of known)
+                if (maker !== user && (isolatedLast.has(maker) || isolatedLast.has(user))) return false;
+            }
           }
-        return true;
-      }),
+          return true;
+        },
+      ),
       { seed: 5 },
     );
   });
 });
 
 test('hosts name the same owner whatever the order of the accounts, and share pieces again when no account is isolated', (t) => {
-  t.is(getOwner('carla', ['anna', 'berta']), getOwner(undefined, ['berta', 'anna']));
+  const owner = computeCacheOwner(undefined, new Set(['berta', 'anna']));
+  t.is(computeCacheOwner({ name: 'anna', isIsolated: false }, new Set(['anna', 'berta'])), owner);
   t.not(getOwner('carla', ['anna']), getOwner('carla', ['berta']));
   t.is(getOwner('anna', []), getOwner(undefined, []));
 });
 
-test('a call that arrived before its account was isolated, or after, uses the pieces of the account alone', (t) => {
+test('a call that arrived before its account was isolated or removed, or after, uses the pieces of the account alone', (t) => {
   const own = getOwner('anna', ['anna']);
-  t.is(computeCacheOwner({ name: 'anna', isIsolated: false }, new Set(['anna'])), own);
-  t.is(computeCacheOwner({ name: 'anna', isIsolated: true }, new Set()), own);
+  t.is(computeCacheOwner({ name: 'anna', isIsolated: false }, new Set(['berta'])), own);
+  t.is(computeCacheOwner({ name: 'anna', isIsolated: true }, new Set(['anna'])), own);
 });
