--- a/packages/relay-events/src/create-events-relay.ts
+++ b/packages/relay-events/src/create-events-relay.ts
@@ -45,7 +45,7 @@
   const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
   const backupAgent = new http.Agent({ keepAlive: true, maxSockets: 1 });
   const notifier = createChangeNotifier(options);
-  /** Number of failed requests to backups; selects the backup to ask next. */
+  /** Number of requests to backups that brought no recent objects; selects the backup to ask next. */
   let backupFailures = 0;
   /** When the upstream host last confirmed that it has no further changes, monotonic milliseconds. */
   let lastConfirmedMs = -Infinity;
@@ -118,9 +118,8 @@
       else directReader.stopReading(engine);
     }
   };
-  const applyObjects = (page: RelayPage, elapsedMs: number): void => {
+  const applyObjects = (page: RelayPage, elapsedMs: number): boolean =>
     objects.applyRelayedChanges(decodeObjects(page.objects), elapsedMs);
-  };
   /** Used while the store does not answer this host: probes it, and fetches objects from a backup that may have newer ones. */
   const pollBackups = async (): Promise<void> => {
     void objects.probeStore();
@@ -129,8 +128,8 @@
     if (backup === undefined) return;
     const sent = readMoment();
     const page = await fetchRelayPage(backupAgent, backup, '', 0, objects.listWantedKinds(), false);
-    if (typeof page === 'string') backupFailures += 1;
-    else applyObjects(page, computeElapsedMs(sent));
+    // A backup that answers may itself be cut off from the store, or follow a host that is.
+    if (typeof page === 'string' || !applyObjects(page, computeElapsedMs(sent))) backupFailures += 1;
   };
   const updateRole = (upstream: string | undefined): void => {
     if (upstream !== currentUpstream) {
@@ -190,6 +189,7 @@
     if (upstream !== undefined && hasFollowers()) return;
     if (upstream === undefined && page.isStoreDown) {
       objects.stopFollowing('the store does not answer the host either');
+      if (objects.isStoreDown()) await pollBackups();
       return;
     }
     if (hasEvents) {
--- a/packages/relay-events/test/create-events-relay.test.ts
+++ b/packages/relay-events/test/create-events-relay.test.ts
@@ -9,7 +9,7 @@
 const findAddress = async (): Promise<string> => `127.0.0.1:${String(await findFreePort())}`;
 const NO_OBJECTS: EventsRelayOptions['objects'] = {
   listWantedKinds: () => [],
-  applyRelayedChanges: () => undefined,
+  applyRelayedChanges: () => true,
   stopFollowing: () => undefined,
   isStoreDown: () => false,
   probeStore: () => Promise.resolve(),
@@ -182,7 +182,7 @@
         ['servers', 9],
         ['unknown', 3],
       ],
-      applyRelayedChanges: (...answer) => received.push(answer),
+      applyRelayedChanges: (...answer) => received.push(answer) > 0,
       stopFollowing: () => undefined,
     },
   });
@@ -214,7 +214,7 @@
     objects: {
       ...NO_OBJECTS,
       listWantedKinds: () => [],
-      applyRelayedChanges: () => (answers += 1),
+      applyRelayedChanges: () => (answers += 1) > 0,
       stopFollowing: () => (stops += 1),
     },
   });
--- a/packages/relay-events/test/platform-objects.test.ts
+++ b/packages/relay-events/test/platform-objects.test.ts
@@ -37,7 +37,7 @@
     readObjects: () => KNOWN_CHANGES,
     objects: {
       listWantedKinds: () => [['servers', 3]],
-      applyRelayedChanges: () => (host.answers += 1),
+      applyRelayedChanges: () => (host.answers += 1) > 0,
       stopFollowing: () => (host.stops += 1),
       isStoreDown: () => false,
       probeStore: () => {
@@ -94,7 +94,7 @@
     {
       applyRelayedChanges: (answers, elapsedMs) => {
         for (const known of answers.values()) if (known?.changes.length === 1) home.answers += 1;
-        ages.push(elapsedMs);
+        return ages.push(elapsedMs) > 0;
       },
     },
   ).then(({ host }) => host);
@@ -129,3 +129,46 @@
   await waitFor('an answer of the second host', () => root.host.answers > 0, 6000);
   t.true(root.host.probes > 0);
 });
+
+const OLD_CHANGES: RelayedChanges = { ...KNOWN_CHANGES, ageMs: 9000 };
+/** Part of a host's objects that takes no old copies, and counts the recent ones that it took. */
+const createStrictObjects = (): {
+  readonly objects: Partial<Objects>;
+  readonly countRecent: () => number;
+} => {
+  let recent = 0;
+  return {
+    countRecent: () => recent,
+    objects: {
+      isStoreDown: () => true,
+      applyRelayedChanges: (answers) => {
+        const isRecent = [...answers.values()].every((known) => (known?.ageMs ?? 0) < 1000);
+        if (isRecent) recent += 1;
+        return isRecent;
+      },
+    },
+  };
+};
+
+// Homes of several failure domains may lose the store at once, and answer each other with the copies that they had.
+test('guards against a host that asks a backup with old objects again and again while another backup has recent ones', async (t) => {
+  const old = await startHost(t, { readObjects: () => OLD_CHANGES });
+  const recent = await startHost(t, {});
+  const { objects, countRecent } = createStrictObjects();
+  await startHost(t, { listBackups: () => [old.address, recent.address] }, objects);
+  await waitFor('recent objects', () => countRecent() > 2, 6000);
+  t.pass();
+});
+
+test('guards against a home that asks no backup while the store answers neither it nor the first home', async (t) => {
+  const root = await startHost(t, {}, { isStoreDown: () => true });
+  const backup = await startHost(t, {});
+  const { objects, countRecent } = createStrictObjects();
+  await startHost(
+    t,
+    { getObjectsUpstream: () => root.address, listBackups: () => [backup.address] },
+    objects,
+  );
+  await waitFor('recent objects', () => countRecent() > 0, 6000);
+  t.pass();
+});
--- a/packages/relay-objects/src/create-relayed-source.ts
+++ b/packages/relay-objects/src/create-relayed-source.ts
@@ -25,11 +25,13 @@
 /** Wait of a watch at the store after the other host failed, milliseconds: short, so that the copy is confirmed at once. */
 const CONFIRM_WAIT_MS = 1;
 /**
- * A host whose relay has an old copy probes the store itself after a random delay between these, milliseconds. When the store
- * refuses some hosts it may still serve others, but not all of them may probe it at once.
+ * When the copy of a relay has become old, its followers probe the store within this time, milliseconds. The store may refuse the relay
+ * and serve others. It is short because the bound on applying a configuration goes on, and random because all followers notice at once.
  */
-const MIN_PROBE_DELAY_MS = 800;
-const MAX_PROBE_DELAY_MS = 4000;
+const FIRST_PROBE_SPREAD_MS = 300;
+/** Random delay after a failed probe, milliseconds: the store is then probably down for all hosts, and each call to it has a cost. */
+const MIN_PROBE_DELAY_MS = 2000;
+const MAX_PROBE_DELAY_MS = 6000;
 
 /** A call that waits for the other host; `after` is the revision after which changes are wanted. */
 interface PendingCall<T> {
@@ -52,8 +54,9 @@
   const pendingLists = new Map<string, PendingCall<ListOutcome>>();
   /** When the other host last sent a kind with a recent enough copy, monotonic milliseconds. */
   const lastAnswerMs = new Map<string, number>();
-  /** When this host may probe the store although it follows another host, monotonic milliseconds. */
-  let storeProbeMs: number | undefined;
+  /** When a follower probes the store, by the kind whose copy at the followed host is then too old, monotonic milliseconds. */
+  const probeDueMs = new Map<string, number>();
+  let stopProbeTimer = (): void => undefined;
   let isFollowing = false;
   /** Whether the followed host has an old copy while the store answers this host. */
   let isDirect = false;
@@ -68,6 +71,7 @@
       });
     isFollowing = value;
   };
+  const isStaleTolerant = (kind: string): boolean => staleTolerantKinds.includes(kind);
   const callGuarded = async <T extends WatchOutcome | ListOutcome>(
     ask: () => Promise<T>,
   ): Promise<T | UnavailableOutcome> => {
@@ -81,6 +85,7 @@
     const outcome = await ask();
     if (isLocal(outcome)) breaker.cancelProbe();
     else breaker.recordOutcome(outcome.kind !== 'unavailable', sentMs);
+    if (outcome.kind === 'unavailable') isDirect = false;
     return outcome;
   };
   const watchStore = (kind: string, after: number, waitMs: number): Promise<WatchOutcome> =>
@@ -112,8 +117,12 @@
   const waitForHost = <T>(waiting: Map<string, PendingCall<T>>, kind: string, after: number): Promise<T> =>
     new Promise((resolve) => {
       const stopTimer = startTimer(HOST_TIMEOUT_MS, () => {
-        if (isFollower() && isHostAnswering()) probeStoreWhenDue(kind);
-        else stopFollowing('no answer of the host');
+        if (!isFollower() || !isHostAnswering()) stopFollowing('no answer of the host');
+        else if (isReadFromStore(kind)) sendToStore(kind);
+        else {
+          ensureProbe(kind);
+          waitAgain(kind);
+        }
       });
       waiting.set(kind, { after, resolve, stopTimer });
     });
@@ -133,39 +142,62 @@
     breaker.recordOutcome(outcome.kind !== 'unavailable', sentMs);
     return outcome.kind !== 'unavailable';
   };
-  /** Used while the other host answers with an old copy: probes the store when its random delay has passed, and keeps waiting. */
-  const probeStoreWhenDue = (kind: string): void => {
-    if (isDirect) return;
-    const now = readMonotonicMs();
-    storeProbeMs ??= now + MIN_PROBE_DELAY_MS + pickRandom() * (MAX_PROBE_DELAY_MS - MIN_PROBE_DELAY_MS);
-    if (now >= storeProbeMs) {
-      storeProbeMs = undefined;
-      if (pendingLists.has(kind)) {
-        sendToStore(kind);
-        return;
-      }
-      void probeStore(kind).then((isAnswered) => {
-        if (!isAnswered) return;
-        isDirect = true;
-        stopFollowing('the host has an old copy and the store answers');
-      });
-    }
+  /** Whether calls for a kind go to the store because the followed host has an old copy of it. */
+  const isReadFromStore = (kind: string): boolean => isDirect && !isStaleTolerant(kind);
+  const waitAgain = (kind: string): void => {
     const watch = takePending(pendingWatches, kind);
     if (watch !== undefined) void waitForHost(pendingWatches, kind, watch.after).then(watch.resolve);
     const list = takePending(pendingLists, kind);
     if (list !== undefined) void waitForHost(pendingLists, kind, list.after).then(list.resolve);
   };
+  const setProbe = (kind: string, delayMs: number): void => {
+    probeDueMs.set(kind, readMonotonicMs() + delayMs);
+    stopProbeTimer();
+    const nextMs = Math.min(...probeDueMs.values()) - readMonotonicMs();
+    stopProbeTimer = startTimer(Math.max(0, nextMs), () => {
+      void runDueProbe();
+    });
+  };
+  /** Probes the store soon for a kind that the other host does not confirm, unless a probe for it is due already. */
+  const ensureProbe = (kind: string): void => {
+    if (!probeDueMs.has(kind)) setProbe(kind, pickRandom() * FIRST_PROBE_SPREAD_MS);
+  };
+  const scheduleNextProbe = (kind: string): void => {
+    setProbe(kind, MIN_PROBE_DELAY_MS + pickRandom() * (MAX_PROBE_DELAY_MS - MIN_PROBE_DELAY_MS));
+  };
+  /** Probes the store for the kinds whose copies at the followed host are too old, and uses the store from then on if it answers. */
+  const runDueProbe = async (): Promise<void> => {
+    const now = readMonotonicMs();
+    const dueKinds = [...probeDueMs].filter(([, dueMs]) => dueMs <= now).map(([kind]) => kind);
+    const [firstKind] = dueKinds;
+    if (firstKind === undefined || !isFollower() || isDirect) {
+      for (const kind of dueKinds) probeDueMs.delete(kind);
+      return;
+    }
+    for (const kind of dueKinds) scheduleNextProbe(kind);
+    const listedKind = dueKinds.find((kind) => pendingLists.has(kind));
+    if (listedKind !== undefined) {
+      sendToStore(listedKind);
+      return;
+    }
+    if (!(await probeStore(firstKind)) || !isFollower()) return;
+    isDirect = true;
+    stopFollowing('the host has an old copy and the store answers');
+  };
   /** Checks the age of the other host's copy; returns false when it is too old to be followed. */
   const checkAge = (kind: string, ageMs: number): boolean => {
-    if (ageMs <= (staleTolerantKinds.includes(kind) ? STALE_TOLERANT_MAX_AGE_MS : getMaxAgeMs())) {
+    const maxAgeMs = isStaleTolerant(kind) ? STALE_TOLERANT_MAX_AGE_MS : getMaxAgeMs();
+    if (ageMs <= maxAgeMs) {
       setFollowing(true, 'the host sends changes');
       lastAnswerMs.set(kind, readMonotonicMs());
-      storeProbeMs = undefined;
+      // Old copies of kinds that tolerate them say nothing about the host's way to the store.
+      if (isStaleTolerant(kind)) return true;
+      if (isFollower()) setProbe(kind, maxAgeMs - ageMs + pickRandom() * FIRST_PROBE_SPREAD_MS);
       isDirect = false;
       return true;
     }
     if (isFollower()) {
-      probeStoreWhenDue(kind);
+      if (!isReadFromStore(kind)) ensureProbe(kind);
       return false;
     }
     setFollowing(false, 'the copy of the host is too old');
@@ -177,8 +209,9 @@
     changedMs: changedMs + elapsedMs,
     recoveredMs: recoveredMs + elapsedMs,
   });
-  const applyAnswer = (kind: string, relayed: RelayedChanges, elapsedMs: number): void => {
-    if (!checkAge(kind, relayed.ageMs + elapsedMs)) return;
+  /** Applies the changes of one kind; returns false when the copy that they come from is too old. */
+  const applyAnswer = (kind: string, relayed: RelayedChanges, elapsedMs: number): boolean => {
+    if (!checkAge(kind, relayed.ageMs + elapsedMs)) return false;
     const { changes, revision } = relayed;
     const ages = addElapsed(relayed, elapsedMs);
     if (relayed.after === 0) {
@@ -187,9 +220,10 @@
     }
     const pending = pendingWatches.get(kind);
     // The request may have been sent before the watch began; its answer may then lack changes.
-    if (pending === undefined || relayed.after > pending.after) return;
+    if (pending === undefined || relayed.after > pending.after) return true;
     takePending(pendingWatches, kind);
     pending.resolve({ kind: 'changes', changes, revision, ages });
+    return true;
   };
   /** Confirms the copy of a kind when it is complete; returns true when it lacks changes. */
   const applyState = (state: CopyState, elapsedMs: number): boolean => {
@@ -215,13 +249,9 @@
     watchChanges: (kind, after, waitMs) => {
       if (!kinds.includes(kind)) return source.watchChanges(kind, after, waitMs);
       lastRevisions.set(kind, after);
-      if (isKindAnswered(kind) || (isFollower() && isHostAnswering()))
-        return waitForHost(pendingWatches, kind, after);
-      return watchStore(
-        kind,
-        after,
-        staleTolerantKinds.includes(kind) ? waitMs : Math.min(waitMs, getMaxWaitMs()),
-      );
+      const isFollowed = isKindAnswered(kind) || (isFollower() && isHostAnswering());
+      if (isFollowed && !isReadFromStore(kind)) return waitForHost(pendingWatches, kind, after);
+      return watchStore(kind, after, isStaleTolerant(kind) ? waitMs : Math.min(waitMs, getMaxWaitMs()));
     },
     listWantedKinds: () =>
       // Only the age is requested of kinds without a pending call.
@@ -232,10 +262,12 @@
         return [kind, after] as const;
       }),
     applyRelayedChanges: (answers, elapsedMs) => {
+      let isRecent = true;
       for (const [kind, relayed] of answers) {
         if (relayed === undefined) takePending(pendingWatches, kind)?.resolve({ kind: 'compacted' });
-        else applyAnswer(kind, relayed, elapsedMs);
+        else if (!applyAnswer(kind, relayed, elapsedMs)) isRecent = false;
       }
+      return isRecent;
     },
     applyKindStates: (states, elapsedMs) => states.filter((state) => applyState(state, elapsedMs)).length > 0,
     stopFollowing,
--- a/packages/relay-objects/src/relayed-source.ts
+++ b/packages/relay-objects/src/relayed-source.ts
@@ -12,11 +12,12 @@
    *
    * @param answers by kind; `undefined` where the other host does not know the changes after the requested revision
    * @param elapsedMs upper bound of the time since the other host answered, milliseconds
+   * @returns false when a copy of the other host is too old to be followed
    */
   readonly applyRelayedChanges: (
     answers: ReadonlyMap<string, RelayedChanges | undefined>,
     elapsedMs: number,
-  ) => void;
+  ) => boolean;
   /**
    * Confirms the copies that already contain all changes that the other host has.
    *
--- a/packages/relay-objects/test/follow-host.test.ts
+++ b/packages/relay-objects/test/follow-host.test.ts
@@ -12,7 +12,7 @@
   ...changes,
 });
 /** Creates a source that follows another host, over a fake store that counts its calls. */
-const createFollower = (t: ExecutionContext, random = 0) => {
+const createFollower = (t: ExecutionContext, random = 0, staleTolerantKinds: readonly string[] = []) => {
   const clock = installClock();
   t.teardown(() => {
     clock.uninstall();
@@ -29,6 +29,7 @@
   };
   const source = createRelayedSource(store, {
     kinds: ['k', 'l', 'm'],
+    staleTolerantKinds,
     getMaxWaitMs: () => 700,
     isFollower: () => true,
     pickRandom: () => random,
@@ -175,3 +176,47 @@
   await source.probeStore();
   t.false(source.isStoreDown());
 });
+
+/**
+ * Sends the states of a host that lost the store at 0 ms, every 400 ms, and watches the kind `k` after each; the kind `m` tolerates old
+ * copies. Returns the ages with which these watches were answered: `undefined` for an answer of the store.
+ */
+const simulateOldRelay = async (
+  { clock, source, watch }: ReturnType<typeof createFollower>,
+  untilMs: number,
+): Promise<(number | undefined)[]> => {
+  const ages: (number | undefined)[] = [];
+  for (let ageMs = 0; ageMs < untilMs; ageMs += 400) {
+    source.applyKindStates(
+      ['k', 'l', 'm'].map((kind) => createState({ kind, ageMs })),
+      1,
+    );
+    const outcomes = watch('k');
+    await clock.tickAsync(400);
+    for (const outcome of outcomes) if (outcome.kind === 'changes') ages.push(outcome.ages?.ageMs);
+  }
+  return ages;
+};
+
+// The list of hosts tolerates old copies. Its states arrived with those of the configuration and put the probe off each time.
+test.serial(
+  'guards against a follower that never probes the store as its relay goes on sending states of kinds that tolerate old copies',
+  async (t) => {
+    for (const random of [0, 0.5, 1]) {
+      const follower = createFollower(t, random, ['m']);
+      const ages = await simulateOldRelay(follower, 2400);
+      t.true(ages.includes(undefined), 'the store confirms the copy while it is younger than 2.4 s');
+      follower.clock.uninstall();
+    }
+  },
+);
+
+test.serial(
+  'guards against a host beside an old relay that reads the store once and then waits for the relay for good',
+  async (t) => {
+    const follower = createFollower(t, 0.5, ['m']);
+    const ages = await simulateOldRelay(follower, 12_000);
+    t.true(ages.length > 25);
+    t.true(ages.slice(6).every((age) => age === undefined));
+  },
+);
--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -83,8 +83,11 @@
       const isWatcher = isRelayed && (upstream === undefined || (isInitialized && events.hasFollowers()));
       return isWatcher ? times.relayWatchWaitMs : Infinity;
     },
+    // A home that is cut off from the store follows hosts whose watches wait longer than those of a home.
     getMaxAgeMs: () =>
-      sharing.getPlan().upstream === undefined ? times.maxHomeCopyAgeMs : times.maxFollowerCopyAgeMs,
+      sharing.getPlan().upstream === undefined && !objects.isStoreDown()
+        ? times.maxHomeCopyAgeMs
+        : times.maxFollowerCopyAgeMs,
     isFollower: () => sharing.getPlan().upstream !== undefined,
   });
   const hostRegistry = registerHost({
@@ -111,7 +114,10 @@
         const { isRelayed, isRelay } = sharing.getPlan();
         return !isRelayed || isRelay;
       },
-      listBackups: () => sharing.getPlan().otherRelays.map(({ address }) => address),
+      listBackups: () => {
+        const { otherRelays, reportTo } = sharing.getPlan();
+        return [...otherRelays, ...reportTo].map(({ address }) => address);
+      },
     }),
   );
   const watchWaits = computeWatchWaits(settings.bounds);
