--- a/packages/choose-server/src/choice-deps.ts
+++ b/packages/choose-server/src/choice-deps.ts
@@ -7,7 +7,10 @@
 
 /** The state of a host that the choice of a server reads. */
 export interface ChoiceDeps {
-  readonly fleet: Pick<FleetView, 'listBackends' | 'getWeights' | 'findNextWeights' | 'getConfig'>;
+  readonly fleet: Pick<
+    FleetView,
+    'listBackends' | 'listEvacuated' | 'getWeights' | 'findNextWeights' | 'getConfig'
+  >;
   readonly serverTracker: ServerTracker;
   readonly notices: Pick<ServerNotices, 'getAvailability'>;
   readonly limits: Pick<ServerLimits, 'hasRoom' | 'takeRoom' | 'estimateRoom'>;
--- a/packages/choose-server/src/is-usable-server.ts
+++ b/packages/choose-server/src/is-usable-server.ts
@@ -14,7 +14,7 @@
   weights: { readonly model: string; readonly version: number | undefined } | undefined,
 ): boolean {
   const { isLeaving, pauseMs } = deps.notices.getAvailability(server);
-  if (server.isDraining || isLeaving || pauseMs > 0) return false;
+  if (server.isDraining || server.isEvacuated === true || isLeaving || pauseMs > 0) return false;
   if (weights === undefined) return true;
   const { model, version = 0 } = weights;
   const versions = new Map(server.versions);
--- a/packages/choose-server/src/refusal-causes.ts
+++ b/packages/choose-server/src/refusal-causes.ts
@@ -3,6 +3,8 @@
   noServer: 'no server',
   /** Every server left is one that the requesting host excluded. */
   allExcluded: 'no other server',
+  /** All servers that may get calls are in evacuated failure domains. */
+  allEvacuated: 'all failure domains are evacuated',
   allPaused: 'all servers asked for a pause',
   /** Every server left has as many calls as it states that it takes. */
   allLimited: 'all servers are at their limits',
--- a/packages/choose-server/test/choose-server.test.ts
+++ b/packages/choose-server/test/choose-server.test.ts
@@ -1,7 +1,8 @@
-import { readMoment } from '@laburnumshift/clock';
-import { chooseServer, type ChoiceDeps } from '@laburnumshift/choose-server';
+import { readMoment, readMonotonicMs } from '@laburnumshift/clock';
+import { chooseServer, isUsableServer, REFUSAL_CAUSES, type ChoiceDeps } from '@laburnumshift/choose-server';
 import type { BackendEntry, PlacementRequest } from '@laburnumshift/forward-types';
 import { createServerTracker, createServerNotices } from '@laburnumshift/track-engines';
+import { installClock } from '@laburnumshift/test-utils';
 import test from 'ava';
 
 const CAPACITY_TOKENS = 80_000;
@@ -74,7 +75,12 @@
       takeRoom: () => undefined,
       estimateRoom: () => ({ firstMs: 0, perCallMs: 0 }),
     },
-    fleet: { listBackends: () => ENGINES, getWeights: () => undefined, getConfig: () => CONFIG },
+    fleet: {
+      listBackends: () => ENGINES,
+      listEvacuated: () => [],
+      getWeights: () => undefined,
+      getConfig: () => CONFIG,
+    },
     transferPlanner: {
       planFetches: () => () => ({ localTokens: 0, fetchTokens: 0, slowdown: 1, sources: [] }),
       planTransfers: () => undefined,
@@ -233,3 +239,36 @@
   const [first] = uncached[0]?.split(' ') ?? [];
   t.deepEqual(uncached, [`${String(first)} 3000`, `${String(first)} 200`, `${String(first)} 200`]);
 });
+
+test('guards against a full share of calls to a failure domain at the end of its evacuation', (t) => {
+  const clock = installClock();
+  const countCalls = (elapsedMs: number): number => {
+    const servers = [
+      { ...ENGINES[0], id: 'back', readmittedMs: readMonotonicMs() - elapsedMs },
+      { ...ENGINES[1], id: 'other' },
+    ];
+    const calls = Array.from({ length: 400 }, (_, index) => {
+      const deps = createDeps(createServerTracker());
+      const fleet = { ...deps.fleet, listBackends: () => servers } as ChoiceDeps['fleet'];
+      const request = { ...REQUEST, callId: `call-${String(index)}` };
+      const choice = chooseServer({ ...deps, fleet, pickRandom: () => (index % 20) / 20 }, request);
+      return choice.kind === 'server' && choice.server.id === 'back';
+    });
+    return calls.filter(Boolean).length;
+  };
+  const counts = [0, 1000, 2000, 3000].map(countCalls);
+  clock.uninstall();
+  t.is(counts[0], 0);
+  for (const [index, count] of counts.entries()) t.true(index === 0 || count > (counts[index - 1] ?? 0));
+});
+
+test('calls are refused with a time when all failure domains are evacuated, also to a server that another host chose', (t) => {
+  const [engine] = ENGINES;
+  const evacuated = { ...engine, isEvacuated: true } as BackendEntry;
+  const deps = createDeps(createServerTracker());
+  const fleet = { ...deps.fleet, listBackends: () => [], listEvacuated: () => [evacuated] };
+  const choice = chooseServer({ ...deps, fleet }, REQUEST);
+  t.is(choice.kind === 'refuse' && choice.cause, REFUSAL_CAUSES.allEvacuated);
+  t.true(choice.kind === 'refuse' && choice.retryAfterMs > 0);
+  t.false(isUsableServer({ ...deps, fleet }, evacuated, undefined));
+});
--- a/packages/forward-types/src/backend-entry.ts
+++ b/packages/forward-types/src/backend-entry.ts
@@ -11,6 +11,10 @@
   /** Calls that the server runs concurrently. */
   readonly slots: number;
   readonly isDraining: boolean;
+  /** The operator evacuated its failure domain: it finishes its calls and must get no further ones. False by default. */
+  readonly isEvacuated?: boolean;
+  /** Monotonic milliseconds at which this host learned that an evacuation of its failure domain ended; absent when none ended lately. */
+  readonly readmittedMs?: number;
   /** Start time of the process, wall-clock milliseconds; distinguishes two processes with one id. 0 when not stated. */
   readonly bornMs: number;
   /** Number of the last report of the process to the store; orders what it says of itself. 0 when not stated. */
--- a/packages/forward-types/src/forward-bounds.ts
+++ b/packages/forward-types/src/forward-bounds.ts
@@ -6,6 +6,8 @@
   readonly configApplyMs: number;
   /** Longest time for which a leaving server may still get calls, milliseconds. */
   readonly drainMs: number;
+  /** Longest time for which servers of an evacuated failure domain may still get calls, milliseconds. */
+  readonly evacuateMs: number;
   /** Time after the end of a fault of a host or of the store from which on the host keeps its bounds again, milliseconds. */
   readonly settleMs: number;
   /** Time from the termination signal to the kill, milliseconds. */
--- a/packages/run-forwarder/src/compute-watch-waits.ts
+++ b/packages/run-forwarder/src/compute-watch-waits.ts
@@ -7,20 +7,30 @@
 /** Fraction of the bound on new weights: short enough to lose little value to outdated weights when a connection goes silent. */
 const WEIGHTS_WAIT_RATIO = 0.2;
 
+/**
+ * Fraction of the bound on evacuations: after a connection without traffic, a pause and a slow answer of the store, a quarter of the
+ * usual bound is left.
+ */
+const EVACUATIONS_WAIT_RATIO = 0.4;
+
 /**
  * Computes the maximum waits of watch calls, and the maximum delay for batching server changes, in milliseconds, from the bounds on
  * the time until a change takes effect.
  */
-export function computeWatchWaits(bounds: Pick<ForwardBounds, 'configApplyMs' | 'drainMs' | 'versionMs'>): {
+export function computeWatchWaits(
+  bounds: Pick<ForwardBounds, 'configApplyMs' | 'drainMs' | 'versionMs' | 'evacuateMs'>,
+): {
   readonly config: number;
   readonly backends: number;
   readonly weights: number;
+  readonly evacuations: number;
   readonly maxBatchDelay: number;
 } {
   return {
     config: Math.round(bounds.configApplyMs * WAIT_RATIO),
     backends: Math.round(bounds.drainMs * WAIT_RATIO),
     maxBatchDelay: Math.round(bounds.drainMs * BATCH_DELAY_RATIO),
+    evacuations: Math.round(bounds.evacuateMs * EVACUATIONS_WAIT_RATIO),
     weights: Math.round(bounds.versionMs * WEIGHTS_WAIT_RATIO),
   };
 }
--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -76,7 +76,7 @@
     pickRandom: Math.random,
   });
   const objects = createRelayedSource(store.source, {
-    kinds: [kinds.config, kinds.backends, kinds.weights, kinds.hosts],
+    kinds: Object.values(kinds),
     staleTolerantKinds: [kinds.hosts],
     getMaxWaitMs: () => {
       const { isRelayed, upstream } = sharing.getPlan();
--- a/packages/track-fleet/src/create-restore-policies.ts
+++ b/packages/track-fleet/src/create-restore-policies.ts
@@ -13,7 +13,7 @@
  */
 export function createRestorePolicies(
   decoder: FleetDecoder,
-): Readonly<Record<'config' | 'backends' | 'weights', RestorePolicy>> {
+): Readonly<Record<'config' | 'backends' | 'weights' | 'evacuations', RestorePolicy>> {
   const compareVersions =
     (decode: (object: StoredObject) => { readonly version: number } | undefined) =>
     (found: StoredObject, known: StoredObject): boolean => {
@@ -49,5 +49,7 @@
     },
     weights: { isOlder: compareVersions(decoder.decodeWeights), keepsMissing: true },
     backends: { isOlder: isOlderBackend },
+    // Evacuations of the copy are in force. One that the copy lacks ends later than the removal: see `trackEvacuations`.
+    evacuations: {},
   };
 }
--- a/packages/track-fleet/src/fleet-options.ts
+++ b/packages/track-fleet/src/fleet-options.ts
@@ -5,10 +5,20 @@
 export interface FleetOptions {
   readonly source: ObjectSource;
   readonly decoder: FleetDecoder;
-  /** Names of the object kinds in the store. */
-  readonly kinds: { readonly config: string; readonly backends: string; readonly weights: string };
+  /** Names of the object kinds in the store. Evacuations are not followed when their kind is absent. */
+  readonly kinds: {
+    readonly config: string;
+    readonly backends: string;
+    readonly weights: string;
+    readonly evacuations?: string;
+  };
   /** Longest wait of one watch request by kind, milliseconds. */
-  readonly waitMs: { readonly config: number; readonly backends: number; readonly weights: number };
+  readonly waitMs: {
+    readonly config: number;
+    readonly backends: number;
+    readonly weights: number;
+    readonly evacuations?: number;
+  };
   /** Returns the delay after a watch answer with changed servers, milliseconds; it lets further changes arrive in one answer. */
   readonly getBatchDelayMs: () => number;
   /**
--- a/packages/track-fleet/src/fleet-view.ts
+++ b/packages/track-fleet/src/fleet-view.ts
@@ -7,8 +7,10 @@
   readonly getConfig: () => ForwardConfig | undefined;
   /** Returns an upper bound of the age of the configuration, milliseconds; infinite before it was listed. */
   readonly getConfigAgeMs: () => number;
-  /** Lists the servers of a service that may get calls, that is without draining ones. */
+  /** Lists the servers of a service that may get calls, that is without draining ones and those of evacuated failure domains. */
   readonly listBackends: (service: string) => readonly BackendEntry[];
+  /** Lists the servers of a service that get no calls only because their failure domains are evacuated. */
+  readonly listEvacuated: (service: string) => readonly BackendEntry[];
   readonly getBackend: (id: string) => BackendEntry | undefined;
   /** Lists all registered servers, draining ones included. */
   readonly listAllBackends: () => readonly BackendEntry[];
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -6,6 +6,7 @@
 import type { FleetOptions } from './fleet-options.js';
 import { createRestorePolicies } from './create-restore-policies.js';
 import type { FleetView } from './fleet-view.js';
+import { trackEvacuations } from './track-evacuations.js';
 import type { PublishedWeights } from './published-weights.js';
 
 /** Most published versions kept per model; older ones are no longer in use. */
@@ -31,17 +32,33 @@
   let config: ForwardConfig | undefined;
   let isWeightsListed = false;
 
-  const setBackend = (id: string, entry: BackendEntry | undefined): void => {
+  const updateService = (service: string): void => {
+    const usable = [...backends.values()].filter(
+      (one) => one.service === service && !one.isDraining && one.isEvacuated !== true,
+    );
+    byService.set(service, usable);
+  };
+  const setBackend = (id: string, decoded: BackendEntry | undefined): void => {
     const before = backends.get(id);
+    const entry = decoded && evacuations.markEntry(decoded);
     if (entry === undefined) backends.delete(id);
     else backends.set(id, entry);
-    for (const service of new Set([before?.service, entry?.service])) {
-      if (service === undefined) continue;
-      const usable = [...backends.values()].filter((one) => one.service === service && !one.isDraining);
-      byService.set(service, usable);
-    }
+    for (const service of new Set([before?.service, entry?.service]))
+      if (service !== undefined) updateService(service);
     for (const handler of backendHandlers) handler(id, entry);
   };
+  /** Marks the servers of a failure domain again, so that all calls decided from now on respect its evacuation. */
+  const updateDomain = (failureDomain: string): void => {
+    const affected = [...backends.values()].filter((entry) => entry.failureDomain === failureDomain);
+    for (const entry of affected) backends.set(entry.id, evacuations.markEntry(entry));
+    for (const service of new Set(affected.map((entry) => entry.service))) updateService(service);
+    for (const { id } of affected) for (const handler of backendHandlers) handler(id, backends.get(id));
+  };
+  const evacuations = trackEvacuations({
+    onChange: updateDomain,
+    listDomains: () => new Set([...backends.values()].map(({ failureDomain }) => failureDomain)),
+    getMsSinceRecovery: () => evacuationsView?.getMsSinceRecovery() ?? Infinity,
+  });
   /** Milliseconds since the store answered again; `undefined` when there was no outage. */
   const readSinceRecovery = (): number | undefined => {
     const ms = backendsView.getMsSinceRecovery();
@@ -112,6 +129,7 @@
       setBackend(entry.id, entry);
     }
     reportEntries(changedEntries);
+    evacuations.reportDomains();
   };
   const applyConfig = (changes: readonly ObjectChange[]): void => {
     for (const { isRemoved, object } of changes) {
@@ -161,11 +179,15 @@
   };
 
   const restorePolicies = createRestorePolicies(decoder);
-  const watch = (kind: keyof typeof kinds, onChanges: (changes: readonly ObjectChange[]) => void) =>
+  const watch = (
+    kind: keyof typeof restorePolicies,
+    onChanges: (changes: readonly ObjectChange[]) => void,
+    storeKind: string = kinds[kind] ?? kind,
+  ) =>
     watchKind({
       source,
-      kind: kinds[kind],
-      waitMs: waitMs[kind],
+      kind: storeKind,
+      waitMs: waitMs[kind] ?? waitMs.config,
       minOutageMs: options.minOutageMs,
       maxReturnDelayMs: options.maxReturnDelayMs,
       // Only server entries change often and in large numbers at once.
@@ -176,17 +198,26 @@
   const configView = watch('config', applyConfig);
   const backendsView = watch('backends', applyBackends);
   const weightsView = watch('weights', applyWeights);
-  const views = [configView, backendsView, weightsView];
+  const evacuationsView =
+    kinds.evacuations === undefined ? undefined : watch('evacuations', evacuations.applyChanges);
   const viewsByKind = new Map([
     [kinds.config, configView],
     [kinds.backends, backendsView],
     [kinds.weights, weightsView],
+    ...(kinds.evacuations === undefined || evacuationsView === undefined
+      ? []
+      : [[kinds.evacuations, evacuationsView] as const]),
   ]);
+  const views = [...viewsByKind.values()];
 
   return {
     getConfig: () => config,
     getConfigAgeMs: () => configView.getAgeMs(),
     listBackends: (service) => byService.get(service) ?? [],
+    listEvacuated: (service) =>
+      [...backends.values()].filter(
+        (entry) => entry.service === service && entry.isEvacuated === true && !entry.isDraining,
+      ),
     getBackend: (id) => backends.get(id),
     listAllBackends: () => [...backends.values()],
     getWeights: (model) => weights.get(model),
@@ -207,6 +238,7 @@
     listStates: () => views.flatMap((view) => view.readState() ?? []),
     close: () => {
       for (const view of views) view.close();
+      evacuations.close();
     },
   };
 }
--- a/packages/track-fleet/test/track-fleet.test.ts
+++ b/packages/track-fleet/test/track-fleet.test.ts
@@ -63,7 +63,7 @@
   trackFleet({
     source: store.source,
     decoder: DECODER,
-    kinds: { config: 'config', backends: 'backends', weights: 'weights' },
+    kinds: { config: 'config', backends: 'backends', weights: 'weights', evacuations: 'evacuations' },
     waitMs: { config: 1000, backends: 1000, weights: 1000 },
     getBatchDelayMs: () => 0,
     expiryGraceMs: 2000,
@@ -252,3 +252,63 @@
     t.true(computeElapsedMs(fleet.getWeights('m')?.earliestPublishedAt ?? readMoment()) >= 3000);
   }),
 );
+
+const TWO_DOMAINS = [
+  createObject('a', 1, createEntry('a')),
+  createObject('b', 2, createEntry('b', { failureDomain: 'south' })),
+];
+const listIds = (fleet: ReturnType<typeof trackFleet>): string[] =>
+  fleet.listBackends('models').map(({ id }) => id);
+
+test.serial('guards against calls to a failure domain whose evacuation has an unreadable content', (t) =>
+  run({ backends: TWO_DOMAINS }, async (fleet, store, clock) => {
+    for (const spec of [{}, undefined, 'damaged', [7], null]) {
+      store.updateObject('evacuations', 'north', spec);
+      await clock.tickAsync(1);
+      t.deepEqual(listIds(fleet), ['b']);
+      t.true(fleet.getBackend('a')?.isEvacuated);
+      store.updateObject('backends', 'a', createEntry('a', { reportNumber: 2 }));
+      await clock.tickAsync(1);
+      t.deepEqual(listIds(fleet), ['b']);
+      store.updateObject('evacuations', 'north', spec, true);
+      await clock.tickAsync(1);
+      t.deepEqual(listIds(fleet).sort(), ['a', 'b']);
+    }
+    for (const name of ['north', 'south', 'nowhere']) {
+      store.updateObject('evacuations', name, {});
+      await clock.tickAsync(1);
+    }
+    t.deepEqual(listIds(fleet), []);
+    t.is(fleet.listEvacuated('models').length, 2);
+  }),
+);
+
+test.serial('guards against calls to an evacuated failure domain from a host that has just started', (t) =>
+  run(
+    {
+      backends: TWO_DOMAINS,
+      config: [createObject('main', 1, { version: 1 })],
+      evacuations: [createObject('north', 3, {})],
+    },
+    (fleet) => {
+      t.true(fleet.isComplete());
+      t.deepEqual(listIds(fleet), ['b']);
+      return Promise.resolve();
+    },
+  ),
+);
+
+test.serial('guards against an evacuation that ends with an outage of the store', (t) =>
+  run({ backends: TWO_DOMAINS, evacuations: [createObject('north', 3, {})] }, async (fleet, store, clock) => {
+    for (let elapsedMs = 0; elapsedMs < 4000; elapsedMs += 400) {
+      store.replyTo('evacuations', { kind: 'unavailable', reason: 'status 503' });
+      await clock.tickAsync(400);
+    }
+    t.deepEqual(listIds(fleet), ['b']);
+    store.updateObject('evacuations', 'north', {}, true);
+    await clock.tickAsync(500);
+    t.deepEqual(listIds(fleet), ['b']);
+    await clock.tickAsync(2000);
+    t.deepEqual(listIds(fleet).sort(), ['a', 'b']);
+  }),
+);
