--- a/packages/choose-server/src/choose-plain-server.ts
+++ b/packages/choose-server/src/choose-plain-server.ts
@@ -20,6 +20,7 @@
       failureDomain,
       calls: state.inFlight + countOtherCalls(deps, id, state),
       slots,
+      slowness: state.slowness,
       failureShare: state.failureShare,
       isSilent: state.silentMs >= CHOICE_TIMES.silentMs,
     };
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -6,6 +6,7 @@
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { AttemptInput } from './attempt-input.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
+import { recordUnreadableLoad } from './record-unreadable-load.js';
 import { watchProgress } from './watch-progress.js';
 
 /** Milliseconds after the deadline of the call in which the server can still answer that the deadline has passed. */
@@ -143,6 +144,7 @@
           head = received;
           tracked.observeBytes();
           if (received.load !== undefined) deps.serverTracker.observeLoad(server.id, received.load);
+          if (received.isLoadUnreadable === true) recordUnreadableLoad(deps, server);
           if (received.isLeaving) deps.notices.markLeaving(server);
           if (received.pauseMs !== undefined) deps.notices.markPaused(server, received.pauseMs);
           const isSuccess = received.status >= 200 && received.status < 300;
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -225,7 +225,12 @@
       },
       onFirstEvent: () => {
         firstMs = Math.round(readMonotonicMs() - startedMs);
-        deps.serverTracker.observePrefill(service.name, choice.queueTokens + choice.uncachedTokens, firstMs);
+        const prefillMs = firstMs / deps.serverTracker.getState(server.id).slowness;
+        deps.serverTracker.observePrefill(
+          service.name,
+          choice.queueTokens + choice.uncachedTokens,
+          prefillMs,
+        );
         if (choice.fetch !== undefined)
           deps.serverTracker.observeFetchDelay(choice.fetch, firstMs - choice.expectedMs);
         deps.metrics.recordDuration('first_event_ms', firstMs, { route: route.name });
@@ -235,7 +240,11 @@
     });
     if (attemptOutcome.kind === 'delivered' && firstMs !== undefined) {
       const readMs = choice.uncachedTokens / deps.serverTracker.getPrefillRate(service.name);
-      deps.serverTracker.observeRun(service.name, readMs + readMonotonicMs() - startedMs - firstMs);
+      const { slowness } = deps.serverTracker.getState(server.id);
+      deps.serverTracker.observeRun(
+        service.name,
+        readMs + (readMonotonicMs() - startedMs - firstMs) / slowness,
+      );
     }
     if (attemptOutcome.kind === 'not-run' && !attemptOutcome.isSent) {
       attempts -= 1;
--- a/packages/forward-calls/test/run-forward.test.ts
+++ b/packages/forward-calls/test/run-forward.test.ts
@@ -57,6 +57,7 @@
       observePrefill: dropValue,
       observeRun: dropValue,
       getPrefillRate: () => 1,
+      getState: () => ({ slowness: 1 }),
       getPieceTable: () => ({ addPiece: dropValue }),
     },
     limits: { observeLimit: dropValue },
--- a/packages/forward-types/src/backend-load.ts
+++ b/packages/forward-types/src/backend-load.ts
@@ -6,4 +6,6 @@
   readonly waiting: number;
   /** Calls that the server runs concurrently. */
   readonly slots: number;
+  /** Factor by which work takes longer than usual on the server at this moment; `undefined` when not stated. */
+  readonly slowness?: number;
 }
--- a/packages/forward-types/src/response-head.ts
+++ b/packages/forward-types/src/response-head.ts
@@ -27,6 +27,8 @@
   readonly hasContentCoding: boolean;
   /** Load of the server; `undefined` when not stated. */
   readonly load: BackendLoad | undefined;
+  /** The server states a load that cannot be read. */
+  readonly isLoadUnreadable?: boolean;
   /** Weight version that produced the answer; `undefined` when not stated. */
   readonly version: number | undefined;
   /** Header fields passed on to the caller, names and values alternating, without hop-by-hop fields. */
--- a/packages/place-calls/src/engine-candidate.ts
+++ b/packages/place-calls/src/engine-candidate.ts
@@ -4,6 +4,8 @@
   readonly failureDomain: string;
   /** Time for which the engine prefills prompts queued before a new one, milliseconds. */
   readonly waitMs: number;
+  /** Factor by which work takes longer than usual at the engine; 1 when unknown. */
+  readonly slowness?: number;
   /** Calls of all hosts that the engine runs or has queued. */
   readonly calls: number;
   /** Calls that the engine runs concurrently; further ones are queued. */
--- a/packages/place-calls/src/place-plain-call.ts
+++ b/packages/place-calls/src/place-plain-call.ts
@@ -20,7 +20,7 @@
   tieBreak: number,
 ): PlainCandidate | undefined {
   const computeScore = (server: PlainCandidate): number =>
-    (server.calls + 1) / Math.max(1, server.slots) +
+    ((server.calls + 1) / Math.max(1, server.slots)) * (server.slowness ?? 1) +
     server.failureShare * FAILURE_PENALTY +
     (server.isSilent ? SILENCE_PENALTY : 0) +
     (server.failureDomain === ownDomain ? 0 : REMOTE_DOMAIN_PENALTY);
--- a/packages/place-calls/src/placement.ts
+++ b/packages/place-calls/src/placement.ts
@@ -9,4 +9,6 @@
   readonly uncachedTokens: number;
   /** Share of the engine's memory in use by running calls and this one; above 1 when it does not fit. */
   readonly memoryShare: number;
+  /** Factor by which work takes longer than usual at the engine. */
+  readonly slowness: number;
 }
--- a/packages/place-calls/src/plain-candidate.ts
+++ b/packages/place-calls/src/plain-candidate.ts
@@ -5,6 +5,8 @@
   /** Calls that the server runs or has queued. */
   readonly calls: number;
   readonly slots: number;
+  /** Factor by which work takes longer than usual at the server; 1 when unknown. */
+  readonly slowness?: number;
   /** Share of recent calls that failed, 0 to 1. */
   readonly failureShare: number;
   /** Calls are in flight, and nothing was received from the server for longer than the silence limit. */
--- a/packages/place-calls/test/place-call.test.ts
+++ b/packages/place-calls/test/place-call.test.ts
@@ -30,6 +30,7 @@
   ['prefill is preferred to a fetch over a saturated link', { fetchTokens: 9000, fetchSlowdown: 20 }],
   ['a full memory outweighs cached pieces', { localTokens: 9000, heldTokens: 95_000 }],
   ['calls queued for a slot outweigh cached pieces', { localTokens: 9000, calls: 15 }],
+  ['a short queue at a slow engine counts as a long one', { localTokens: 9000, waitMs: 100, slowness: 4 }],
   ['a silent engine is avoided', { localTokens: 9000, isSilent: true }],
   ['a failing engine is avoided', { localTokens: 9000, failureShare: 0.3 }],
   ['outdated weights outweigh cached pieces', { localTokens: 9000, isOutdated: true }],
@@ -85,6 +86,7 @@
   t.is(placePlainCall([far, near], 'north', 0)?.id, 'near');
   t.is(placePlainCall([far, { ...near, calls: 12 }], 'north', 0)?.id, 'far');
   t.is(placePlainCall([far, { ...near, isSilent: true }], 'north', 0)?.id, 'far');
+  t.is(placePlainCall([far, { ...near, slowness: 4 }], 'north', 0)?.id, 'far');
   t.is(placePlainCall([], 'north', 0), undefined);
 });
 
--- a/packages/track-engines/src/create-server-tracker.ts
+++ b/packages/track-engines/src/create-server-tracker.ts
@@ -33,6 +33,17 @@
  */
 const MAX_OBSERVATIONS = 64;
 
+/**
+ * Half-life of the deviation of a reported slowness from 1, milliseconds. Servers are slow for some seconds; one that gets no calls
+ * because of its last report sends no further ones, and is tried again after about two seconds.
+ */
+const SLOWNESS_HALF_LIFE_MS = 1000;
+/** Weight of the newest report in the slowness, since the reported figure changes many times a second. */
+const SLOWNESS_AVERAGE_WEIGHT = 0.5;
+/** Bounds of a reported slowness. They limit what a false figure can do: attract all calls, or keep them away for long. */
+const MIN_SLOWNESS = 0.25;
+const MAX_SLOWNESS = 20;
+
 interface Entry {
   inFlight: number;
   pendingTokens: number;
@@ -40,6 +51,9 @@
   load: BackendLoad | undefined;
   loadAtMs: number;
   inFlightAtLoad: number;
+  slowness: number;
+  slownessAtMs: number;
+  unreadableLoads: number;
   /** Time of the last received byte, or of the start of the first call after an idle period. */
   lastReceivedMs: number;
   failureShare: number;
@@ -86,6 +100,9 @@
       load: undefined,
       loadAtMs: 0,
       inFlightAtLoad: 0,
+      slowness: 1,
+      slownessAtMs: 0,
+      unreadableLoads: 0,
       lastReceivedMs: 0,
       failureShare: 0,
       failureAtMs: 0,
@@ -98,6 +115,15 @@
   };
   const computeFailureShare = (entry: Entry): number =>
     entry.failureShare * 0.5 ** ((readMonotonicMs() - entry.failureAtMs) / FAILURE_HALF_LIFE_MS);
+  const computeSlowness = (entry: Entry): number =>
+    1 + (entry.slowness - 1) * 0.5 ** ((readMonotonicMs() - entry.slownessAtMs) / SLOWNESS_HALF_LIFE_MS);
+  const updateSlowness = (entry: Entry, reported: number | undefined): void => {
+    if (reported === undefined || !Number.isFinite(reported)) return;
+    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, reported));
+    const known = computeSlowness(entry);
+    entry.slowness = known + (bounded - known) * SLOWNESS_AVERAGE_WEIGHT;
+    entry.slownessAtMs = readMonotonicMs();
+  };
   const updatePrefillRate = (service: string, tokens: number, ms: number): void => {
     const measured = Math.min(MAX_PREFILL_RATE, Math.max(MIN_PREFILL_RATE, tokens / ms));
     const rate = prefillRates.get(service) ?? INITIAL_PREFILL_RATE;
@@ -162,6 +188,7 @@
         load: entry.load,
         loadAgeMs: entry.load === undefined ? Infinity : now - entry.loadAtMs,
         inFlightAtLoad: entry.inFlightAtLoad,
+        slowness: computeSlowness(entry),
         silentMs: entry.inFlight === 0 ? 0 : now - entry.lastReceivedMs,
         failureShare: computeFailureShare(entry),
         isAvoided: now < entry.avoidedUntilMs,
@@ -193,6 +220,12 @@
       entry.load = load;
       entry.loadAtMs = readMonotonicMs();
       entry.inFlightAtLoad = entry.inFlight;
+      updateSlowness(entry, load.slowness);
+    },
+    recordUnreadableLoad: (server) => {
+      const entry = getEntry(server);
+      entry.unreadableLoads += 1;
+      return entry.unreadableLoads;
     },
     recordEndlessAnswer: (server) => {
       const entry = getEntry(server);
--- a/packages/track-engines/src/server-state.ts
+++ b/packages/track-engines/src/server-state.ts
@@ -10,6 +10,8 @@
   readonly heldTokens: number;
   /** Load that the server reported with its last answer; `undefined` before the first one. */
   readonly load: BackendLoad | undefined;
+  /** Factor by which work takes longer than usual at the server, from its recent reports; 1 without any. */
+  readonly slowness: number;
   /** Age of `load`, milliseconds; infinite without one. */
   readonly loadAgeMs: number;
   /** Calls of this host that were in flight when `load` was received. */
--- a/packages/track-engines/src/server-tracker.ts
+++ b/packages/track-engines/src/server-tracker.ts
@@ -13,6 +13,8 @@
   readonly getState: (server: string) => ServerState;
   /** Records the load that a server reported with an answer. */
   readonly observeLoad: (server: string, load: BackendLoad) => void;
+  /** Counts a load report that could not be read; returns how many the server has sent. */
+  readonly recordUnreadableLoad: (server: string) => number;
   /** Returns the recent prefill rate of a service's engines, prompt tokens per millisecond. */
   readonly getPrefillRate: (service: string) => number;
   /** Records that an engine sent a first event `ms` milliseconds after it got `tokens` to prefill, those queued before included. */
--- a/packages/track-engines/test/create-server-tracker.test.ts
+++ b/packages/track-engines/test/create-server-tracker.test.ts
@@ -71,3 +71,26 @@
   pieces.clear();
   t.is(pieces.countTokens(), 0);
 });
+
+test.serial(
+  'a slowness fades without reports, and a false one stays within bounds, so no server is shunned for good',
+  async (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const serverTracker = createServerTracker();
+    const load = { running: 1, waiting: 0, slots: 6 };
+    const getSlowness = (): number => serverTracker.getState('a').slowness;
+    serverTracker.observeLoad('a', load);
+    t.is(getSlowness(), 1);
+    for (let report = 0; report < 10; report += 1) serverTracker.observeLoad('a', { ...load, slowness: 4 });
+    t.true(getSlowness() > 3.9 && getSlowness() <= 4);
+    await clock.tickAsync(10_000);
+    t.true(getSlowness() < 1.01);
+    for (const slowness of [1e9, Infinity, NaN, -5, 0]) {
+      serverTracker.observeLoad('a', { ...load, slowness });
+      t.true(getSlowness() >= 0.25 && getSlowness() <= 20, String(slowness));
+    }
+  },
+);
