--- a/packages/forward-calls/src/decide-next-step.ts
+++ b/packages/forward-calls/src/decide-next-step.ts
@@ -17,6 +17,12 @@
     ? { kind: 'send' }
     : decideWithoutRetry(input);
 
+const decideBroken: StepRule = (input) => {
+  if (input.continueFrom !== undefined && input.remainingMs >= MIN_RETRY_TIME_MS && !input.isCallerGone)
+    return { kind: 'continue' };
+  return input.isRetryable ? decideRetry(input) : decideWithoutRetry(input);
+};
+
 const STEP_RULES: Readonly<
   Record<AttemptOutcome['kind'], (input: NextStepInput, end: AttemptOutcome) => NextStep>
 > = {
@@ -27,6 +33,8 @@
     return { kind: 'fail', status: 504 };
   },
   'not-run': (input, end) => {
+    // The run itself may have begun in an earlier attempt, whatever this one says of its own.
+    if (input.mayHaveRun && !input.isRetryable) return decideWithoutRetry(input);
     // Nothing was sent, so the attempt does not count against `maxAttempts`.
     if (
       end.kind === 'not-run' &&
@@ -37,8 +45,8 @@
       return { kind: 'send' };
     return decideRetry(input);
   },
-  broken: (input) => (input.isRetryable ? decideRetry(input) : decideWithoutRetry(input)),
-  cut: (input) => (input.isRetryable ? decideRetry(input) : decideWithoutRetry(input)),
+  broken: decideBroken,
+  cut: decideBroken,
   answered: (input, end) => {
     if (end.kind !== 'answered') return decideWithoutRetry(input);
     if (input.isHeadSent) return input.isRetryable ? decideRetry(input) : decideWithoutRetry(input);
@@ -54,7 +62,7 @@
 };
 
 /**
- * Decides what follows an attempt. A call that may have run is sent again only when it is retryable. It is refused only when
+ * Decides what follows an attempt: the run continues from memory that was kept of it, else the call is sent again or ends. A call that may have run is sent again only when it is retryable. It is refused only when
  * no attempt can have run it, because a refusal tells the caller that the call has not run.
  */
 export function decideNextStep(input: NextStepInput, end: AttemptOutcome): NextStep {
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -1,5 +1,6 @@
 import type { CallPlacer } from '@laburnumshift/ask-home';
 import type { BackendPool } from '@laburnumshift/call-backend';
+import type { CopyTable, TokenTimes } from '@laburnumshift/continue-runs';
 import type { ByteBudget } from '@laburnumshift/collect-bytes';
 import type { EdgeCodec, EngineControl, ForwardBounds } from '@laburnumshift/forward-types';
 import type { ResendBudget } from '@laburnumshift/limit-resends';
@@ -16,11 +17,13 @@
   readonly fleet: FleetView;
   readonly serverTracker: ServerTracker;
   readonly notices: Pick<ServerNotices, 'getAvailability' | 'markLeaving' | 'markPaused'>;
-  readonly limits: Pick<ServerLimits, 'observeLimit'>;
+  readonly limits: Pick<ServerLimits, 'observeLimit' | 'hasRoom' | 'takeRoom'>;
   readonly quarantine: Pick<CrashQuarantine, 'checkCall' | 'beginAttempt'>;
   readonly pool: BackendPool;
   readonly placer: CallPlacer;
-  readonly sharing: Pick<LoadSharing, 'countCoveredHosts'>;
+  readonly sharing: Pick<LoadSharing, 'countCoveredHosts' | 'getLoadOfOthers'>;
+  /** Copies of this host's runs, and the times of output tokens by which runs are chosen for copies. */
+  readonly runCopies: { readonly copies: CopyTable; readonly tokenTimes: TokenTimes };
   readonly resends: Pick<ResendBudget, 'recordCall' | 'hasResend'>;
   readonly metrics: Metrics;
   readonly bounds: ForwardBounds;
--- a/packages/forward-calls/src/next-step-input.ts
+++ b/packages/forward-calls/src/next-step-input.ts
@@ -14,6 +14,11 @@
   readonly isRetryable: boolean;
   /** True when some attempt may have run the call. */
   readonly mayHaveRun: boolean;
+  /**
+   * Memory from which the run can continue, its engine being known to have ended or to have stopped it; `undefined` without any. A
+   * continuation counts as the same run, so neither the limit on attempts nor the kind of the route bounds it.
+   */
+  readonly continueFrom: 'backup' | 'handle' | undefined;
   /** True when the headers of an answer were written to the caller. */
   readonly isHeadSent: boolean;
   /** True when the caller has disconnected. */
--- a/packages/forward-calls/src/next-step.ts
+++ b/packages/forward-calls/src/next-step.ts
@@ -6,6 +6,8 @@
   | { readonly kind: 'done' }
   /** Another attempt is made. */
   | { readonly kind: 'send' }
+  /** The same run continues at another engine from the memory that was kept of it. */
+  | { readonly kind: 'continue' }
   /** The buffered answer of the server is written to the caller. */
   | { readonly kind: 'pass'; readonly head: ResponseHead; readonly body: Buffer }
   /** The caller is told that the call has not run and never will. */
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -11,13 +11,17 @@
 import { estimateHeldTokens } from '@laburnumshift/place-calls';
 import { addContentLength } from './add-content-length.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
+import { chooseRunBackup } from './choose-run-backup.js';
 import { dispatchCall } from './dispatch-call.js';
 import { createEventSplitter } from './create-event-splitter.js';
 import { decideNextStep } from './decide-next-step.js';
+import { estimateOutputTokens } from './estimate-output-tokens.js';
+import { findBackupContinuation } from './find-backup-continuation.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import type { MatchedCall } from './matched-call.js';
 import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
 import { NOT_EXECUTED_STATUSES } from './not-executed-statuses.js';
+import type { PendingContinuation } from './pending-continuation.js';
 import { PASSING_REFUSALS } from './passing-refusals.js';
 import { replyError } from './reply-error.js';
 import { STOPPING_RETRY_AFTER_MS } from './stopping-retry-after-ms.js';
@@ -34,6 +38,8 @@
 const REFUSED_RETRY_AFTER_MS = 400;
 /** Delay until a server is sought again for a stream that has begun, in milliseconds. */
 const RESUME_RETRY_MS = 200;
+/** Most times that one run continues from a copy: each needs the end of another engine. */
+const MAX_CONTINUATIONS = 3;
 /** Urgency sent to an engine when the priority is not a finite number. */
 const DEFAULT_URGENCY = 5;
 const NO_ACCOUNTS: ReadonlySet<string> = new Set();
@@ -61,6 +67,8 @@
   let longestPauseMs = 0;
   let unsentAttempts = 0;
   let mayHaveRun = false;
+  let pending: PendingContinuation | undefined;
+  let continuations = 0;
   /** Failure answer of a server, kept while another attempt is made. */
   let bufferedAnswer: Extract<AttemptOutcome, { kind: 'answered' }> | undefined;
 
@@ -126,6 +134,8 @@
   /** The call may have waited while an account was isolated or removed, so the newest configuration decides. */
   const getCacheOwner = (): string =>
     computeCacheOwner(account, deps.fleet.getConfig()?.sharingAccounts ?? NO_ACCOUNTS);
+  const buildScope = (version: number | undefined): string =>
+    buildCacheScope(getCacheOwner(), call.prompt?.model ?? '', version);
   const buildPlacementRequest = (): PlacementRequest => {
     const now = readMonotonicMs();
     return {
@@ -154,7 +164,9 @@
 
   for (;;) {
     if (refuseQuarantined()) return;
-    const choice = await deps.placer.placeCall(buildPlacementRequest, endSignal);
+    const continuation = pending;
+    pending = undefined;
+    const choice = continuation?.choice ?? (await deps.placer.placeCall(buildPlacementRequest, endSignal));
     if (choice === undefined && !callerSignal.aborted) {
       refuse('the host is stopping', STOPPING_RETRY_AFTER_MS);
       return;
@@ -181,8 +193,12 @@
     const { server } = choice;
     const startedMs = readMonotonicMs();
     const remainingMs = Math.floor(matchedCall.endsAtMs - startedMs);
-    const cacheScope = buildCacheScope(getCacheOwner(), call.prompt?.model ?? '', choice.version);
-    attempts += 1;
+    const cacheScope = buildScope(choice.version);
+    if (continuation === undefined) attempts += 1;
+    else deps.limits.takeRoom(server);
+    const excluded = new Set([...triedServers, server.id]);
+    const backup = chooseRunBackup(deps, matchedCall, choice, { isRepeatable: isRetryable, excluded });
+    if (backup !== undefined) deps.metrics.addToCounter('run_copies_total', { route: route.name });
     let connectionMs: number | undefined;
     const attemptOutcome = await dispatchCall(deps, {
       matchedCall,
@@ -203,6 +219,8 @@
             cacheScope,
             urgency: Number.isFinite(urgency) ? urgency : DEFAULT_URGENCY,
             transfers: choice.transfers,
+            backupAddress: backup?.server.address,
+            continuation: continuation?.memory,
           },
         }),
         resumeAfter: splitter.getLastEventId(),
@@ -233,18 +251,40 @@
         for (const { id, tokens } of call.prompt?.pieces ?? []) pieces.addPiece(cacheScope, id, tokens);
       },
     });
-    if (attemptOutcome.kind === 'delivered' && firstMs !== undefined) {
+    const nextContinuation =
+      continuations < MAX_CONTINUATIONS
+        ? await findBackupContinuation(deps, matchedCall, {
+            choice,
+            backup,
+            outcome: attemptOutcome,
+            isRepeatable: isRetryable,
+            isSameScope: () => cacheScope === buildScope(choice.version),
+            signal: endSignal,
+          })
+        : undefined;
+    backup?.release();
+    if (continuation !== undefined)
+      deps.metrics.addToCounter('run_continuations_total', {
+        from: continuation.from,
+        result: attemptOutcome.kind,
+      });
+    if (attemptOutcome.kind === 'delivered' && firstMs !== undefined && continuation === undefined) {
       const readMs = choice.uncachedTokens / deps.serverTracker.getPrefillRate(service.name);
-      deps.serverTracker.observeRun(service.name, readMs + readMonotonicMs() - startedMs - firstMs);
+      const runMs = readMonotonicMs() - startedMs - firstMs;
+      deps.serverTracker.observeRun(service.name, readMs + runMs);
+      if (service.engine?.hasBackups === true && call.prompt !== undefined)
+        deps.runCopies.tokenTimes.observeRun(service.name, estimateOutputTokens(call.prompt), runMs);
     }
+    const isRefusedContinuation = continuation !== undefined && attemptOutcome.kind === 'not-run';
     if (attemptOutcome.kind === 'not-run' && !attemptOutcome.isSent) {
-      attempts -= 1;
+      if (continuation === undefined) attempts -= 1;
       unsentAttempts += 1;
       deps.serverTracker.avoidServer(server.id, UNREACHABLE_AVOID_MS);
     }
-    if (attemptOutcome.kind === 'not-run' && attemptOutcome.isSent)
+    if (attemptOutcome.kind === 'not-run' && attemptOutcome.isSent && continuation === undefined)
       deps.serverTracker.avoidServer(server.id, REFUSED_AVOID_MS);
-    triedServers.add(server.id);
+    // An engine without the copy may still run a call anew.
+    if (!isRefusedContinuation) triedServers.add(server.id);
     if (attemptOutcome.kind === 'answered' && !NOT_EXECUTED_STATUSES.has(attemptOutcome.head.status))
       bufferedAnswer = attemptOutcome;
     if (
@@ -262,6 +302,10 @@
       fetchFrom: choice.transfers?.fetchFrom,
       saveTo: choice.transfers?.saveTo,
       version: choice.version,
+      copyAt: backup?.server.id,
+      copyCostMs: backup && Math.round(backup.choice.costMs),
+      copyGainMs: backup && Math.round(backup.choice.gainMs),
+      continuedFrom: continuation?.from,
       end: attemptOutcome.kind,
       connectionMs,
       firstMs,
@@ -279,11 +323,17 @@
         remainingMs: matchedCall.endsAtMs - readMonotonicMs(),
         isRetryable,
         mayHaveRun,
+        continueFrom: nextContinuation?.from,
         isHeadSent: reply.isHeadSent(),
         isCallerGone: matchedCall.callerSignal.aborted,
       },
-      attemptOutcome,
+      isRefusedContinuation ? continuation.brokenOutcome : attemptOutcome,
     );
+    if (nextStep.kind === 'continue') {
+      pending = nextContinuation;
+      continuations += 1;
+      continue;
+    }
     if (nextStep.kind === 'send') continue;
     if (nextStep.kind === 'done') {
       if (attemptOutcome.kind === 'delivered') recordOutcome('served', attemptOutcome.status, '');
--- a/packages/forward-calls/test/decide-next-step.test.ts
+++ b/packages/forward-calls/test/decide-next-step.test.ts
@@ -11,6 +11,7 @@
   remainingMs: 1000,
   isRetryable: false,
   mayHaveRun: false,
+  continueFrom: undefined,
   isHeadSent: false,
   isCallerGone: false,
 };
@@ -94,6 +95,30 @@
     createAnswer(500),
     'abort',
   ],
+  [
+    'a run with a copy is not lost on a route without resends and beyond its attempts',
+    { mayHaveRun: true, isHeadSent: true, maxAttempts: 1, continueFrom: 'backup' },
+    CUT,
+    'continue',
+  ],
+  [
+    'a run with a copy is not lost before its first event',
+    { mayHaveRun: true, maxAttempts: 1, continueFrom: 'backup' },
+    BROKEN,
+    'continue',
+  ],
+  [
+    'a run does not continue when its time is over',
+    { mayHaveRun: true, isHeadSent: true, remainingMs: 10, continueFrom: 'backup' },
+    CUT,
+    'abort',
+  ],
+  [
+    'a refused continuation does not become a second run of a call that may run once',
+    { mayHaveRun: true, attempts: 1, maxAttempts: 3 },
+    REFUSED,
+    'fail',
+  ],
   ['a call whose deadline has passed fails', { mayHaveRun: true }, { kind: 'ended' }, 'fail'],
   [
     'nothing is sent after the caller has disconnected',
--- a/packages/forward-types/src/backend-call.ts
+++ b/packages/forward-types/src/backend-call.ts
@@ -1,5 +1,6 @@
 import type { CacheTransfers } from './cache-transfers.js';
 import type { ForwardCall } from './forward-call.js';
+import type { RunContinuation } from './run-continuation.js';
 
 /** One call in the form in which it is sent to a backend server. */
 export interface BackendCall {
@@ -19,6 +20,10 @@
     /** 0 (most urgent) to 9. */
     readonly urgency: number;
     readonly transfers: CacheTransfers;
+    /** Address of the engine that gets a copy of the run while it runs; `undefined` for no copy. */
+    readonly backupAddress?: string | undefined;
+    /** Memory from which the run continues; an engine that does not have it refuses the call. `undefined` for a new run. */
+    readonly continuation?: RunContinuation | undefined;
   };
   /** Id of the last event that was passed on when the host resumes a stream; otherwise `undefined`. */
   readonly resumeAfter: string | undefined;
--- a/packages/forward-types/src/forward-service.ts
+++ b/packages/forward-types/src/forward-service.ts
@@ -16,5 +16,11 @@
     /** Concurrent long-poll reads of cache events that one engine accepts. */
     readonly maxEventReaders: number;
     readonly models: readonly string[];
+    /** An engine sends the memory of a run to another engine while it runs. */
+    readonly hasBackups?: boolean;
+    /** An engine moves runs to another engine on request. */
+    readonly hasMoves?: boolean;
+    /** Time for which the memory of a stopped run is kept, milliseconds; `undefined` when not stated. */
+    readonly handleMs?: number | undefined;
   };
 }
--- a/packages/forward-types/src/index.ts
+++ b/packages/forward-types/src/index.ts
@@ -36,6 +36,7 @@
 export type { RequestHead } from './request-head.js';
 export type { RelayedChanges } from './relayed-changes.js';
 export type { ProbeResult } from './probe-result.js';
+export type { RunContinuation } from './run-continuation.js';
 export type { StoredObject } from './stored-object.js';
 export type { UnavailableOutcome } from './unavailable-outcome.js';
 export type { WatchOutcome } from './watch-outcome.js';
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -9,6 +9,7 @@
   sleep,
   watchSuspension,
 } from '@laburnumshift/clock';
+import { createCopyTable, createTokenTimes } from '@laburnumshift/continue-runs';
 import { startForwardServer } from '@laburnumshift/forward-calls';
 import { computeHomeShare, computeHostShare, createResendBudget } from '@laburnumshift/limit-resends';
 import { createLogger } from '@laburnumshift/logger';
@@ -145,6 +146,7 @@
       pool,
       placer,
       sharing,
+      runCopies: { copies: createCopyTable(), tokenTimes: createTokenTimes() },
       resends,
       metrics,
       memory,
