--- a/packages/run-forwarder/src/compute-watch-waits.ts
+++ b/packages/run-forwarder/src/compute-watch-waits.ts
@@ -30,7 +30,7 @@
     config: Math.round(bounds.configApplyMs * WAIT_RATIO),
     backends: Math.round(bounds.drainMs * WAIT_RATIO),
     maxBatchDelay: Math.round(bounds.drainMs * BATCH_DELAY_RATIO),
-    evacuations: Math.round(bounds.evacuateMs * EVACUATIONS_WAIT_RATIO),
+    evacuations: Math.round((bounds.evacuateMs ?? bounds.configApplyMs) * EVACUATIONS_WAIT_RATIO),
     weights: Math.round(bounds.versionMs * WEIGHTS_WAIT_RATIO),
   };
 }
--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -31,7 +31,13 @@
   settledRequests: SettledRequestHooks,
   openWhenFree: <T>(open: () => Promise<T>) => Promise<T>,
 ): Promise<HostContext> {
-  const { settings, kinds, control } = options;
+  const { settings, control } = options;
+  const { evacuations, ...alwaysFollowed } = options.kinds;
+  // Each followed kind costs calls to the store.
+  const kinds =
+    evacuations === undefined || settings.bounds.evacuateMs === undefined
+      ? alwaysFollowed
+      : { ...alwaysFollowed, evacuations };
   const times = FORWARDER_TIMINGS;
   const logger = createLogger('host');
   const bornMs = readWallMs();
