--- a/packages/relay-objects/src/create-relayed-source.ts
+++ b/packages/relay-objects/src/create-relayed-source.ts
@@ -32,6 +32,11 @@
 /** Random delay after a failed probe, milliseconds: the store is then probably down for all hosts, and each call to it has a cost. */
 const MIN_PROBE_DELAY_MS = 2000;
 const MAX_PROBE_DELAY_MS = 6000;
+/**
+ * A follower whose relay had an old copy twice within this time reads the store for as long, milliseconds. A relay without the store takes
+ * its copies from other hosts, so they are recent and old by turns, and each change to the store costs a call for every kind.
+ */
+const DIRECT_HOLD_MS = 10_000;
 
 /** A call that waits for the other host; `after` is the revision after which changes are wanted. */
 interface PendingCall<T> {
@@ -60,6 +65,9 @@
   let isFollowing = false;
   /** Whether the followed host has an old copy while the store answers this host. */
   let isDirect = false;
+  /** When this host last began to read the store because of an old copy, and until when it does so at least, monotonic milliseconds. */
+  let directSinceMs = -Infinity;
+  let directUntilMs = -Infinity;
   /** Revisions after which changes of a kind were last requested. */
   const lastRevisions = new Map<string, number>();
 
@@ -181,13 +189,17 @@
       return;
     }
     if (!(await probeStore(firstKind)) || !isFollower()) return;
+    const directMs = readMonotonicMs();
+    if (directMs - directSinceMs < DIRECT_HOLD_MS) directUntilMs = directMs + DIRECT_HOLD_MS;
+    directSinceMs = directMs;
     isDirect = true;
     stopFollowing('the host has an old copy and the store answers');
   };
   /** Checks the age of the other host's copy; returns false when it is too old to be followed. */
   const checkAge = (kind: string, ageMs: number): boolean => {
     const maxAgeMs = isStaleTolerant(kind) ? STALE_TOLERANT_MAX_AGE_MS : getMaxAgeMs();
-    if (ageMs <= maxAgeMs) {
+    const isHeld = isReadFromStore(kind) && readMonotonicMs() < directUntilMs;
+    if (ageMs <= maxAgeMs && !isHeld) {
       setFollowing(true, 'the host sends changes');
       lastAnswerMs.set(kind, readMonotonicMs());
       // Old copies of kinds that tolerate them say nothing about the host's way to the store.
--- a/packages/relay-objects/test/follow-host.test.ts
+++ b/packages/relay-objects/test/follow-host.test.ts
@@ -185,17 +185,16 @@
   { clock, source, watch }: ReturnType<typeof createFollower>,
   untilMs: number,
 ): Promise<(number | undefined)[]> => {
-  const ages: (number | undefined)[] = [];
+  const answers: WatchOutcome[][] = [];
   for (let ageMs = 0; ageMs < untilMs; ageMs += 400) {
     source.applyKindStates(
       ['k', 'l', 'm'].map((kind) => createState({ kind, ageMs })),
       1,
     );
-    const outcomes = watch('k');
+    answers.push(watch('k'));
     await clock.tickAsync(400);
-    for (const outcome of outcomes) if (outcome.kind === 'changes') ages.push(outcome.ages?.ageMs);
   }
-  return ages;
+  return answers.flat().flatMap((outcome) => (outcome.kind === 'changes' ? [outcome.ages?.ageMs] : []));
 };
 
 // The list of hosts tolerates old copies. Its states arrived with those of the configuration and put the probe off each time.
@@ -220,3 +219,24 @@
     t.true(ages.slice(6).every((age) => age === undefined));
   },
 );
+
+// A relay that takes its copies from other hosts is recent and old by turns. Each change to the store cost a call for every kind.
+test.serial(
+  'guards against a follower that follows its relay and reads the store by turns as the copies of the relay do',
+  async (t) => {
+    const follower = createFollower(t, 0.5, ['m']);
+    const ages: (number | undefined)[] = [];
+    for (let turn = 0; turn < 4; turn += 1) ages.push(...(await simulateOldRelay(follower, 2800)));
+    const first = ages.indexOf(undefined);
+    t.true(first > 0);
+    // The second change to the store, in the second turn, lasts until the end.
+    const second = ages.findIndex(
+      (age, index) => index > first && age === undefined && ages[index - 1] !== undefined,
+    );
+    t.true(second > first);
+    t.true(
+      ages.slice(second).every((age) => age === undefined),
+      ages.join(' '),
+    );
+  },
+);
