--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -3,6 +3,7 @@
 import type { PlacementRequest } from '@laburnumshift/forward-types';
 import type { RoomForecast } from '@laburnumshift/limit-server-rates';
 import { createLogger } from '@laburnumshift/logger';
+import { createMemoryReservations } from './create-memory-reservations.js';
 import { createRetrySchedule } from './create-retry-schedule.js';
 import { createQueueWaitEstimator } from './create-queue-wait-estimator.js';
 import { RETRY_BOUNDS } from '@laburnumshift/place-calls';
@@ -42,6 +43,7 @@
   const pollCapacity = createSharedInterval(PLACEMENT_TIMING.capacityPollMs);
   const waitEstimator = createQueueWaitEstimator();
   const retrySchedule = createRetrySchedule();
+  const memoryReservations = createMemoryReservations();
   let queue: QueuedRequest[] = [];
   let stopPolling: (() => void) | undefined;
 
@@ -62,7 +64,12 @@
       Math.max(minRetryMs, request.remainingMs * RETRY_BOUNDS.maxRemainingShare),
     );
   const decide = (request: PlacementRequest): ServerChoice => {
-    const choice = chooseServer(request);
+    const choice = chooseServer(request, (engine, engineCount, capacityTokens) =>
+      memoryReservations.getReservedTokens(request, engine, engineCount, capacityTokens),
+    );
+    if (choice.kind === 'wait' && choice.memory !== undefined)
+      memoryReservations.reserveEngine(request, choice.memory.engine, choice.memory.neededTokens);
+    else memoryReservations.releaseCall(request.callId);
     if (choice.kind === 'wait' && choice.room !== undefined)
       return checkRoomWait(request, choice.room) ?? choice;
     if (choice.kind === 'refuse' && choice.cause === REFUSAL_CAUSES.noCapacity)
@@ -140,8 +147,11 @@
       const isFirstRequest = !request.isResend && request.waitedMs < PLACEMENT_TIMING.maxQueueMs;
       if (isFirstRequest) recordFirstAttempt(request.service);
       const decided = decide(request);
+      if (isFirstRequest && decided.kind === 'wait' && decided.memory !== undefined)
+        memoryReservations.observeNeed(request);
       const hasToQueue = decided.kind === 'wait' && decided.room === undefined;
       const choice = hasToQueue ? (checkQueueWait(request) ?? decided) : decided;
+      if (choice.kind === 'refuse') memoryReservations.releaseCall(request.callId);
       if (choice.kind !== 'wait' || queue.length >= MAX_QUEUED) {
         onChoice(choice);
         return false;
--- a/packages/ask-home/src/placement-queue-options.ts
+++ b/packages/ask-home/src/placement-queue-options.ts
@@ -1,10 +1,17 @@
-import type { ServerChoice } from '@laburnumshift/choose-server';
+import type { ChoiceDeps, ServerChoice } from '@laburnumshift/choose-server';
 import type { PlacementRequest } from '@laburnumshift/forward-types';
 
 /** Options of `createPlacementQueue`. */
 export interface PlacementQueueOptions {
-  /** Chooses a server for a placement request, refuses it, or returns `wait` when no server has free capacity. */
-  readonly chooseServer: (request: PlacementRequest) => ServerChoice;
+  /**
+   * Chooses a server for a placement request, refuses it, or returns `wait` when no server has free capacity.
+   *
+   * @param getReservedTokens returns the memory of an engine that the call must leave free
+   */
+  readonly chooseServer: (
+    request: PlacementRequest,
+    getReservedTokens: NonNullable<ChoiceDeps['getReservedTokens']>,
+  ) => ServerChoice;
   /** Records a call for a service that was not sent before. */
   readonly recordFirstAttempt: (service: string) => void;
   /** Takes one resend from the budget of a service; false when the budget is exhausted. */
--- a/packages/ask-home/test/simulate-fleet.ts
+++ b/packages/ask-home/test/simulate-fleet.ts
@@ -167,7 +167,7 @@
     }) as unknown as ChoiceDeps;
   const createQueue = (deps: ChoiceDeps): PlacementQueue =>
     createPlacementQueue({
-      chooseServer: (request) => chooseServer(deps, request),
+      chooseServer: (request, getReservedTokens) => chooseServer({ ...deps, getReservedTokens }, request),
       recordFirstAttempt: () => undefined,
       takeResend: () => true,
     });
--- a/packages/choose-server/src/choice-deps.ts
+++ b/packages/choose-server/src/choice-deps.ts
@@ -14,6 +14,8 @@
   readonly transferPlanner: Pick<PieceTransferPlanner, 'planFetches' | 'planTransfers'>;
   readonly sharing: Pick<LoadSharing, 'getLoadOfOthers' | 'countCoveredHosts' | 'countReportingHosts'>;
   readonly bounds: Pick<ForwardBounds, 'versionMs'>;
+  /** Returns the memory of an engine that the call must leave free for more urgent calls, tokens. Absent: none. */
+  readonly getReservedTokens?: (engine: string, engineCount: number, capacityTokens: number) => number;
   /** Returns a number from 0 to 1; breaks ties and draws candidates. */
   readonly pickRandom: () => number;
   /**
--- a/packages/choose-server/src/choose-engine.ts
+++ b/packages/choose-server/src/choose-engine.ts
@@ -101,7 +101,10 @@
         localTokens,
         fetchTokens,
         fetchSlowdown: slowdown,
-        heldTokens: state.heldTokens + otherHosts.heldTokens,
+        heldTokens:
+          state.heldTokens +
+          otherHosts.heldTokens +
+          (deps.getReservedTokens?.(server.id, usable.length, engine.capacityTokens) ?? 0),
         capacityTokens: engine.capacityTokens,
         failureShare: state.failureShare,
         isSilent: state.silentMs >= CHOICE_TIMES.silentMs,
@@ -155,7 +158,8 @@
   const { placement, admission } = placeInRounds();
   const server = usable.find(({ id }) => id === placement.id);
   if (server === undefined) return buildRefusal(REFUSAL_CAUSES.noServer, CHOICE_TIMES.noServerRetryMs);
-  if (admission.kind === 'wait') return admission;
+  if (admission.kind === 'wait')
+    return { ...admission, memory: { engine: placement.id, neededTokens: estimateHeldTokens(prompt) } };
   if (admission.kind === 'refuse') {
     const { id, expectedMs, queueMs, memoryShare } = placement;
     const cause = REFUSAL_CAUSES.noCapacity;
--- a/packages/choose-server/src/server-choice.ts
+++ b/packages/choose-server/src/server-choice.ts
@@ -22,8 +22,15 @@
       /** Weight version that the call has to run under; `undefined` for plain services. */
       readonly version: number | undefined;
     }
-  /** No server has capacity now; the caller of the function asks again shortly. `room` is set when all are at their limits. */
-  | { readonly kind: 'wait'; readonly room?: RoomForecast }
+  /**
+   * No server has capacity now; the caller of the function asks again shortly. `room` is set when all are at their limits, `memory` when
+   * a call with a prompt waits for the named engine, which is the best of all.
+   */
+  | {
+      readonly kind: 'wait';
+      readonly room?: RoomForecast;
+      readonly memory?: { readonly engine: string; readonly neededTokens: number };
+    }
   | {
       readonly kind: 'refuse';
       readonly cause: RefusalCause;
--- a/packages/run-forwarder/src/open-placement.ts
+++ b/packages/run-forwarder/src/open-placement.ts
@@ -72,7 +72,8 @@
   });
   onHomeClient(homeClient);
   const placementQueue = createPlacementQueue({
-    chooseServer: (request) => chooseServer(choiceDependencies, request),
+    chooseServer: (request, getReservedTokens) =>
+      chooseServer({ ...choiceDependencies, getReservedTokens }, request),
     recordFirstAttempt: (service) => {
       homeResends.recordCall(service);
       limits.recordCall(service);
