--- a/packages/choose-server/src/choice-deps.ts
+++ b/packages/choose-server/src/choice-deps.ts
@@ -1,6 +1,6 @@
 import type { ForwardBounds } from '@laburnumshift/forward-types';
 import type { PieceTransferPlanner } from '@laburnumshift/keep-pieces';
-import type { ServerLimits } from '@laburnumshift/limit-server-rates';
+import type { ColdLimits, ServerLimits } from '@laburnumshift/limit-server-rates';
 import type { LoadSharing } from '@laburnumshift/share-load';
 import type { ServerTracker, ServerNotices } from '@laburnumshift/track-engines';
 import type { FleetView } from '@laburnumshift/track-fleet';
@@ -14,6 +14,7 @@
   readonly serverTracker: ServerTracker;
   readonly notices: Pick<ServerNotices, 'getAvailability'>;
   readonly limits: Pick<ServerLimits, 'hasRoom' | 'takeRoom' | 'estimateRoom'>;
+  readonly coldLimits: Pick<ColdLimits, 'hasRoom' | 'takeRoom' | 'estimateRoom'>;
   readonly transferPlanner: Pick<PieceTransferPlanner, 'planFetches' | 'planTransfers'>;
   readonly sharing: Pick<LoadSharing, 'getLoadOfOthers' | 'countCoveredHosts' | 'countReportingHosts'>;
   readonly bounds: Pick<ForwardBounds, 'versionMs'>;
--- a/packages/choose-server/src/choose-server.ts
+++ b/packages/choose-server/src/choose-server.ts
@@ -1,17 +1,19 @@
-import type { PlacementRequest } from '@laburnumshift/forward-types';
+import type { BackendEntry, PlacementRequest } from '@laburnumshift/forward-types';
 import { buildRefusal } from './build-refusal.js';
 import type { ServerChoice } from './server-choice.js';
 import type { ChoiceDeps } from './choice-deps.js';
 import { CHOICE_TIMES } from './choice-times.js';
 import { chooseEngine } from './choose-engine.js';
 import { choosePlainServer } from './choose-plain-server.js';
+import { splitByRoom } from './split-by-room.js';
 import { isReadmitted } from './is-readmitted.js';
 import { REFUSAL_CAUSES } from './refusal-causes.js';
 
 /**
  * Chooses the server for the next attempt of a call. Leaving servers, servers of evacuated failure domains and servers that asked this
  * host for a pause get no calls; those of a failure domain whose evacuation ended get a growing part of them.
- * A call waits while all servers are at the limits that they state. Servers that asked another host for a pause, or recently refused or
+ * A call waits while all servers are at the limits that they state or are cold and at their rate; cold ones get calls that no warm one
+ * takes. Servers that asked another host for a pause, or recently refused or
  * reset connections, are used only when no others are left.
  */
 export function chooseServer(deps: ChoiceDeps, request: PlacementRequest): ServerChoice {
@@ -29,25 +31,39 @@
   const excluded = new Set(request.excluded);
   const untried = open.filter(({ server }) => !excluded.has(server.id));
   const readmitted = untried.filter(({ server }) => isReadmitted(server, request.callId));
-  const roomy = (readmitted.length > 0 ? readmitted : untried).filter(({ server }) =>
-    deps.limits.hasRoom(server),
+  const service = deps.fleet.getConfig()?.services.get(request.service);
+  const candidates = readmitted.length > 0 ? readmitted : untried;
+  const { warm, cold, estimateRoom } = splitByRoom(
+    deps,
+    candidates.map(({ server }) => server),
+    service?.coldPerS,
   );
-  if (roomy.length === 0 && untried.length > 0)
-    return { kind: 'wait', room: deps.limits.estimateRoom(untried.map(({ server }) => server)) };
-  const isPreferred = ({ server, availability }: (typeof roomy)[number]): boolean =>
-    !availability.isPausedElsewhere && !deps.serverTracker.getState(server.id).isAvoided;
-  const preferred = roomy.filter(isPreferred);
-  const servers = (preferred.length > 0 ? preferred : roomy).map(({ server }) => server);
-  if (servers.length === 0) {
+  if (warm.length + cold.length === 0 && candidates.length > 0) return { kind: 'wait', room: estimateRoom() };
+  if (candidates.length === 0) {
     const cause = staying.length === 0 ? REFUSAL_CAUSES.noServer : REFUSAL_CAUSES.allExcluded;
     return buildRefusal(cause, CHOICE_TIMES.noServerRetryMs);
   }
-  const { prompt } = request;
-  const engine = deps.fleet.getConfig()?.services.get(request.service)?.engine;
-  const choice =
-    prompt === undefined || engine === undefined
-      ? choosePlainServer(deps, request, servers)
-      : chooseEngine(deps, { ...request, prompt, engine }, servers);
-  if (choice.kind === 'server') deps.limits.takeRoom(choice.server);
+  const pausedElsewhere = new Set(
+    candidates.filter(({ availability }) => availability.isPausedElsewhere).map(({ server: { id } }) => id),
+  );
+  const isPreferred = ({ id }: BackendEntry): boolean =>
+    !pausedElsewhere.has(id) && !deps.serverTracker.getState(id).isAvoided;
+  const chooseAmong = (servers: readonly BackendEntry[]): ServerChoice => {
+    const preferred = servers.filter(isPreferred);
+    const usable = preferred.length > 0 ? preferred : servers;
+    const { prompt } = request;
+    const engine = service?.engine;
+    return prompt === undefined || engine === undefined
+      ? choosePlainServer(deps, request, usable)
+      : chooseEngine(deps, { ...request, prompt, engine }, usable);
+  };
+  const firstChoice = chooseAmong(warm.length > 0 ? warm : cold);
+  const needsCold = firstChoice.kind !== 'server' && warm.length > 0 && cold.length > 0;
+  const coldChoice = needsCold ? chooseAmong(cold) : undefined;
+  const choice = coldChoice?.kind === 'server' ? coldChoice : firstChoice;
+  if (choice.kind === 'server') {
+    deps.limits.takeRoom(choice.server);
+    if (cold.includes(choice.server)) deps.coldLimits.takeRoom(choice.server);
+  }
   return choice;
 }
--- a/packages/choose-server/test/choose-server.test.ts
+++ b/packages/choose-server/test/choose-server.test.ts
@@ -272,3 +272,45 @@
   t.true(choice.kind === 'refuse' && choice.retryAfterMs > 0);
   t.false(isUsableServer({ ...deps, fleet }, evacuated, undefined));
 });
+
+/** Chooses among a warm and a cold engine, whose memory is full or not. */
+const chooseWithCold = (isWarmFull: boolean, engines: readonly string[], hasRoom: boolean) => {
+  const serverTracker = createServerTracker();
+  if (isWarmFull) serverTracker.beginCall('warm', { uncachedTokens: 0, totalTokens: CAPACITY_TOKENS });
+  const servers = engines.map((id) => ({
+    ...ENGINES[0],
+    id,
+    ...(id !== 'warm' && { coldUntilMs: Infinity }),
+  }));
+  const deps = createDeps(serverTracker);
+  const taken: string[] = [];
+  const fleet = {
+    ...deps.fleet,
+    listBackends: () => servers,
+    getConfig: () => ({
+      ...CONFIG,
+      services: new Map([['m', { ...CONFIG.services.get('m'), coldPerS: 14 }]]),
+    }),
+  };
+  const coldLimits = {
+    hasRoom: () => hasRoom,
+    takeRoom: ({ id }: { id: string }) => taken.push(id),
+    estimateRoom: () => ({ firstMs: 70, perCallMs: 71 }),
+  };
+  const choice = chooseServer({ ...deps, fleet, coldLimits } as unknown as ChoiceDeps, REQUEST);
+  return { choice, taken, id: choice.kind === 'server' ? choice.server.id : choice.kind };
+};
+
+test('guards against cold engines that get calls beside warm ones, or none while the warm ones are full', (t) => {
+  t.is(chooseWithCold(false, ['cold', 'warm'], true).id, 'warm');
+  t.is(chooseWithCold(true, ['cold', 'warm'], false).id, 'wait');
+  const { id, taken } = chooseWithCold(true, ['cold', 'warm'], true);
+  t.is(id, 'cold');
+  t.deepEqual(taken, ['cold']);
+});
+
+test('guards against a wait without a time when all engines are cold', (t) => {
+  const { choice } = chooseWithCold(false, ['cold'], false);
+  t.deepEqual(choice, { kind: 'wait', room: { firstMs: 70, perCallMs: 71 } });
+  t.is(chooseWithCold(false, ['cold'], true).id, 'cold');
+});
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -144,6 +144,7 @@
           tracked.observeBytes();
           if (received.load !== undefined) deps.serverTracker.observeLoad(server.id, received.load);
           if (received.isLeaving) deps.notices.markLeaving(server);
+          if (received.coldMs !== undefined) deps.fleet.markCold(server, received.coldMs);
           if (received.pauseMs !== undefined) deps.notices.markPaused(server, received.pauseMs);
           const isSuccess = received.status >= 200 && received.status < 300;
           // Only a success of the server itself shows that it has no limit any more.
--- a/packages/forward-types/src/backend-entry.ts
+++ b/packages/forward-types/src/backend-entry.ts
@@ -19,6 +19,12 @@
   readonly bornMs: number;
   /** Number of the last report of the process to the store; orders what it says of itself. 0 when not stated. */
   readonly reportNumber?: number;
+  /** Time for which the server stays cold after it wrote the entry, milliseconds; absent when not stated. */
+  readonly coldMs?: number;
+  /** The entry states that time as something else than a usable number, which is ignored. */
+  readonly hasUnreadableCold?: boolean;
+  /** Monotonic milliseconds until which the server is cold as far as this host knows; absent for a server that never was. */
+  readonly coldUntilMs?: number;
   /** Weight versions by model name. */
   readonly versions: ReadonlyMap<string, number>;
   /** Mark of the last order to load weights; it is set before the order is sent. `undefined` without any. */
--- a/packages/forward-types/src/engine-control.ts
+++ b/packages/forward-types/src/engine-control.ts
@@ -9,6 +9,8 @@
 export interface EngineControl {
   /** Calls the handler with the address of each server whose answer to a control request states that it is leaving. */
   readonly watchLeaving: (handler: (address: string) => void) => void;
+  /** Calls the handler with the address of each server whose answer to a control request states for how long it stays cold. */
+  readonly watchCold: (handler: (address: string, coldMs: number) => void) => void;
   /** Reads the state of an engine. */
   readonly readReport: (engine: BackendEntry) => Promise<EngineReport | undefined>;
   /** Probes a server for liveness and for the progress of its calls. */
--- a/packages/forward-types/src/forward-bounds.ts
+++ b/packages/forward-types/src/forward-bounds.ts
@@ -8,6 +8,10 @@
   readonly drainMs: number;
   /** Longest time for which servers of an evacuated failure domain may still get calls, milliseconds. */
   readonly evacuateMs: number;
+  /** Factor by which the calls to a cold server may exceed its sustained rate in any second. */
+  readonly coldOver: number;
+  /** Calls to a cold server allowed in any second in addition to that. */
+  readonly coldSlack: number;
   /** Time after the end of a fault of a host or of the store from which on the host keeps its bounds again, milliseconds. */
   readonly settleMs: number;
   /** Time from the termination signal to the kill, milliseconds. */
--- a/packages/forward-types/src/forward-service.ts
+++ b/packages/forward-types/src/forward-service.ts
@@ -3,6 +3,10 @@
   readonly name: string;
   /** Connections that one server accepts from all hosts together. */
   readonly maxConnections: number;
+  /** Calls a second that a cold server sustains from all hosts together; servers have no cold state when it is absent. */
+  readonly coldPerS?: number;
+  /** Time for which a server is cold after it starts, milliseconds. */
+  readonly coldStartMs?: number;
   /** Set for model engines. */
   readonly engine?: {
     /** Calls that one engine runs concurrently. */
--- a/packages/forward-types/src/response-head.ts
+++ b/packages/forward-types/src/response-head.ts
@@ -17,6 +17,8 @@
   readonly pauseMs: number | undefined;
   /** Calls a second that the server takes from all hosts together; `undefined` when it states no limit. */
   readonly limitPerS: number | undefined;
+  /** Time for which the server stays cold, milliseconds; absent when not stated. */
+  readonly coldMs?: number | undefined;
   /** The server states a limit that cannot be read, so the one before it stays in force. */
   readonly isLimitUnreadable: boolean;
   /** The body has a length or is chunked. Otherwise it ends with the connection, and a truncated body cannot be told from a complete one. */
--- a/packages/run-forwarder/src/host-context.ts
+++ b/packages/run-forwarder/src/host-context.ts
@@ -1,6 +1,6 @@
 import type { HostChannel } from '@laburnumshift/host-channel';
 import type { PieceTransferPlanner } from '@laburnumshift/keep-pieces';
-import type { ServerLimits } from '@laburnumshift/limit-server-rates';
+import type { ColdLimits, ServerLimits } from '@laburnumshift/limit-server-rates';
 import type { EventsRelay } from '@laburnumshift/relay-events';
 import type { PeerHost, LoadSharing } from '@laburnumshift/share-load';
 import type { ServerTracker, ServerNotices } from '@laburnumshift/track-engines';
@@ -18,6 +18,7 @@
   readonly fleet: FleetView;
   readonly events: EventsRelay;
   readonly limits: ServerLimits;
+  readonly coldLimits: ColdLimits;
   readonly transferPlanner: PieceTransferPlanner;
   /** Returns the other registered hosts; some of them may have stopped. */
   readonly listPeers: () => readonly PeerHost[];
--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -3,7 +3,7 @@
 import type { BackendEntry } from '@laburnumshift/forward-types';
 import { openHostChannel } from '@laburnumshift/host-channel';
 import { createPieceTransferPlanner, getStoreId } from '@laburnumshift/keep-pieces';
-import { createServerLimits } from '@laburnumshift/limit-server-rates';
+import { createColdLimits, createServerLimits } from '@laburnumshift/limit-server-rates';
 import { createLogger } from '@laburnumshift/logger';
 import type { OrderedStore } from '@laburnumshift/order-revisions';
 import { createEventsRelay } from '@laburnumshift/relay-events';
@@ -75,6 +75,12 @@
     getPlan: sharing.getPlan,
     pickRandom: Math.random,
   });
+  const coldLimits = createColdLimits({
+    self,
+    listPeers,
+    isJoined: () => registration.hosts?.readState() !== undefined,
+    bounds: settings.bounds,
+  });
   const objects = createRelayedSource(store.source, {
     kinds: Object.values(kinds),
     staleTolerantKinds: [kinds.hosts],
@@ -160,6 +166,7 @@
       events.stopReading(id);
       serverTracker.removeServer(id);
       limits.removeServer(id);
+      coldLimits.removeServer(id);
     } else updateReading(entry);
   });
   const stopRoleChecks = runEvery(
@@ -175,6 +182,10 @@
     const server = fleet.listAllBackends().find((entry) => entry.address === address);
     if (server !== undefined) notices.markLeaving(server);
   });
+  control.watchCold((address, coldMs) => {
+    const server = fleet.listAllBackends().find((entry) => entry.address === address);
+    if (server !== undefined) fleet.markCold(server, coldMs);
+  });
   const transferPlanner = createPieceTransferPlanner({ serverTracker, events, fleet, control });
   const storeIds = new Set<string>();
   fleet.watchConfig((config) => {
@@ -197,6 +208,7 @@
     fleet,
     events,
     limits,
+    coldLimits,
     transferPlanner,
     listPeers,
     isJoined: () => hostRegistry.readState() !== undefined,
--- a/packages/track-fleet/src/fleet-view.ts
+++ b/packages/track-fleet/src/fleet-view.ts
@@ -11,6 +11,8 @@
   readonly listBackends: (service: string) => readonly BackendEntry[];
   /** Lists the servers of a service that get no calls only because their failure domains are evacuated. */
   readonly listEvacuated: (service: string) => readonly BackendEntry[];
+  /** Records that a server stated in an answer that it stays cold for `coldMs` milliseconds. */
+  readonly markCold: (server: Pick<BackendEntry, 'id' | 'bornMs'>, coldMs: number) => void;
   readonly getBackend: (id: string) => BackendEntry | undefined;
   /** Lists all registered servers, draining ones included. */
   readonly listAllBackends: () => readonly BackendEntry[];
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -1,9 +1,17 @@
 import { isDeepStrictEqual } from 'node:util';
-import { computeElapsedMs, readMoment, startTimer, type Moment } from '@laburnumshift/clock';
+import {
+  computeElapsedMs,
+  readMoment,
+  readMonotonicMs,
+  readWallMs,
+  startTimer,
+  type Moment,
+} from '@laburnumshift/clock';
 import type { BackendEntry, ForwardConfig, ObjectChange } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import { watchKind } from '@laburnumshift/watch-objects';
 import type { FleetOptions } from './fleet-options.js';
+import { computeColdUntil } from './compute-cold-until.js';
 import { createRestorePolicies } from './create-restore-policies.js';
 import type { FleetView } from './fleet-view.js';
 import { trackEvacuations } from './track-evacuations.js';
@@ -12,6 +20,9 @@
 /** Most published versions kept per model; older ones are no longer in use. */
 const MAX_VERSIONS = 16;
 
+/** Least change of the end of a cold state that is recorded, milliseconds: each answer of a cold server states the rest of it. */
+const COLD_STEP_MS = 100;
+
 /** When one answer has more entries than this, they are logged together in one line. */
 const MAX_ENTRY_LINES = 12;
 
@@ -30,6 +41,7 @@
   const weightsHandlers: (() => void)[] = [];
   const configHandlers: ((config: ForwardConfig) => void)[] = [];
   let config: ForwardConfig | undefined;
+  let isBackendsListed = false;
   let isWeightsListed = false;
 
   const updateService = (service: string): void => {
@@ -126,8 +138,19 @@
         changedEntries.push({ ...entry, revision: object.revision });
       }
       if (isNew && before !== undefined) setBackend(entry.id, undefined);
-      setBackend(entry.id, entry);
+      if (entry.hasUnreadableCold === true && before?.hasUnreadableCold !== true)
+        logger.warn('ignoring an unreadable time for which a server is cold', { server: entry.id });
+      const coldUntilMs = computeColdUntil({
+        entry,
+        before,
+        isInitial: !isBackendsListed,
+        service: config?.services.get(entry.service),
+        nowMs: readMonotonicMs(),
+        nowWallMs: readWallMs(),
+      });
+      setBackend(entry.id, coldUntilMs === undefined ? entry : { ...entry, coldUntilMs });
     }
+    isBackendsListed = true;
     reportEntries(changedEntries);
     evacuations.reportDomains();
   };
@@ -218,6 +241,16 @@
       [...backends.values()].filter(
         (entry) => entry.service === service && entry.isEvacuated === true && !entry.isDraining,
       ),
+    markCold: ({ id, bornMs }, coldMs) => {
+      const entry = backends.get(id);
+      if (entry?.bornMs !== bornMs || coldMs === 0) return;
+      const coldUntilMs = readMonotonicMs() + coldMs;
+      if (coldUntilMs <= (entry.coldUntilMs ?? -Infinity) + COLD_STEP_MS) return;
+      if ((entry.coldUntilMs ?? -Infinity) < readMonotonicMs())
+        logger.info('server says that it is cold', { server: id, coldMs });
+      backends.set(id, { ...entry, coldUntilMs });
+      updateService(entry.service);
+    },
     getBackend: (id) => backends.get(id),
     listAllBackends: () => [...backends.values()],
     getWeights: (model) => weights.get(model),
--- a/packages/track-fleet/test/track-fleet.test.ts
+++ b/packages/track-fleet/test/track-fleet.test.ts
@@ -1,4 +1,4 @@
-import { computeElapsedMs, readMoment } from '@laburnumshift/clock';
+import { computeElapsedMs, readMoment, readMonotonicMs } from '@laburnumshift/clock';
 import { installClock } from '@laburnumshift/test-utils';
 import type {
   BackendEntry,
@@ -287,7 +287,7 @@
   run(
     {
       backends: TWO_DOMAINS,
-      config: [createObject('main', 1, { version: 1 })],
+      config: [createObject('main', 1, { version: 1, services: new Map() })],
       evacuations: [createObject('north', 3, {})],
     },
     (fleet) => {
@@ -312,3 +312,64 @@
     t.deepEqual(listIds(fleet).sort(), ['a', 'b']);
   }),
 );
+
+const COLD_CONFIG = createObject('main', 1, {
+  version: 1,
+  services: new Map([['models', { coldPerS: 14, coldStartMs: 3000 }]]),
+});
+const computeColdMs = (fleet: ReturnType<typeof trackFleet>, id: string): number =>
+  Math.max(0, Math.round((fleet.getBackend(id)?.coldUntilMs ?? -Infinity) - readMonotonicMs()));
+
+test.serial('guards against a server that is taken for cold longer or shorter than it stated', (t) =>
+  run(
+    { config: [COLD_CONFIG], backends: [createObject('a', 1, createEntry('a'))] },
+    async (fleet, store, clock) => {
+      t.is(computeColdMs(fleet, 'a'), 0);
+      store.updateObject('backends', 'a', createEntry('a', { reportNumber: 2, coldMs: 3000 }));
+      await clock.tickAsync(1000);
+      t.is(computeColdMs(fleet, 'a'), 2000);
+      const mark = {
+        model: 'm',
+        version: 2,
+        stage: 'draining',
+        holder: 'h',
+      } as unknown as BackendEntry['orderMark'];
+      store.updateObject(
+        'backends',
+        'a',
+        createEntry('a', { reportNumber: 2, coldMs: 3000, orderMark: mark }),
+      );
+      await clock.tickAsync(500);
+      t.is(computeColdMs(fleet, 'a'), 1500);
+      store.updateObject('backends', 'a', createEntry('a', { reportNumber: 3, coldMs: 0 }));
+      await clock.tickAsync(500);
+      t.is(computeColdMs(fleet, 'a'), 1000);
+      await clock.tickAsync(1000);
+      fleet.markCold({ id: 'a', bornMs: 1 }, 2500);
+      t.is(computeColdMs(fleet, 'a'), 2500);
+      t.is(fleet.listBackends('models')[0]?.coldUntilMs, fleet.getBackend('a')?.coldUntilMs);
+      fleet.markCold({ id: 'a', bornMs: 2 }, 9000);
+      t.is(computeColdMs(fleet, 'a'), 2500);
+    },
+  ),
+);
+
+test.serial(
+  'guards against a server that is taken for warm as it starts, and for cold as it registers again',
+  (t) =>
+    run(
+      { config: [COLD_CONFIG], backends: [createObject('a', 1, createEntry('a'))] },
+      async (fleet, store, clock) => {
+        const bornMs = Date.now();
+        store.updateObject('backends', 'b', createEntry('b', { bornMs }));
+        await clock.tickAsync(100);
+        t.is(computeColdMs(fleet, 'b'), 2900);
+        await clock.tickAsync(9900);
+        store.updateObject('backends', 'b', undefined, true);
+        await clock.tickAsync(1);
+        store.updateObject('backends', 'b', createEntry('b', { bornMs }));
+        await clock.tickAsync(1);
+        t.is(computeColdMs(fleet, 'b'), 0);
+      },
+    ),
+);
