--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -159,6 +159,8 @@
   metrics.registerGauge('calls_in_flight', callerServer.countCallsInFlight);
   metrics.registerGauge('quarantined_traits', quarantine.countConvicted);
   metrics.registerGauge('limited_servers', limits.countLimited);
+  metrics.registerGauge('evacuated_servers', fleet.countEvacuated);
+  metrics.registerGauge('cold_servers', fleet.countCold);
   metrics.registerGauge('body_bytes_kept', memory.bodies.countReserved);
   metrics.registerGauge('answer_bytes_kept', memory.answers.countReserved);
   metrics.registerGauge('resident_bytes', () => process.memoryUsage.rss());
--- a/packages/track-fleet/src/fleet-view.ts
+++ b/packages/track-fleet/src/fleet-view.ts
@@ -11,6 +11,10 @@
   readonly listBackends: (service: string) => readonly BackendEntry[];
   /** Lists the servers of a service that get no calls only because their failure domains are evacuated. */
   readonly listEvacuated: (service: string) => readonly BackendEntry[];
+  /** Number of servers in evacuated failure domains. */
+  readonly countEvacuated: () => number;
+  /** Number of servers that are cold now. */
+  readonly countCold: () => number;
   /** Records that a server stated in an answer that it stays cold for `coldMs` milliseconds. */
   readonly markCold: (server: Pick<BackendEntry, 'id' | 'bornMs'>, coldMs: number) => void;
   readonly getBackend: (id: string) => BackendEntry | undefined;
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -241,6 +241,13 @@
       [...backends.values()].filter(
         (entry) => entry.service === service && entry.isEvacuated === true && !entry.isDraining,
       ),
+    countEvacuated: () => [...backends.values()].filter((entry) => entry.isEvacuated === true).length,
+    countCold: () => {
+      const now = readMonotonicMs();
+      return [...backends.values()].filter(
+        ({ coldUntilMs }) => coldUntilMs !== undefined && coldUntilMs > now,
+      ).length;
+    },
     markCold: ({ id, bornMs }, coldMs) => {
       const entry = backends.get(id);
       if (entry?.bornMs !== bornMs || coldMs === 0) return;
