--- a/packages/ask-home/src/create-reservation-table.ts
+++ b/packages/ask-home/src/create-reservation-table.ts
@@ -1,5 +1,5 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
-import { addLoads, ZERO_LOAD } from '@laburnumshift/share-load';
+import { addLoads, addWork, NO_WORK, ZERO_LOAD } from '@laburnumshift/share-load';
 import type { CallWork } from '@laburnumshift/track-engines';
 import type { ReservationTable } from './reservation-table.js';
 
@@ -26,6 +26,12 @@
     if (kept.length === 0) byServer.delete(server);
     else byServer.set(server, kept);
   };
+  const listCurrent = (server: string): readonly Reservation[] => {
+    if (!byServer.has(server)) return [];
+    const now = readMonotonicMs();
+    filterReservations(server, ({ untilMs }) => untilMs > now);
+    return byServer.get(server) ?? [];
+  };
   return {
     addReservation: (host, bornMs, number, server, work) => {
       const untilMs = readMonotonicMs() + RESERVATION_TTL_MS;
@@ -43,15 +49,16 @@
             reservation.host !== host || (reservation.bornMs === bornMs && reservation.number > number),
         );
     },
-    getLoad: (server) => {
-      if (!byServer.has(server)) return ZERO_LOAD;
-      const now = readMonotonicMs();
-      filterReservations(server, ({ untilMs }) => untilMs > now);
-      return (byServer.get(server) ?? []).reduce(
+    getWork: (server) =>
+      listCurrent(server).reduce(
+        (sum, { work: { expectedMs: ms } }) => (ms === undefined ? sum : addWork(sum, { calls: 1, ms })),
+        NO_WORK,
+      ),
+    getLoad: (server) =>
+      listCurrent(server).reduce(
         (sum, { work: { uncachedTokens, totalTokens } }) =>
           addLoads(sum, { inFlight: 1, pendingTokens: uncachedTokens, heldTokens: totalTokens }),
         ZERO_LOAD,
-      );
-    },
+      ),
   };
 }
--- a/packages/ask-home/src/decode-placement-request.ts
+++ b/packages/ask-home/src/decode-placement-request.ts
@@ -6,7 +6,7 @@
   const parsed = PLACEMENT_REQUEST_SCHEMA.safeParse(value);
   if (!parsed.success) return undefined;
   const [callId, service, prompt, cacheOwner, priority, targetMs, ...rest] = parsed.data;
-  const [remainingMs, waitedMs, bodyBytes, failureDomain, isResend, excluded] = rest;
+  const [remainingMs, waitedMs, bodyBytes, failureDomain, isResend, excluded, costMs] = rest;
   return {
     callId,
     service,
@@ -29,5 +29,6 @@
     failureDomain,
     isResend,
     excluded,
+    ...(costMs !== undefined && { costMs }),
   };
 }
--- a/packages/ask-home/src/encode-placement-request.ts
+++ b/packages/ask-home/src/encode-placement-request.ts
@@ -4,7 +4,9 @@
 
 /** Encodes a placement request as the tuple of `PLACEMENT_REQUEST_SCHEMA`; absent values become null. */
 export function encodePlacementRequest(request: PlacementRequest): z.infer<typeof PLACEMENT_REQUEST_SCHEMA> {
-  const { prompt } = request;
+  const { prompt, costMs } = request;
+  // Hosts of earlier versions read only requests without this member.
+  const cost: [] | [number] = costMs === undefined ? [] : [costMs];
   return [
     request.callId,
     request.service,
@@ -26,5 +28,6 @@
     request.failureDomain,
     request.isResend,
     [...request.excluded],
+    ...cost,
   ];
 }
--- a/packages/ask-home/src/placement-request-schema.ts
+++ b/packages/ask-home/src/placement-request-schema.ts
@@ -28,4 +28,5 @@
   z.string().describe('failure domain'),
   z.boolean().describe('whether the call was sent before'),
   z.array(z.string()).describe('ids of excluded servers'),
+  count.optional().describe('time at a server of usual speed, milliseconds; absent when unknown'),
 ]);
--- a/packages/ask-home/src/reservation-table.ts
+++ b/packages/ask-home/src/reservation-table.ts
@@ -1,4 +1,4 @@
-import type { CallWork } from '@laburnumshift/track-engines';
+import type { CallWork, OutstandingWork } from '@laburnumshift/track-engines';
 import type { ServerLoad } from '@laburnumshift/share-load';
 
 /** Reservations of server capacity for calls that this home host has placed and that their hosts have not yet included in a load report. */
@@ -26,4 +26,6 @@
   readonly clearReservations: (host: string, bornMs: number, number: number) => void;
   /** Returns the sum of the reservations at a server. */
   readonly getLoad: (server: string) => ServerLoad;
+  /** Returns the work of the reservations at a server whose time is known. */
+  readonly getWork: (server: string) => OutstandingWork;
 }
--- a/packages/ask-home/test/codec.test.ts
+++ b/packages/ask-home/test/codec.test.ts
@@ -34,6 +34,7 @@
   isResend: fc.boolean(),
   excluded: fc.array(fc.string()),
 });
+const WITH_COST = fc.tuple(PLACEMENT_REQUEST, count).map(([request, costMs]) => ({ ...request, costMs }));
 const address = fc.option(fc.string(), { nil: undefined });
 const TRANSFERS: fc.Arbitrary<CacheTransfers> = fc.record({
   fetchFrom: fc.array(address),
@@ -69,7 +70,7 @@
       return true;
     };
     fc.assert(
-      fc.property(PLACEMENT_REQUEST, (request) =>
+      fc.property(fc.oneof(PLACEMENT_REQUEST, WITH_COST), (request) =>
         isSame(decodePlacementRequest(unpack(pack(encodePlacementRequest(request)))), request),
       ),
       { seed: SEED },
--- a/packages/choose-server/src/choice-deps.ts
+++ b/packages/choose-server/src/choice-deps.ts
@@ -1,3 +1,4 @@
+import type { CostEstimator } from '@laburnumshift/estimate-cost';
 import type { ForwardBounds } from '@laburnumshift/forward-types';
 import type { PieceTransferPlanner } from '@laburnumshift/keep-pieces';
 import type { ServerLimits } from '@laburnumshift/limit-server-rates';
@@ -12,7 +13,12 @@
   readonly notices: Pick<ServerNotices, 'getAvailability'>;
   readonly limits: Pick<ServerLimits, 'hasRoom' | 'takeRoom' | 'estimateRoom'>;
   readonly transferPlanner: Pick<PieceTransferPlanner, 'planFetches' | 'planTransfers'>;
-  readonly sharing: Pick<LoadSharing, 'getLoadOfOthers' | 'countCoveredHosts' | 'countReportingHosts'>;
+  readonly sharing: Pick<LoadSharing, 'getLoadOfOthers' | 'countCoveredHosts' | 'countReportingHosts'> &
+    Partial<Pick<LoadSharing, 'getWorkOfOthers'>>;
+  /** Learned cost of calls; without it, servers are compared by their load. */
+  readonly costs?: Pick<CostEstimator, 'getServiceMs'>;
+  /** Called with the number of servers of a plain service that a call passed over because they are full. */
+  readonly recordFullServers?: (service: string, servers: number) => void;
   readonly bounds: Pick<ForwardBounds, 'versionMs'>;
   /** Returns a number from 0 to 1; breaks ties and draws candidates. */
   readonly pickRandom: () => number;
--- a/packages/choose-server/src/server-choice.ts
+++ b/packages/choose-server/src/server-choice.ts
@@ -12,7 +12,7 @@
       readonly uncachedTokens: number;
       /** Prompt tokens that the engine has to prefill before the call; 0 for plain services. */
       readonly queueTokens: number;
-      /** Expected time to the first event, milliseconds; 0 for plain services. */
+      /** Expected time to the first event, or to the answer of a plain service, milliseconds; 0 when unknown. */
       readonly expectedMs: number;
       /** Share of the engine's memory in use by running calls and this one; `undefined` for plain services. */
       readonly memoryShare: number | undefined;
@@ -22,7 +22,7 @@
       /** Weight version that the call has to run under; `undefined` for plain services. */
       readonly version: number | undefined;
     }
-  /** No server has capacity now; the caller of the function asks again shortly. `room` is set when all are at their limits. */
+  /** No server has capacity now; the caller of the function asks again shortly. `room` is set when all are at their limits or full. */
   | { readonly kind: 'wait'; readonly room?: RoomForecast }
   | {
       readonly kind: 'refuse';
--- a/packages/choose-server/test/choose-server.test.ts
+++ b/packages/choose-server/test/choose-server.test.ts
@@ -233,3 +233,58 @@
   const [first] = uncached[0]?.split(' ') ?? [];
   t.deepEqual(uncached, [`${String(first)} 3000`, `${String(first)} 200`, `${String(first)} 200`]);
 });
+
+const PLAIN_SERVERS = [
+  { id: 'p', failureDomain: 'north' },
+  { id: 'q', failureDomain: 'south' },
+].map((server) => ({ ...ENGINES[0], ...server, slots: 6, versions: new Map() }));
+const choosePlain = (
+  serverTracker: ReturnType<typeof createServerTracker>,
+  changes: Partial<ChoiceDeps> = {},
+) => {
+  const fleet = { listBackends: () => PLAIN_SERVERS, getConfig: () => undefined };
+  const deps = { ...createDeps(serverTracker), fleet, ...changes } as unknown as ChoiceDeps;
+  const choice = chooseServer(deps, { ...REQUEST, prompt: undefined, costMs: 60 });
+  return choice.kind === 'server' ? choice.server.id : choice;
+};
+const addCalls = (serverTracker: ReturnType<typeof createServerTracker>, id: string, calls: number): void => {
+  for (let call = 0; call < calls; call += 1)
+    serverTracker.beginCall(id, { uncachedTokens: 0, totalTokens: 0, expectedMs: 60 });
+};
+
+test('a plain call passes over a server that refused one because its queue is full, and waits when all have', (t) => {
+  const serverTracker = createServerTracker();
+  const skipped: number[] = [];
+  const changes = { recordFullServers: (_: string, servers: number) => skipped.push(servers) };
+  addCalls(serverTracker, 'p', 27);
+  addCalls(serverTracker, 'q', 26);
+  t.is(choosePlain(serverTracker, changes), 'p');
+  serverTracker.observeLoad('p', { running: 6, waiting: 24, slots: 6 }, true);
+  t.is(choosePlain(serverTracker, changes), 'q');
+  addCalls(serverTracker, 'q', 1);
+  t.like(choosePlain(serverTracker, changes), { kind: 'wait', room: { firstMs: 10 } });
+  t.deepEqual(skipped, [1, 2]);
+});
+
+test('a refusal with free slots, or of a server that reports no figures, makes no server count as full', (t) => {
+  const serverTracker = createServerTracker();
+  addCalls(serverTracker, 'p', 100);
+  addCalls(serverTracker, 'q', 90);
+  for (const load of [
+    { running: 5, waiting: 3, slots: 6 },
+    { running: 0, waiting: 0, slots: 0 },
+  ])
+    serverTracker.observeLoad('q', load, true);
+  t.is(choosePlain(serverTracker), 'q');
+});
+
+test('servers that do not report their slowness are chosen by load, those that do by expected completion', (t) => {
+  const serverTracker = createServerTracker();
+  addCalls(serverTracker, 'p', 9);
+  for (let call = 0; call < 6; call += 1)
+    serverTracker.beginCall('q', { uncachedTokens: 0, totalTokens: 0, expectedMs: 900 });
+  const load = { running: 6, waiting: 0, slots: 6 };
+  t.is(choosePlain(serverTracker), 'q');
+  serverTracker.observeLoad('p', { ...load, slowness: 1 });
+  t.is(choosePlain(serverTracker), 'p');
+});
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -143,7 +143,9 @@
         onHeaders: (received) => {
           head = received;
           tracked.observeBytes();
-          if (received.load !== undefined) deps.serverTracker.observeLoad(server.id, received.load);
+          // Servers that leave or state a limit refuse calls also when their queue is not full.
+          const isFull = received.isNotExecuted && !received.isLeaving && received.limitPerS === undefined;
+          if (received.load !== undefined) deps.serverTracker.observeLoad(server.id, received.load, isFull);
           if (received.isLoadUnreadable === true) recordUnreadableLoad(deps, server);
           if (received.isLeaving) deps.notices.markLeaving(server);
           if (received.pauseMs !== undefined) deps.notices.markPaused(server, received.pauseMs);
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -1,6 +1,7 @@
 import type { CallPlacer } from '@laburnumshift/ask-home';
 import type { BackendPool } from '@laburnumshift/call-backend';
 import type { ByteBudget } from '@laburnumshift/collect-bytes';
+import type { CostEstimator } from '@laburnumshift/estimate-cost';
 import type { EdgeCodec, EngineControl, ForwardBounds } from '@laburnumshift/forward-types';
 import type { ResendBudget } from '@laburnumshift/limit-resends';
 import type { ServerLimits } from '@laburnumshift/limit-server-rates';
@@ -15,6 +16,7 @@
   readonly codec: EdgeCodec;
   readonly fleet: FleetView;
   readonly serverTracker: ServerTracker;
+  readonly costs: Pick<CostEstimator, 'estimateCallMs' | 'observeCall'>;
   readonly notices: Pick<ServerNotices, 'getAvailability' | 'markLeaving' | 'markPaused'>;
   readonly limits: Pick<ServerLimits, 'observeLimit'>;
   readonly quarantine: Pick<CrashQuarantine, 'checkCall' | 'beginAttempt'>;
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -18,6 +18,7 @@
 import type { MatchedCall } from './matched-call.js';
 import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
 import { NOT_EXECUTED_STATUSES } from './not-executed-statuses.js';
+import { observePlainCall } from './observe-plain-call.js';
 import { PASSING_REFUSALS } from './passing-refusals.js';
 import { replyError } from './reply-error.js';
 import { STOPPING_RETRY_AFTER_MS } from './stopping-retry-after-ms.js';
@@ -55,6 +56,13 @@
   const isRetryable =
     route.kind === CALL_KINDS.idempotent || (route.kind === CALL_KINDS.stream && route.isResumable);
   const urgency = Math.min(MAX_URGENCY, 2 * (account?.priority ?? route.priority));
+  const callKind = {
+    service: service.name,
+    route: route.name,
+    method: call.method,
+    bodyBytes: matchedCall.body.length,
+  };
+  const costMs = call.prompt === undefined ? deps.costs.estimateCallMs(callKind) : undefined;
   let attempts = 0;
   let firstMs: number | undefined;
   let lastEventAtMs: number | undefined;
@@ -138,6 +146,7 @@
       remainingMs: matchedCall.endsAtMs - now,
       waitedMs: now - matchedCall.arrivedAtMs,
       bodyBytes: matchedCall.body.length,
+      costMs,
       failureDomain: deps.failureDomain,
       isResend: attempts > 0,
       excluded: [...triedServers],
@@ -183,6 +192,7 @@
     const remainingMs = Math.floor(matchedCall.endsAtMs - startedMs);
     const cacheScope = buildCacheScope(getCacheOwner(), call.prompt?.model ?? '', choice.version);
     attempts += 1;
+    const { slowness } = deps.serverTracker.getState(server.id);
     let connectionMs: number | undefined;
     const attemptOutcome = await dispatchCall(deps, {
       matchedCall,
@@ -210,8 +220,9 @@
       work: {
         uncachedTokens: choice.uncachedTokens,
         totalTokens: call.prompt === undefined ? 0 : estimateHeldTokens(call.prompt),
+        expectedMs: costMs,
       },
-      expectedMs: choice.expectedMs,
+      expectedMs: call.prompt === undefined ? 0 : choice.expectedMs,
       splitter,
       canRetry: () => hasOtherAttempt(server),
       onConnection: () => {
@@ -225,12 +236,8 @@
       },
       onFirstEvent: () => {
         firstMs = Math.round(readMonotonicMs() - startedMs);
-        const prefillMs = firstMs / deps.serverTracker.getState(server.id).slowness;
-        deps.serverTracker.observePrefill(
-          service.name,
-          choice.queueTokens + choice.uncachedTokens,
-          prefillMs,
-        );
+        const readTokens = choice.queueTokens + choice.uncachedTokens;
+        deps.serverTracker.observePrefill(service.name, readTokens, firstMs / slowness);
         if (choice.fetch !== undefined)
           deps.serverTracker.observeFetchDelay(choice.fetch, firstMs - choice.expectedMs);
         deps.metrics.recordDuration('first_event_ms', firstMs, { route: route.name });
@@ -238,13 +245,16 @@
         for (const { id, tokens } of call.prompt?.pieces ?? []) pieces.addPiece(cacheScope, id, tokens);
       },
     });
+    if (call.prompt === undefined) {
+      const elapsedMs = readMonotonicMs() - startedMs;
+      const { expectedMs } = choice;
+      const sentCall = { kind: callKind, server: server.id, costMs, expectedMs, slowness, elapsedMs };
+      observePlainCall(deps, sentCall, attemptOutcome);
+    }
     if (attemptOutcome.kind === 'delivered' && firstMs !== undefined) {
       const readMs = choice.uncachedTokens / deps.serverTracker.getPrefillRate(service.name);
-      const { slowness } = deps.serverTracker.getState(server.id);
-      deps.serverTracker.observeRun(
-        service.name,
-        readMs + (readMonotonicMs() - startedMs - firstMs) / slowness,
-      );
+      const decodeMs = (readMonotonicMs() - startedMs - firstMs) / slowness;
+      deps.serverTracker.observeRun(service.name, readMs + decodeMs);
     }
     if (attemptOutcome.kind === 'not-run' && !attemptOutcome.isSent) {
       attempts -= 1;
--- a/packages/forward-calls/test/run-forward.test.ts
+++ b/packages/forward-calls/test/run-forward.test.ts
@@ -3,6 +3,7 @@
 import { readMonotonicMs } from '@laburnumshift/clock';
 import { CALL_KINDS, type ResponseHead } from '@laburnumshift/forward-types';
 import type { SendHandlers } from '@laburnumshift/call-backend';
+import { createCostEstimator } from '@laburnumshift/estimate-cost';
 import { createLogger } from '@laburnumshift/logger';
 import { installClock } from '@laburnumshift/test-utils';
 import test, { type ExecutionContext } from 'ava';
@@ -60,6 +61,7 @@
       getState: () => ({ slowness: 1 }),
       getPieceTable: () => ({ addPiece: dropValue }),
     },
+    costs: createCostEstimator(),
     limits: { observeLimit: dropValue },
     fleet: { getConfig: () => undefined },
     startStallChecks: () => dropValue,
--- a/packages/forward-calls/test/start-forward-server.test.ts
+++ b/packages/forward-calls/test/start-forward-server.test.ts
@@ -2,6 +2,7 @@
 import net from 'node:net';
 import { sleep } from '@laburnumshift/clock';
 import { createByteBudget } from '@laburnumshift/collect-bytes';
+import { createCostEstimator } from '@laburnumshift/estimate-cost';
 import type { EdgeCodec } from '@laburnumshift/forward-types';
 import { findFreePort } from '@laburnumshift/test-utils';
 import test from 'ava';
@@ -69,6 +70,7 @@
       resends: { recordCall: () => undefined },
       metrics: { addToCounter: () => undefined },
       quarantine: { checkCall: () => ({ kind: 'allowed' }) },
+      costs: createCostEstimator(),
       pickRandom: () => 0,
       ...changes,
     };
@@ -138,6 +140,7 @@
     resends: { recordCall: () => undefined },
     metrics: { addToCounter: () => undefined, recordDuration: () => undefined },
     quarantine: { checkCall: () => ({ kind: 'allowed' }) },
+    costs: createCostEstimator(),
     placer: {
       placeCall: async () => {
         await sleep(300);
--- a/packages/forward-types/src/placement-request.ts
+++ b/packages/forward-types/src/placement-request.ts
@@ -18,6 +18,8 @@
   readonly waitedMs: number;
   /** Size of the request body. */
   readonly bodyBytes: number;
+  /** Time that the call takes at a server of usual speed, as the host learned it, milliseconds; `undefined` when unknown. */
+  readonly costMs?: number | undefined;
   /** Failure domain of the host that has the call. */
   readonly failureDomain: string;
   /** The call was sent before; sending it again takes one resend from the budget. */
--- a/packages/place-calls/test/place-call.test.ts
+++ b/packages/place-calls/test/place-call.test.ts
@@ -1,4 +1,11 @@
-import { placeCall, placePlainCall, type EngineCandidate } from '@laburnumshift/place-calls';
+import {
+  estimateCapacity,
+  isFullServer,
+  placeCall,
+  placePlainCall,
+  type EngineCandidate,
+  type PlainCandidate,
+} from '@laburnumshift/place-calls';
 import test from 'ava';
 import { createEngine } from './create-engine.js';
 
@@ -90,6 +97,51 @@
   t.is(placePlainCall([], 'north', 0), undefined);
 });
 
+const createServer = (id: string, changes: Partial<PlainCandidate> = {}): PlainCandidate => ({
+  id,
+  failureDomain: 'north',
+  calls: 0,
+  slots: 6,
+  failureShare: 0,
+  isSilent: false,
+  outstandingMs: 0,
+  ...changes,
+});
+const placePlain = (callMs: number, candidates: readonly PlainCandidate[]): string | undefined =>
+  placePlainCall(candidates, 'north', 0, { callMs, meanMs: 60 })?.id;
+
+test('few large calls count as more work than many small ones', (t) => {
+  const large = createServer('large', { calls: 8, outstandingMs: 1600 });
+  t.is(placePlain(60, [large, createServer('small', { calls: 10, outstandingMs: 500 })]), 'small');
+});
+
+test('a slow server gets small calls when it is idle enough, and large ones only when the others are much longer busy', (t) => {
+  const slow = createServer('slow', { slowness: 4 });
+  const busy = createServer('busy', { calls: 12, outstandingMs: 700 });
+  t.deepEqual([placePlain(20, [slow, busy]), placePlain(300, [slow, busy])], ['slow', 'busy']);
+});
+
+test('servers are compared by load while the work of one of them is unknown', (t) => {
+  const idle = createServer('idle', { calls: 1, outstandingMs: undefined });
+  t.is(placePlain(60, [createServer('busy', { calls: 4 }), idle]), 'idle');
+});
+
+test('a server is full only at the known size of its queue, and earlier for less urgent calls', (t) => {
+  const isFull = (calls: number, priority: number, queueLimit?: number): boolean =>
+    isFullServer(createServer('a', { calls, queueLimit }), priority);
+  t.deepEqual([isFull(29, 0, 24), isFull(30, 0, 24), isFull(27, 2, 24)], [false, true, true]);
+  t.false(isFull(1000, 2));
+});
+
+test('the forecast of full servers counts the calls beyond their queues and their slowness', (t) => {
+  const full = createServer('a', { calls: 30, queueLimit: 24 });
+  t.deepEqual(estimateCapacity([full], 60), { firstMs: 10, perCallMs: 10 });
+  t.deepEqual(estimateCapacity([{ ...full, slowness: 4, calls: 32 }, full], 60), {
+    firstMs: 10,
+    perCallMs: 8,
+  });
+});
+
 /**
  * Simulates 120 calls per second with one popular prompt on 8 engines of 4 slots. Each call occupies a slot for 200 ms, so three
  * quarters of the slots are in use. Returns the calls' queueing times in ascending order, milliseconds.
--- a/packages/run-forwarder/src/open-placement.ts
+++ b/packages/run-forwarder/src/open-placement.ts
@@ -9,7 +9,7 @@
 import { chooseServer, type ChoiceDeps } from '@laburnumshift/choose-server';
 import { readMonotonicMs } from '@laburnumshift/clock';
 import type { ForwardBounds } from '@laburnumshift/forward-types';
-import { addLoads, type PeerHost } from '@laburnumshift/share-load';
+import { addLoads, addWork, type PeerHost } from '@laburnumshift/share-load';
 import { FORWARDER_TIMINGS } from './forwarder-timings.js';
 import type { HostContext } from './host-context.js';
 import { isHomeReady } from './is-home-ready.js';
@@ -21,7 +21,7 @@
  */
 export function openPlacement(
   context: HostContext,
-  { reservations, resends, homeResends, metrics }: PlacementDependencies,
+  { reservations, costs, resends, homeResends, metrics }: PlacementDependencies,
   bounds: ForwardBounds,
   onHomeClient: (homeClient: HomeClient) => void,
 ): CallPlacer {
@@ -59,6 +59,11 @@
       countCoveredHosts: sharing.countCoveredHosts,
       countReportingHosts: sharing.countReportingHosts,
       getLoadOfOthers: (server) => addLoads(sharing.getLoadOfOthers(server), reservations.getLoad(server)),
+      getWorkOfOthers: (server) => addWork(sharing.getWorkOfOthers(server), reservations.getWork(server)),
+    },
+    costs,
+    recordFullServers: (service, servers) => {
+      metrics.addToCounter('full_servers_skipped_total', { service }, servers);
     },
     pickRandom: Math.random,
     getHomeDomain: () => (sharing.getPlan().isRelay ? self.failureDomain : undefined),
--- a/packages/run-forwarder/src/placement-dependencies.ts
+++ b/packages/run-forwarder/src/placement-dependencies.ts
@@ -1,4 +1,5 @@
 import type { ReservationTable } from '@laburnumshift/ask-home';
+import type { CostEstimator } from '@laburnumshift/estimate-cost';
 import type { Metrics } from '@laburnumshift/record-metrics';
 import type { ResendBudget } from '@laburnumshift/limit-resends';
 
@@ -6,6 +7,7 @@
 export interface PlacementDependencies {
   readonly metrics: Pick<Metrics, 'addToCounter'>;
   readonly reservations: ReservationTable;
+  readonly costs: Pick<CostEstimator, 'getServiceMs'>;
   /** Budget for resending this host's own calls. */
   readonly resends: Pick<ResendBudget, 'takeResend'>;
   /** Budget for resending the calls that this host places as a home host. */
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -9,6 +9,7 @@
   sleep,
   watchSuspension,
 } from '@laburnumshift/clock';
+import { createCostEstimator } from '@laburnumshift/estimate-cost';
 import { startForwardServer } from '@laburnumshift/forward-calls';
 import { computeHomeShare, computeHostShare, createResendBudget } from '@laburnumshift/limit-resends';
 import { createLogger } from '@laburnumshift/logger';
@@ -95,9 +96,15 @@
     },
     settings.isFirstStart,
   );
-  const placer = openPlacement(context, { metrics, reservations, resends, homeResends }, bounds, (opened) => {
-    homeClient = opened;
-  });
+  const costs = createCostEstimator();
+  const placer = openPlacement(
+    context,
+    { metrics, reservations, costs, resends, homeResends },
+    bounds,
+    (opened) => {
+      homeClient = opened;
+    },
+  );
   const quarantine = createCrashQuarantine({
     self: context.self,
     channel: context.channel,
@@ -139,6 +146,7 @@
       codec,
       fleet,
       serverTracker,
+      costs,
       notices,
       limits,
       quarantine,
--- a/packages/share-load/src/create-load-sharing.ts
+++ b/packages/share-load/src/create-load-sharing.ts
@@ -1,6 +1,7 @@
 import { computeElapsedMs, readMoment, readMonotonicMs, startTimer, type Moment } from '@laburnumshift/clock';
 import { MESSAGE_KINDS, type HostMessage } from '@laburnumshift/host-channel';
 import { createLogger } from '@laburnumshift/logger';
+import type { ServerCondition } from '@laburnumshift/track-engines';
 import { createMessageTable } from './create-message-table.js';
 import { createRelayPlanManager } from './create-relay-plan-manager.js';
 import { decodeLoadMessage } from './decode-load-message.js';
@@ -13,7 +14,9 @@
 import type { LoadSharing } from './load-sharing.js';
 import type { LoadSum } from './load-sum.js';
 import { mergeLoads } from './merge-loads.js';
+import { NO_WORK } from './no-work.js';
 import { ZERO_LOAD } from './zero-load.js';
+import type { EncodedWork } from './encoded-work.js';
 import type { EncodedServerLoad } from './encoded-server-load.js';
 import type { LoadSharingOptions } from './load-sharing-options.js';
 import type { StateMessage } from './state-message.js';
@@ -45,6 +48,8 @@
 /** Number of reports whose send time is kept, to compute the age of the states that answer them. */
 const MAX_SENT_TIMES = 64;
 const MS_PER_S = 1000;
+/** Stands for the missing data for relays in a message that has later elements. */
+const NO_REPORT: RelayReport = [false, 0, [[], [], [], []]];
 
 /**
  * Shares the loads of hosts by datagrams. Each message contains the complete state of what it covers, so a lost message is replaced by the
@@ -68,7 +73,7 @@
   const sent = new Map<number, Moment>();
   let number = 0;
   let isClosed = false;
-  let sum: LoadSum = { loads: new Map(), hosts: 0 };
+  let sum: LoadSum = { loads: new Map(), work: new Map(), hosts: 0 };
   let summedAtMs = -Infinity;
   let lastReportMs = -Infinity;
   let isChanged = false;
@@ -100,6 +105,8 @@
     hosts: number,
     loads: readonly EncodedServerLoad[],
     report?: RelayReport,
+    works: readonly EncodedWork[] = [],
+    conditions: readonly ServerCondition[] = [],
   ): HostMessage => {
     const encodedNotices = notices
       .listNotices()
@@ -116,6 +123,8 @@
       loads,
       encodedNotices,
     ] as const;
+    if (works.length > 0 || conditions.length > 0)
+      return [...message, report ?? NO_REPORT, [works, conditions]] satisfies LoadMessage;
     return (report === undefined ? message : [...message, report]) satisfies LoadMessage;
   };
   const listAddresses = (peers: readonly PeerHost[]): string[] => peers.map(({ address }) => address);
@@ -128,16 +137,21 @@
     lastReportMs = readMonotonicMs();
     isChanged = false;
     const own = serverTracker.listLoads();
+    const works = serverTracker.listWork();
+    const conditions = serverTracker.listConditions();
     const observed = serverTracker.drainObservations();
     const settled = options.getSettledNumber?.() ?? 0;
     const buildReport = (isFollower: boolean): HostMessage =>
       plan.isRelayed
-        ? buildMessage(MESSAGE_KINDS.hostLoad, 1, own, [
-            isFollower,
-            settled,
-            [observed.results, observed.reads, observed.runs, observed.fetches],
-          ])
-        : buildMessage(MESSAGE_KINDS.hostLoad, 1, own);
+        ? buildMessage(
+            MESSAGE_KINDS.hostLoad,
+            1,
+            own,
+            [isFollower, settled, [observed.results, observed.reads, observed.runs, observed.fetches]],
+            works,
+            conditions,
+          )
+        : buildMessage(MESSAGE_KINDS.hostLoad, 1, own, undefined, works, conditions);
     const upstreamPeers = plan.reportTo.filter(({ host }) => host === plan.upstream?.host);
     const otherPeers = plan.reportTo.filter(({ host }) => host !== plan.upstream?.host);
     if (upstreamPeers.length > 0) channel.sendMessage(listAddresses(upstreamPeers), buildReport(true));
@@ -195,12 +209,15 @@
     if (!isRelaying) return;
     sumCount += 1;
     number += 1;
-    const ownLoads = { loads: serverTracker.listLoads(), hosts: 1 };
+    const ownLoads = { loads: serverTracker.listLoads(), works: serverTracker.listWork(), hosts: 1 };
     const domainSum = mergeLoads([ownLoads, ...reports]);
     const message = buildMessage(
       MESSAGE_KINDS.domainLoad,
       domainSum.hosts,
       computeRemainingLoads(domainSum, []),
+      undefined,
+      [...domainSum.work].map(([server, { calls, ms }]) => [server, calls, ms] as const),
+      serverTracker.listConditions(),
     );
     channel.sendMessage(listAddresses(plan.otherRelays), message);
     planManager.checkRelays(plan.otherRelays);
@@ -222,13 +239,14 @@
   const handleLoads = (raw: readonly unknown[]): boolean => {
     const message = decodeLoadMessage(raw);
     if (message === undefined) return false;
-    const [kind, host, hostBornMs, , , , , encodedNotices, report] = message;
+    const [kind, host, hostBornMs, , , , , encodedNotices, report, extras] = message;
     if (host === self.host) return true;
     const status = table.addMessage(message);
     if (status === 'new') logger.info('received first message from host', { host, bornMs: hostBornMs, kind });
     if (status === 'old') return true;
     for (const [server, noticeBornMs, isLeaving, pauseMs, ageMs] of encodedNotices ?? [])
       notices.addNotice({ server, bornMs: noticeBornMs, isLeaving, pauseMs, ageMs });
+    for (const condition of extras?.[1] ?? []) serverTracker.observeCondition(condition);
     summedAtMs = -Infinity;
     recordReceived(host);
     if (report !== undefined) {
@@ -265,6 +283,7 @@
 
   return {
     getLoadOfOthers: (server) => getCachedSum().loads.get(server) ?? ZERO_LOAD,
+    getWorkOfOthers: (server) => getCachedSum().work.get(server) ?? NO_WORK,
     countCoveredHosts: () => getCachedSum().hosts,
     countReportingHosts: () => table.listCurrent(MESSAGE_KINDS.hostLoad).length + 1,
     getPlan: planManager.getPlan,
--- a/packages/share-load/src/create-message-table.ts
+++ b/packages/share-load/src/create-message-table.ts
@@ -10,7 +10,7 @@
 export function createMessageTable(): MessageTable {
   const messages = new Map<LoadMessage[0], Map<string, ReceivedMessage>>();
   return {
-    addMessage: ([kind, host, bornMs, number, failureDomain, hosts, loads, , report]) => {
+    addMessage: ([kind, host, bornMs, number, failureDomain, hosts, loads, , report, extras]) => {
       const messagesOfKind = messages.get(kind) ?? new Map<string, ReceivedMessage>();
       messages.set(kind, messagesOfKind);
       const previous = messagesOfKind.get(host);
@@ -20,7 +20,18 @@
       if (isOutdated) return 'old';
       const isFollower = report?.[0] ?? false;
       const atMs = readMonotonicMs();
-      messagesOfKind.set(host, { host, bornMs, number, failureDomain, hosts, loads, isFollower, atMs });
+      const works = extras?.[0];
+      messagesOfKind.set(host, {
+        host,
+        bornMs,
+        number,
+        failureDomain,
+        hosts,
+        loads,
+        works,
+        isFollower,
+        atMs,
+      });
       return previous?.bornMs === bornMs ? 'next' : 'new';
     },
     listCurrent: (kind) => {
--- a/packages/share-load/src/decode-load-message.ts
+++ b/packages/share-load/src/decode-load-message.ts
@@ -22,6 +22,12 @@
   (runs: unknown) => isList(runs, [isText, isCount]),
   (fetches: unknown) => isList(fetches, [isText, isCount, isCount]),
 ];
+const WORK_CHECKS = [isText, isCount, isCount];
+const CONDITION_CHECKS = [isText, isCount, isCount, isCount];
+const EXTRAS_CHECKS = [
+  (works: unknown) => isList(works, WORK_CHECKS),
+  (conditions: unknown) => isList(conditions, CONDITION_CHECKS),
+];
 const REPORT_CHECKS = [
   isFlag,
   isCount,
@@ -30,13 +36,14 @@
 
 /** Decodes a message with loads; returns `undefined` when it is malformed. The message kind is not checked. */
 export function decodeLoadMessage(message: readonly unknown[]): LoadMessage | undefined {
-  const [, host, bornMs, number, failureDomain, hosts, loads, notices = [], report] = message;
+  const [, host, bornMs, number, failureDomain, hosts, loads, notices = [], report, extras] = message;
   const isValid =
     isText(host) &&
     isText(failureDomain) &&
     [bornMs, number, hosts].every(isCount) &&
     isList(loads, LOAD_CHECKS) &&
     isList(notices, NOTICE_CHECKS) &&
-    (report === undefined || report === null || isTuple(report, REPORT_CHECKS));
+    (report === undefined || report === null || isTuple(report, REPORT_CHECKS)) &&
+    (extras === undefined || isTuple(extras, EXTRAS_CHECKS));
   return isValid ? (message as unknown as LoadMessage) : undefined;
 }
--- a/packages/share-load/src/index.ts
+++ b/packages/share-load/src/index.ts
@@ -1,4 +1,6 @@
 /** Load of all hosts at each backend server, shared by datagrams. */
+export { addWork } from './add-work.js';
+export { NO_WORK } from './no-work.js';
 export { addLoads } from './add-loads.js';
 export { chooseRelays } from './choose-relays.js';
 export { createLoadSharing } from './create-load-sharing.js';
--- a/packages/share-load/src/load-message.ts
+++ b/packages/share-load/src/load-message.ts
@@ -1,5 +1,6 @@
 import type { MESSAGE_KINDS } from '@laburnumshift/host-channel';
 import type { EncodedServerLoad } from './encoded-server-load.js';
+import type { EncodedExtras } from './encoded-extras.js';
 import type { EncodedNotice } from './encoded-notice.js';
 import type { RelayReport } from './relay-report.js';
 
@@ -9,8 +10,8 @@
 
 /**
  * Datagram with loads: message kind, sending host, start time of its process in wall-clock milliseconds, sequence number, failure domain,
- * number of hosts that the loads cover, loads of servers with calls, recent notices of servers, and data for relays. Hosts of earlier
- * versions omit the last two.
+ * number of hosts that the loads cover, loads of servers with calls, recent notices of servers, and data for relays,
+ * and work and conditions. Hosts of earlier versions omit the last three, and ignore the last one.
  */
 export type LoadMessage = readonly [
   kind: LoadKind,
@@ -22,4 +23,5 @@
   loads: readonly EncodedServerLoad[],
   notices?: readonly EncodedNotice[],
   report?: RelayReport,
+  extras?: EncodedExtras,
 ];
--- a/packages/share-load/src/load-sharing-options.ts
+++ b/packages/share-load/src/load-sharing-options.ts
@@ -11,7 +11,13 @@
   readonly channel: Pick<HostChannel, 'sendMessage' | 'handleMessages'>;
   readonly serverTracker: Pick<
     ServerTracker,
-    'listLoads' | 'watchLoads' | 'drainObservations' | 'addObservations'
+    | 'listLoads'
+    | 'listWork'
+    | 'listConditions'
+    | 'observeCondition'
+    | 'watchLoads'
+    | 'drainObservations'
+    | 'addObservations'
   >;
   readonly notices: Pick<ServerNotices, 'listNotices' | 'addNotice'>;
   /** Lists the other registered hosts, some of which may be gone. Returns the same array while nothing has changed. */
--- a/packages/share-load/src/load-sharing.ts
+++ b/packages/share-load/src/load-sharing.ts
@@ -1,3 +1,4 @@
+import type { OutstandingWork } from '@laburnumshift/track-engines';
 import type { ServerLoad } from './server-load.js';
 import type { RelayPlan } from './relay-plan.js';
 
@@ -5,6 +6,8 @@
 export interface LoadSharing {
   /** Returns the load of the other hosts at a server, summed over the current messages. */
   readonly getLoadOfOthers: (server: string) => ServerLoad;
+  /** Returns the work that the calls of the other hosts still have to do at a server, as far as their time is known. */
+  readonly getWorkOfOthers: (server: string) => OutstandingWork;
   /** Number of other hosts that the sums cover. */
   readonly countCoveredHosts: () => number;
   /** Number of hosts that report to this host, including itself. */
--- a/packages/share-load/test/create-load-sharing.test.ts
+++ b/packages/share-load/test/create-load-sharing.test.ts
@@ -144,3 +144,28 @@
   );
   t.true(hosts.slice(0, -1).every(({ notices }) => notices.getAvailability(serverProcess).isPausedElsewhere));
 });
+
+for (const [fleet, count] of [
+  ['small', 2],
+  ['large', 18],
+] as const) {
+  test(`in a ${fleet} fleet hosts learn the work of others and what servers told others of their speed and queues`, async (t) => {
+    const hosts = startHosts(await openPeers(count, ['a']));
+    t.teardown(() => {
+      for (const { sharing } of hosts) sharing.close();
+    });
+    const relays = hosts.filter(({ sharing }) => !sharing.getPlan().isRelayed || sharing.getPlan().isRelay);
+    const sender = hosts.find(({ sharing }) => fleet === 'small' || !sharing.getPlan().isRelay);
+    const receivers = relays.filter((host) => host !== sender);
+    sender?.serverTracker.beginCall('p', { ...WORK, expectedMs: 40_000 });
+    sender?.serverTracker.observeLoad('p', { running: 6, waiting: 24, slots: 6, slowness: 9 }, true);
+    await waitFor('the work', () =>
+      receivers.every(({ sharing }) => sharing.getWorkOfOthers('p').calls === 1),
+    );
+    for (const { sharing, serverTracker } of receivers) {
+      t.true(sharing.getWorkOfOthers('p').ms > 30_000);
+      t.true(serverTracker.getState('p').slowness > 1.5);
+      t.is(serverTracker.getState('p').queueLimit, 24);
+    }
+  });
+}
--- a/packages/track-engines/src/call-work.ts
+++ b/packages/track-engines/src/call-work.ts
@@ -4,4 +4,6 @@
   readonly uncachedTokens: number;
   /** Tokens that the call holds in the engine's memory: its prompt and a share of its output. */
   readonly totalTokens: number;
+  /** Time that the call takes at a server of usual speed, milliseconds; `undefined` when unknown. */
+  readonly expectedMs?: number | undefined;
 }
--- a/packages/track-engines/src/create-server-tracker.ts
+++ b/packages/track-engines/src/create-server-tracker.ts
@@ -3,9 +3,12 @@
 import type { CallObservations } from './call-observations.js';
 import type { ServerTracker } from './server-tracker.js';
 import type { ServerState } from './server-state.js';
+import { computeRemainingMs } from './compute-remaining-ms.js';
 import { createExpectedPieces } from './create-expected-pieces.js';
+import { createConditionTable } from './create-condition-table.js';
 import { createDelayTable } from './create-delay-table.js';
 import { createPieceTable } from './create-piece-table.js';
+import type { OutstandingWork } from './outstanding-work.js';
 import type { PieceTable } from './piece-table.js';
 
 /** Weight of the newest call in the moving average of failures: about the last eight calls count. */
@@ -33,16 +36,10 @@
  */
 const MAX_OBSERVATIONS = 64;
 
-/**
- * Half-life of the deviation of a reported slowness from 1, milliseconds. Servers are slow for some seconds; one that gets no calls
- * because of its last report sends no further ones, and is tried again after about two seconds.
- */
-const SLOWNESS_HALF_LIFE_MS = 1000;
-/** Weight of the newest report in the slowness, since the reported figure changes many times a second. */
-const SLOWNESS_AVERAGE_WEIGHT = 0.5;
-/** Bounds of a reported slowness. They limit what a false figure can do: attract all calls, or keep them away for long. */
-const MIN_SLOWNESS = 0.25;
-const MAX_SLOWNESS = 20;
+interface TimedCall {
+  readonly expectedMs: number;
+  readonly startedMs: number;
+}
 
 interface Entry {
   inFlight: number;
@@ -51,8 +48,8 @@
   load: BackendLoad | undefined;
   loadAtMs: number;
   inFlightAtLoad: number;
-  slowness: number;
-  slownessAtMs: number;
+  /** Calls of this host whose expected time is known. */
+  readonly timedCalls: Set<TimedCall>;
   unreadableLoads: number;
   /** Time of the last received byte, or of the start of the first call after an idle period. */
   lastReceivedMs: number;
@@ -80,6 +77,7 @@
   let fetches: CallObservations['fetches'] = [];
   const delays = createDelayTable();
   const expected = createExpectedPieces();
+  const conditions = createConditionTable();
   const notifyHandlers = (): void => {
     for (const handler of handlers) handler();
   };
@@ -100,8 +98,7 @@
       load: undefined,
       loadAtMs: 0,
       inFlightAtLoad: 0,
-      slowness: 1,
-      slownessAtMs: 0,
+      timedCalls: new Set(),
       unreadableLoads: 0,
       lastReceivedMs: 0,
       failureShare: 0,
@@ -115,14 +112,13 @@
   };
   const computeFailureShare = (entry: Entry): number =>
     entry.failureShare * 0.5 ** ((readMonotonicMs() - entry.failureAtMs) / FAILURE_HALF_LIFE_MS);
-  const computeSlowness = (entry: Entry): number =>
-    1 + (entry.slowness - 1) * 0.5 ** ((readMonotonicMs() - entry.slownessAtMs) / SLOWNESS_HALF_LIFE_MS);
-  const updateSlowness = (entry: Entry, reported: number | undefined): void => {
-    if (reported === undefined || !Number.isFinite(reported)) return;
-    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, reported));
-    const known = computeSlowness(entry);
-    entry.slowness = known + (bounded - known) * SLOWNESS_AVERAGE_WEIGHT;
-    entry.slownessAtMs = readMonotonicMs();
+  const computeWork = (server: string, entry: Entry, runningShare: number): OutstandingWork => {
+    const now = readMonotonicMs();
+    const slowness = conditions.getSlowness(server);
+    let ms = 0;
+    for (const { expectedMs, startedMs } of entry.timedCalls)
+      ms += computeRemainingMs(expectedMs, now - startedMs, slowness, runningShare);
+    return { calls: entry.timedCalls.size, ms };
   };
   const updatePrefillRate = (service: string, tokens: number, ms: number): void => {
     const measured = Math.min(MAX_PREFILL_RATE, Math.max(MIN_PREFILL_RATE, tokens / ms));
@@ -152,6 +148,9 @@
       entry.inFlight += 1;
       entry.pendingTokens += work.uncachedTokens;
       entry.heldTokens += work.totalTokens;
+      const { expectedMs } = work;
+      const timedCall = expectedMs === undefined ? undefined : { expectedMs, startedMs: readMonotonicMs() };
+      if (timedCall !== undefined) entry.timedCalls.add(timedCall);
       let isPending = true;
       let isOpen = true;
       const clearPending = (): void => {
@@ -168,6 +167,7 @@
         finish: (result) => {
           if (!isOpen) return;
           isOpen = false;
+          if (timedCall !== undefined) entry.timedCalls.delete(timedCall);
           clearPending();
           entry.inFlight -= 1;
           entry.heldTokens -= work.totalTokens;
@@ -188,12 +188,15 @@
         load: entry.load,
         loadAgeMs: entry.load === undefined ? Infinity : now - entry.loadAtMs,
         inFlightAtLoad: entry.inFlightAtLoad,
-        slowness: computeSlowness(entry),
+        slowness: conditions.getSlowness(server),
+        isSlownessKnown: conditions.isSlownessKnown(server),
+        queueLimit: conditions.getQueueLimit(server),
         silentMs: entry.inFlight === 0 ? 0 : now - entry.lastReceivedMs,
         failureShare: computeFailureShare(entry),
         isAvoided: now < entry.avoidedUntilMs,
       };
     },
+    getOutstandingWork: (server, runningShare) => computeWork(server, getEntry(server), runningShare),
     getPrefillRate: (service) => prefillRates.get(service) ?? INITIAL_PREFILL_RATE,
     observePrefill: (service, tokens, ms) => {
       if (tokens < MIN_PREFILL_TOKENS || ms <= 0) return;
@@ -215,13 +218,15 @@
       fetches = [...fetches.slice(1 - MAX_OBSERVATIONS), [source, tokens, Math.max(0, excessMs)]];
     },
     getFetchSlowdown: delays.getSlowdown,
-    observeLoad: (server, load) => {
+    observeLoad: (server, load, isFull = false) => {
       const entry = getEntry(server);
       entry.load = load;
       entry.loadAtMs = readMonotonicMs();
       entry.inFlightAtLoad = entry.inFlight;
-      updateSlowness(entry, load.slowness);
+      conditions.observeLoad(server, load, isFull);
     },
+    observeCondition: conditions.observeCondition,
+    listConditions: conditions.listConditions,
     recordUnreadableLoad: (server) => {
       const entry = getEntry(server);
       entry.unreadableLoads += 1;
@@ -244,6 +249,15 @@
       [...entries]
         .filter(([, entry]) => entry.inFlight > 0)
         .map(([server, entry]) => [server, entry.inFlight, entry.pendingTokens, entry.heldTokens] as const),
+    listWork: () =>
+      [...entries]
+        .filter(([, entry]) => entry.timedCalls.size > 0)
+        .map(([server, entry]) => {
+          const { running = 0, waiting = 0 } = entry.load ?? {};
+          const runningShare = running > 0 ? running / (running + waiting) : 1;
+          const { calls, ms } = computeWork(server, entry, runningShare);
+          return [server, calls, Math.round(ms)] as const;
+        }),
     watchLoads: (handler) => {
       handlers.push(handler);
     },
@@ -273,6 +287,7 @@
     },
     removeServer: (server) => {
       entries.delete(server);
+      conditions.removeServer(server);
     },
   };
 }
--- a/packages/track-engines/src/index.ts
+++ b/packages/track-engines/src/index.ts
@@ -1,6 +1,8 @@
 /** Load, health and cached pieces of backend servers. */
 export type { CallObservations } from './call-observations.js';
 export type { CallWork } from './call-work.js';
+export type { OutstandingWork } from './outstanding-work.js';
+export type { ServerCondition } from './server-condition.js';
 export { createServerTracker } from './create-server-tracker.js';
 export { createServerNotices } from './create-server-notices.js';
 export type { ServerTracker } from './server-tracker.js';
--- a/packages/track-engines/src/server-state.ts
+++ b/packages/track-engines/src/server-state.ts
@@ -12,6 +12,10 @@
   readonly load: BackendLoad | undefined;
   /** Factor by which work takes longer than usual at the server, from its recent reports; 1 without any. */
   readonly slowness: number;
+  /** The server has reported its slowness within the last 10 s. */
+  readonly isSlownessKnown: boolean;
+  /** Most calls that the queue of the server holds, from its recent refusals; `undefined` when unknown. */
+  readonly queueLimit: number | undefined;
   /** Age of `load`, milliseconds; infinite without one. */
   readonly loadAgeMs: number;
   /** Calls of this host that were in flight when `load` was received. */
--- a/packages/track-engines/src/server-tracker.ts
+++ b/packages/track-engines/src/server-tracker.ts
@@ -2,7 +2,9 @@
 import type { CallObservations } from './call-observations.js';
 import type { CallWork } from './call-work.js';
 import type { CacheFetch } from './cache-fetch.js';
+import type { OutstandingWork } from './outstanding-work.js';
 import type { PieceTable } from './piece-table.js';
+import type { ServerCondition } from './server-condition.js';
 import type { ServerState } from './server-state.js';
 import type { TrackedCall } from './tracked-call.js';
 
@@ -11,8 +13,18 @@
   /** Records that a call is sent to a server. */
   readonly beginCall: (server: string, work: CallWork) => TrackedCall;
   readonly getState: (server: string) => ServerState;
-  /** Records the load that a server reported with an answer. */
-  readonly observeLoad: (server: string, load: BackendLoad) => void;
+  /**
+   * Returns the work that this host's calls still have to do at a server.
+   *
+   * @param runningShare share of the calls at the server that run, 0 to 1
+   */
+  readonly getOutstandingWork: (server: string, runningShare: number) => OutstandingWork;
+  /** Records the load that a server reported with an answer. `isFull` when the answer refused a call because the queue is full. */
+  readonly observeLoad: (server: string, load: BackendLoad, isFull?: boolean) => void;
+  /** Records the condition that a server reported to another host. */
+  readonly observeCondition: (condition: ServerCondition) => void;
+  /** Lists the recent conditions of servers, at most 64, the newest first. */
+  readonly listConditions: () => readonly ServerCondition[];
   /** Counts a load report that could not be read; returns how many the server has sent. */
   readonly recordUnreadableLoad: (server: string) => number;
   /** Returns the recent prefill rate of a service's engines, prompt tokens per millisecond. */
@@ -47,6 +59,8 @@
   readonly countCachedTokens: (server: string, scope: string, piece: string) => number;
   /** Lists, for each server with calls of this host, its id and their number, pending tokens and held tokens. */
   readonly listLoads: () => (readonly [string, number, number, number])[];
+  /** Lists, for each server with calls of this host whose expected time is known, its id, their number and what they still take. */
+  readonly listWork: () => (readonly [string, number, number])[];
   /** Calls the handler when the load of this host's calls changed. */
   readonly watchLoads: (handler: () => void) => void;
   /** Returns and clears the observations of this host's calls since the last call of this function, to be sent to other hosts. */
