--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -16,7 +16,7 @@
   readonly codec: EdgeCodec;
   readonly fleet: FleetView;
   readonly serverTracker: ServerTracker;
-  readonly costs: Pick<CostEstimator, 'estimateCallMs' | 'observeCall'>;
+  readonly costs: CostEstimator;
   readonly notices: Pick<ServerNotices, 'getAvailability' | 'markLeaving' | 'markPaused'>;
   readonly limits: Pick<ServerLimits, 'observeLimit'>;
   readonly quarantine: Pick<CrashQuarantine, 'checkCall' | 'beginAttempt'>;
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -18,6 +18,7 @@
 import type { MatchedCall } from './matched-call.js';
 import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
 import { NOT_EXECUTED_STATUSES } from './not-executed-statuses.js';
+import { observeOutput } from './observe-output.js';
 import { observePlainCall } from './observe-plain-call.js';
 import { PASSING_REFUSALS } from './passing-refusals.js';
 import { replyError } from './reply-error.js';
@@ -63,6 +64,13 @@
     bodyBytes: matchedCall.body.length,
   };
   const costMs = call.prompt === undefined ? deps.costs.estimateCallMs(callKind) : undefined;
+  const outputKind = { route: route.name, account: account?.name };
+  const hintTokens = call.prompt?.expectedOutputTokens;
+  const expectedTokens = hintTokens === undefined ? 0 : deps.costs.estimateOutput(outputKind, hintTokens);
+  const prompt = call.prompt && {
+    ...call.prompt,
+    ...(hintTokens !== undefined && { expectedOutputTokens: expectedTokens }),
+  };
   let attempts = 0;
   let firstMs: number | undefined;
   let lastEventAtMs: number | undefined;
@@ -139,7 +147,7 @@
     return {
       callId: call.id,
       service: service.name,
-      prompt: call.prompt,
+      prompt,
       cacheOwner: getCacheOwner(),
       priority: account?.priority ?? route.priority,
       targetMs: route.targetMs,
@@ -219,7 +227,7 @@
       },
       work: {
         uncachedTokens: choice.uncachedTokens,
-        totalTokens: call.prompt === undefined ? 0 : estimateHeldTokens(call.prompt),
+        totalTokens: prompt === undefined ? 0 : estimateHeldTokens(prompt),
         expectedMs: costMs,
       },
       expectedMs: call.prompt === undefined ? 0 : choice.expectedMs,
@@ -254,7 +262,11 @@
     if (attemptOutcome.kind === 'delivered' && firstMs !== undefined) {
       const readMs = choice.uncachedTokens / deps.serverTracker.getPrefillRate(service.name);
       const decodeMs = (readMonotonicMs() - startedMs - firstMs) / slowness;
-      deps.serverTracker.observeRun(service.name, readMs + decodeMs);
+      deps.serverTracker.observeRun(service.name, readMs + decodeMs, server.id);
+      const lastEventId = splitter.getLastEventId();
+      // A resumed stream begins after events that its caller has already.
+      if (hintTokens !== undefined && call.lastEventId === undefined)
+        observeOutput(deps, { kind: outputKind, hintTokens, expectedTokens, lastEventId });
     }
     if (attemptOutcome.kind === 'not-run' && !attemptOutcome.isSent) {
       attempts -= 1;
--- a/packages/track-engines/src/create-server-tracker.ts
+++ b/packages/track-engines/src/create-server-tracker.ts
@@ -8,6 +8,7 @@
 import { createConditionTable } from './create-condition-table.js';
 import { createDelayTable } from './create-delay-table.js';
 import { createPieceTable } from './create-piece-table.js';
+import type { EngineRun } from './engine-run.js';
 import type { OutstandingWork } from './outstanding-work.js';
 import type { PieceTable } from './piece-table.js';
 
@@ -25,6 +26,13 @@
 const MIN_PREFILL_TOKENS = 1000;
 /** Weight of the newest call in the moving averages of a service's prefill rate and run time: about the last 30 calls count. */
 const SERVICE_AVERAGE_WEIGHT = 0.03;
+/** Weight of the newest call in an engine's run factor: about the last 25 calls count, as calls differ much more than engines. */
+const RUN_FACTOR_WEIGHT = 0.04;
+/** Half-life of the deviation of a run factor from 1 without calls, milliseconds, so that an engine that was slow is tried again. */
+const RUN_FACTOR_HALF_LIFE_MS = 5000;
+/** Bounds of the run time of one call relative to its service, since calls differ much more than engines. */
+const MIN_RUN_FACTOR = 0.5;
+const MAX_RUN_FACTOR = 4;
 /** Assumed run time before the first call ended, milliseconds: a short answer at the decode rate of a mid-size engine. */
 const INITIAL_RUN_MS = 800;
 /** Time constant of the decay of a source's fetch rate, milliseconds; long because a host of a large fleet makes few fetches a second. */
@@ -48,6 +56,8 @@
   load: BackendLoad | undefined;
   loadAtMs: number;
   inFlightAtLoad: number;
+  runFactor: number;
+  runFactorAtMs: number;
   /** Calls of this host whose expected time is known. */
   readonly timedCalls: Set<TimedCall>;
   unreadableLoads: number;
@@ -74,6 +84,7 @@
   const results = new Map<string, { served: number; failed: number }>();
   let reads: CallObservations['reads'] = [];
   let runs: CallObservations['runs'] = [];
+  let engineRuns: CallObservations['engineRuns'] = [];
   let fetches: CallObservations['fetches'] = [];
   const delays = createDelayTable();
   const expected = createExpectedPieces();
@@ -98,6 +109,8 @@
       load: undefined,
       loadAtMs: 0,
       inFlightAtLoad: 0,
+      runFactor: 1,
+      runFactorAtMs: 0,
       timedCalls: new Set(),
       unreadableLoads: 0,
       lastReceivedMs: 0,
@@ -129,6 +142,17 @@
     const known = runTimes.get(service) ?? INITIAL_RUN_MS;
     runTimes.set(service, known + (ms - known) * SERVICE_AVERAGE_WEIGHT);
   };
+  const computeRunFactor = (entry: Entry): number =>
+    1 + (entry.runFactor - 1) * 0.5 ** ((readMonotonicMs() - entry.runFactorAtMs) / RUN_FACTOR_HALF_LIFE_MS);
+  const updateRunFactor = ([server, service, ms]: EngineRun): void => {
+    const entry = entries.get(server);
+    const serviceMs = runTimes.get(service);
+    if (entry === undefined || serviceMs === undefined || serviceMs <= 0) return;
+    const measured = Math.min(MAX_RUN_FACTOR, Math.max(MIN_RUN_FACTOR, ms / serviceMs));
+    const known = computeRunFactor(entry);
+    entry.runFactor = known + (measured - known) * RUN_FACTOR_WEIGHT;
+    entry.runFactorAtMs = readMonotonicMs();
+  };
   const countResult = (server: string, isFailure: boolean): void => {
     const counts = results.get(server) ?? { served: 0, failed: 0 };
     if (isFailure) counts.failed += 1;
@@ -204,9 +228,13 @@
       reads = [...reads.slice(1 - MAX_OBSERVATIONS), [service, tokens, ms]];
     },
     getRunMs: (service) => runTimes.get(service) ?? INITIAL_RUN_MS,
-    observeRun: (service, ms) => {
+    getRunFactor: (server) => computeRunFactor(getEntry(server)),
+    observeRun: (service, ms, server) => {
       updateRunTime(service, ms);
       runs = [...runs.slice(1 - MAX_OBSERVATIONS), [service, ms]];
+      if (server === undefined) return;
+      updateRunFactor([server, service, ms]);
+      engineRuns = [...engineRuns.slice(1 - MAX_OBSERVATIONS), [server, service, ms]];
     },
     getFetchRate,
     observeFetch: (source, tokens) => {
@@ -266,12 +294,14 @@
         results: [...results].map(([server, { served, failed }]) => [server, served, failed] as const),
         reads,
         fetches,
+        engineRuns,
         runs,
       };
       results.clear();
       reads = [];
       fetches = [];
       runs = [];
+      engineRuns = [];
       return taken;
     },
     addObservations: (observations) => {
@@ -285,6 +315,9 @@
       for (const fetch of observations.fetches) delays.addDelay(...fetch);
       for (const [service, ms] of observations.runs) updateRunTime(service, ms);
     },
+    addEngineRuns: (added) => {
+      for (const run of added) updateRunFactor(run);
+    },
     removeServer: (server) => {
       entries.delete(server);
       conditions.removeServer(server);
--- a/packages/track-engines/test/create-server-tracker.test.ts
+++ b/packages/track-engines/test/create-server-tracker.test.ts
@@ -94,3 +94,48 @@
     }
   },
 );
+
+test.serial(
+  'an engine whose calls take long is told apart from its service, and is tried again after a while',
+  async (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const serverTracker = createServerTracker();
+    for (const server of ['slow', 'usual']) serverTracker.beginCall(server, WORK);
+    for (let call = 0; call < 200; call += 1) serverTracker.observeRun('m', 1000, 'usual');
+    const factor = serverTracker.getRunFactor('usual');
+    t.true(factor > 0.9 && factor < 1.1, String(factor));
+    for (let call = 0; call < 20; call += 1)
+      serverTracker.addEngineRuns([
+        ['slow', 'm', 1e9],
+        ['other', 'm', 1e9],
+      ]);
+    t.true(serverTracker.getRunFactor('slow') > 2.5 && serverTracker.getRunFactor('slow') <= 4);
+    await clock.tickAsync(30_000);
+    t.true(serverTracker.getRunFactor('slow') < 1.1);
+  },
+);
+
+test.serial(
+  'calls that take longer than expected count as more work, queued ones as not begun',
+  async (t) => {
+    const clock = installClock();
+    t.teardown(() => {
+      clock.uninstall();
+    });
+    const serverTracker = createServerTracker();
+    const call = serverTracker.beginCall('a', { ...WORK, expectedMs: 100 });
+    const getWork = (runningShare: number): number => serverTracker.getOutstandingWork('a', runningShare).ms;
+    t.is(getWork(1), 100);
+    await clock.tickAsync(40);
+    t.deepEqual([getWork(1), getWork(0.5)], [60, 80]);
+    await clock.tickAsync(360);
+    t.is(getWork(1), 200);
+    await clock.tickAsync(60_000);
+    t.is(getWork(1), 250);
+    call.finish('cancelled');
+    t.deepEqual(serverTracker.getOutstandingWork('a', 1), { calls: 0, ms: 0 });
+  },
+);
