--- a/packages/choose-server/src/choice-deps.ts
+++ b/packages/choose-server/src/choice-deps.ts
@@ -1,3 +1,4 @@
+import type { CostEstimator } from '@laburnumshift/estimate-cost';
 import type { ForwardBounds } from '@laburnumshift/forward-types';
 import type { PieceTransferPlanner } from '@laburnumshift/keep-pieces';
 import type { ColdLimits, ServerLimits } from '@laburnumshift/limit-server-rates';
@@ -16,7 +17,12 @@
   readonly limits: Pick<ServerLimits, 'hasRoom' | 'takeRoom' | 'estimateRoom'>;
   readonly coldLimits: Pick<ColdLimits, 'hasRoom' | 'takeRoom' | 'estimateRoom'>;
   readonly transferPlanner: Pick<PieceTransferPlanner, 'planFetches' | 'planTransfers'>;
-  readonly sharing: Pick<LoadSharing, 'getLoadOfOthers' | 'countCoveredHosts' | 'countReportingHosts'>;
+  readonly sharing: Pick<LoadSharing, 'getLoadOfOthers' | 'countCoveredHosts' | 'countReportingHosts'> &
+    Partial<Pick<LoadSharing, 'getWorkOfOthers'>>;
+  /** Learned cost of calls; without it, servers are compared by their load. */
+  readonly costs?: Pick<CostEstimator, 'getServiceMs'>;
+  /** Called with the number of servers of a plain service that a call passed over because they are full. */
+  readonly recordFullServers?: (service: string, servers: number) => void;
   readonly bounds: Pick<ForwardBounds, 'versionMs'>;
   /** Returns the memory of an engine that the call must leave free for more urgent calls, tokens. Absent: none. */
   readonly getReservedTokens?: (engine: string, engineCount: number, capacityTokens: number) => number;
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -22,6 +22,8 @@
 import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
 import { NOT_EXECUTED_STATUSES } from './not-executed-statuses.js';
 import type { PendingContinuation } from './pending-continuation.js';
+import { observeOutput } from './observe-output.js';
+import { observePlainCall } from './observe-plain-call.js';
 import { PASSING_REFUSALS } from './passing-refusals.js';
 import { replyError } from './reply-error.js';
 import { STOPPING_RETRY_AFTER_MS } from './stopping-retry-after-ms.js';
@@ -61,6 +63,20 @@
   const isRetryable =
     route.kind === CALL_KINDS.idempotent || (route.kind === CALL_KINDS.stream && route.isResumable);
   const urgency = Math.min(MAX_URGENCY, 2 * (account?.priority ?? route.priority));
+  const callKind = {
+    service: service.name,
+    route: route.name,
+    method: call.method,
+    bodyBytes: matchedCall.body.length,
+  };
+  const costMs = call.prompt === undefined ? deps.costs.estimateCallMs(callKind) : undefined;
+  const outputKind = { route: route.name, account: account?.name };
+  const hintTokens = call.prompt?.expectedOutputTokens;
+  const expectedTokens = hintTokens === undefined ? 0 : deps.costs.estimateOutput(outputKind, hintTokens);
+  const prompt = call.prompt && {
+    ...call.prompt,
+    ...(hintTokens !== undefined && { expectedOutputTokens: expectedTokens }),
+  };
   let attempts = 0;
   let firstMs: number | undefined;
   let lastEventAtMs: number | undefined;
@@ -141,13 +157,14 @@
     return {
       callId: call.id,
       service: service.name,
-      prompt: call.prompt,
+      prompt,
       cacheOwner: getCacheOwner(),
       priority: account?.priority ?? route.priority,
       targetMs: route.targetMs,
       remainingMs: matchedCall.endsAtMs - now,
       waitedMs: now - matchedCall.arrivedAtMs,
       bodyBytes: matchedCall.body.length,
+      costMs,
       failureDomain: deps.failureDomain,
       isResend: attempts > 0,
       excluded: [...triedServers],
@@ -199,6 +216,7 @@
     const excluded = new Set([...triedServers, server.id]);
     const backup = chooseRunBackup(deps, matchedCall, choice, { isRepeatable: isRetryable, excluded });
     if (backup !== undefined) deps.metrics.addToCounter('run_copies_total', { route: route.name });
+    const { slowness } = deps.serverTracker.getState(server.id);
     let connectionMs: number | undefined;
     const attemptOutcome = await dispatchCall(deps, {
       matchedCall,
@@ -227,9 +245,10 @@
       },
       work: {
         uncachedTokens: choice.uncachedTokens,
-        totalTokens: call.prompt === undefined ? 0 : estimateHeldTokens(call.prompt),
+        totalTokens: prompt === undefined ? 0 : estimateHeldTokens(prompt),
+        expectedMs: costMs,
       },
-      expectedMs: choice.expectedMs,
+      expectedMs: call.prompt === undefined ? 0 : choice.expectedMs,
       splitter,
       canRetry: () => hasOtherAttempt(server),
       onConnection: () => {
@@ -243,12 +262,8 @@
       },
       onFirstEvent: () => {
         firstMs = Math.round(readMonotonicMs() - startedMs);
-        const prefillMs = firstMs / deps.serverTracker.getState(server.id).slowness;
-        deps.serverTracker.observePrefill(
-          service.name,
-          choice.queueTokens + choice.uncachedTokens,
-          prefillMs,
-        );
+        const readTokens = choice.queueTokens + choice.uncachedTokens;
+        deps.serverTracker.observePrefill(service.name, readTokens, firstMs / slowness);
         if (choice.fetch !== undefined)
           deps.serverTracker.observeFetchDelay(choice.fetch, firstMs - choice.expectedMs);
         deps.metrics.recordDuration('first_event_ms', firstMs, { route: route.name });
@@ -273,13 +288,22 @@
         from: continuation.from,
         result: attemptOutcome.kind,
       });
+    if (call.prompt === undefined) {
+      const elapsedMs = readMonotonicMs() - startedMs;
+      const { expectedMs } = choice;
+      const sentCall = { kind: callKind, server: server.id, costMs, expectedMs, slowness, elapsedMs };
+      observePlainCall(deps, sentCall, attemptOutcome);
+    }
     if (attemptOutcome.kind === 'delivered' && firstMs !== undefined && continuation === undefined) {
       const readMs = choice.uncachedTokens / deps.serverTracker.getPrefillRate(service.name);
-      const { slowness } = deps.serverTracker.getState(server.id);
-      const runMs = (readMonotonicMs() - startedMs - firstMs) / slowness;
-      deps.serverTracker.observeRun(service.name, readMs + runMs);
+      const decodeMs = (readMonotonicMs() - startedMs - firstMs) / slowness;
+      deps.serverTracker.observeRun(service.name, readMs + decodeMs, server.id);
       if (service.engine?.hasBackups === true && call.prompt !== undefined)
-        deps.runCopies.tokenTimes.observeRun(service.name, estimateOutputTokens(call.prompt), runMs);
+        deps.runCopies.tokenTimes.observeRun(service.name, estimateOutputTokens(call.prompt), decodeMs);
+      const lastEventId = splitter.getLastEventId();
+      // A resumed stream begins after events that its caller has already.
+      if (hintTokens !== undefined && call.lastEventId === undefined)
+        observeOutput(deps, { kind: outputKind, hintTokens, expectedTokens, lastEventId });
     }
     const isRefusedContinuation = continuation !== undefined && attemptOutcome.kind === 'not-run';
     if (attemptOutcome.kind === 'not-run' && !attemptOutcome.isSent) {
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -10,6 +10,7 @@
   watchSuspension,
 } from '@laburnumshift/clock';
 import { createCopyTable, createTokenTimes } from '@laburnumshift/continue-runs';
+import { createCostEstimator } from '@laburnumshift/estimate-cost';
 import { startForwardServer } from '@laburnumshift/forward-calls';
 import { computeHomeShare, computeHostShare, createResendBudget } from '@laburnumshift/limit-resends';
 import { createLogger } from '@laburnumshift/logger';
@@ -96,9 +97,15 @@
     },
     settings.isFirstStart,
   );
-  const placer = openPlacement(context, { metrics, reservations, resends, homeResends }, bounds, (opened) => {
-    homeClient = opened;
-  });
+  const costs = createCostEstimator();
+  const placer = openPlacement(
+    context,
+    { metrics, reservations, costs, resends, homeResends },
+    bounds,
+    (opened) => {
+      homeClient = opened;
+    },
+  );
   const quarantine = createCrashQuarantine({
     self: context.self,
     channel: context.channel,
@@ -140,6 +147,7 @@
       codec,
       fleet,
       serverTracker,
+      costs,
       notices,
       limits,
       quarantine,
--- a/packages/track-engines/src/create-server-tracker.ts
+++ b/packages/track-engines/src/create-server-tracker.ts
@@ -3,9 +3,13 @@
 import type { CallObservations } from './call-observations.js';
 import type { ServerTracker } from './server-tracker.js';
 import type { ServerState } from './server-state.js';
+import { computeRemainingMs } from './compute-remaining-ms.js';
 import { createExpectedPieces } from './create-expected-pieces.js';
+import { createConditionTable } from './create-condition-table.js';
 import { createDelayTable } from './create-delay-table.js';
 import { createPieceTable } from './create-piece-table.js';
+import type { EngineRun } from './engine-run.js';
+import type { OutstandingWork } from './outstanding-work.js';
 import type { PieceTable } from './piece-table.js';
 
 /** Weight of the newest call in the moving average of failures: about the last eight calls count. */
@@ -22,6 +26,13 @@
 const MIN_PREFILL_TOKENS = 1000;
 /** Weight of the newest call in the moving averages of a service's prefill rate and run time: about the last 30 calls count. */
 const SERVICE_AVERAGE_WEIGHT = 0.03;
+/** Weight of the newest call in an engine's run factor: about the last 25 calls count, as calls differ much more than engines. */
+const RUN_FACTOR_WEIGHT = 0.04;
+/** Half-life of the deviation of a run factor from 1 without calls, milliseconds, so that an engine that was slow is tried again. */
+const RUN_FACTOR_HALF_LIFE_MS = 5000;
+/** Bounds of the run time of one call relative to its service, since calls differ much more than engines. */
+const MIN_RUN_FACTOR = 0.5;
+const MAX_RUN_FACTOR = 4;
 /** Assumed run time before the first call ended, milliseconds: a short answer at the decode rate of a mid-size engine. */
 const INITIAL_RUN_MS = 800;
 /** Time constant of the decay of a source's fetch rate, milliseconds; long because a host of a large fleet makes few fetches a second. */
@@ -33,16 +44,10 @@
  */
 const MAX_OBSERVATIONS = 64;
 
-/**
- * Half-life of the deviation of a reported slowness from 1, milliseconds. Servers are slow for some seconds; one that gets no calls
- * because of its last report sends no further ones, and is tried again after about two seconds.
- */
-const SLOWNESS_HALF_LIFE_MS = 1000;
-/** Weight of the newest report in the slowness, since the reported figure changes many times a second. */
-const SLOWNESS_AVERAGE_WEIGHT = 0.5;
-/** Bounds of a reported slowness. They limit what a false figure can do: attract all calls, or keep them away for long. */
-const MIN_SLOWNESS = 0.25;
-const MAX_SLOWNESS = 20;
+interface TimedCall {
+  readonly expectedMs: number;
+  readonly startedMs: number;
+}
 
 interface Entry {
   inFlight: number;
@@ -51,8 +56,10 @@
   load: BackendLoad | undefined;
   loadAtMs: number;
   inFlightAtLoad: number;
-  slowness: number;
-  slownessAtMs: number;
+  runFactor: number;
+  runFactorAtMs: number;
+  /** Calls of this host whose expected time is known. */
+  readonly timedCalls: Set<TimedCall>;
   unreadableLoads: number;
   /** Time of the last received byte, or of the start of the first call after an idle period. */
   lastReceivedMs: number;
@@ -77,9 +84,11 @@
   const results = new Map<string, { served: number; failed: number }>();
   let reads: CallObservations['reads'] = [];
   let runs: CallObservations['runs'] = [];
+  let engineRuns: CallObservations['engineRuns'] = [];
   let fetches: CallObservations['fetches'] = [];
   const delays = createDelayTable();
   const expected = createExpectedPieces();
+  const conditions = createConditionTable();
   const notifyHandlers = (): void => {
     for (const handler of handlers) handler();
   };
@@ -100,8 +109,9 @@
       load: undefined,
       loadAtMs: 0,
       inFlightAtLoad: 0,
-      slowness: 1,
-      slownessAtMs: 0,
+      runFactor: 1,
+      runFactorAtMs: 0,
+      timedCalls: new Set(),
       unreadableLoads: 0,
       lastReceivedMs: 0,
       failureShare: 0,
@@ -115,14 +125,13 @@
   };
   const computeFailureShare = (entry: Entry): number =>
     entry.failureShare * 0.5 ** ((readMonotonicMs() - entry.failureAtMs) / FAILURE_HALF_LIFE_MS);
-  const computeSlowness = (entry: Entry): number =>
-    1 + (entry.slowness - 1) * 0.5 ** ((readMonotonicMs() - entry.slownessAtMs) / SLOWNESS_HALF_LIFE_MS);
-  const updateSlowness = (entry: Entry, reported: number | undefined): void => {
-    if (reported === undefined || !Number.isFinite(reported)) return;
-    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, reported));
-    const known = computeSlowness(entry);
-    entry.slowness = known + (bounded - known) * SLOWNESS_AVERAGE_WEIGHT;
-    entry.slownessAtMs = readMonotonicMs();
+  const computeWork = (server: string, entry: Entry, runningShare: number): OutstandingWork => {
+    const now = readMonotonicMs();
+    const slowness = conditions.getSlowness(server);
+    let ms = 0;
+    for (const { expectedMs, startedMs } of entry.timedCalls)
+      ms += computeRemainingMs(expectedMs, now - startedMs, slowness, runningShare);
+    return { calls: entry.timedCalls.size, ms };
   };
   const updatePrefillRate = (service: string, tokens: number, ms: number): void => {
     const measured = Math.min(MAX_PREFILL_RATE, Math.max(MIN_PREFILL_RATE, tokens / ms));
@@ -133,6 +142,17 @@
     const known = runTimes.get(service) ?? INITIAL_RUN_MS;
     runTimes.set(service, known + (ms - known) * SERVICE_AVERAGE_WEIGHT);
   };
+  const computeRunFactor = (entry: Entry): number =>
+    1 + (entry.runFactor - 1) * 0.5 ** ((readMonotonicMs() - entry.runFactorAtMs) / RUN_FACTOR_HALF_LIFE_MS);
+  const updateRunFactor = ([server, service, ms]: EngineRun): void => {
+    const entry = entries.get(server);
+    const serviceMs = runTimes.get(service);
+    if (entry === undefined || serviceMs === undefined || serviceMs <= 0) return;
+    const measured = Math.min(MAX_RUN_FACTOR, Math.max(MIN_RUN_FACTOR, ms / serviceMs));
+    const known = computeRunFactor(entry);
+    entry.runFactor = known + (measured - known) * RUN_FACTOR_WEIGHT;
+    entry.runFactorAtMs = readMonotonicMs();
+  };
   const countResult = (server: string, isFailure: boolean): void => {
     const counts = results.get(server) ?? { served: 0, failed: 0 };
     if (isFailure) counts.failed += 1;
@@ -152,6 +172,9 @@
       entry.inFlight += 1;
       entry.pendingTokens += work.uncachedTokens;
       entry.heldTokens += work.totalTokens;
+      const { expectedMs } = work;
+      const timedCall = expectedMs === undefined ? undefined : { expectedMs, startedMs: readMonotonicMs() };
+      if (timedCall !== undefined) entry.timedCalls.add(timedCall);
       let isPending = true;
       let isOpen = true;
       const clearPending = (): void => {
@@ -168,6 +191,7 @@
         finish: (result) => {
           if (!isOpen) return;
           isOpen = false;
+          if (timedCall !== undefined) entry.timedCalls.delete(timedCall);
           clearPending();
           entry.inFlight -= 1;
           entry.heldTokens -= work.totalTokens;
@@ -188,12 +212,15 @@
         load: entry.load,
         loadAgeMs: entry.load === undefined ? Infinity : now - entry.loadAtMs,
         inFlightAtLoad: entry.inFlightAtLoad,
-        slowness: computeSlowness(entry),
+        slowness: conditions.getSlowness(server),
+        isSlownessKnown: conditions.isSlownessKnown(server),
+        queueLimit: conditions.getQueueLimit(server),
         silentMs: entry.inFlight === 0 ? 0 : now - entry.lastReceivedMs,
         failureShare: computeFailureShare(entry),
         isAvoided: now < entry.avoidedUntilMs,
       };
     },
+    getOutstandingWork: (server, runningShare) => computeWork(server, getEntry(server), runningShare),
     getPrefillRate: (service) => prefillRates.get(service) ?? INITIAL_PREFILL_RATE,
     observePrefill: (service, tokens, ms) => {
       if (tokens < MIN_PREFILL_TOKENS || ms <= 0) return;
@@ -201,9 +228,13 @@
       reads = [...reads.slice(1 - MAX_OBSERVATIONS), [service, tokens, ms]];
     },
     getRunMs: (service) => runTimes.get(service) ?? INITIAL_RUN_MS,
-    observeRun: (service, ms) => {
+    getRunFactor: (server) => computeRunFactor(getEntry(server)),
+    observeRun: (service, ms, server) => {
       updateRunTime(service, ms);
       runs = [...runs.slice(1 - MAX_OBSERVATIONS), [service, ms]];
+      if (server === undefined) return;
+      updateRunFactor([server, service, ms]);
+      engineRuns = [...engineRuns.slice(1 - MAX_OBSERVATIONS), [server, service, ms]];
     },
     getFetchRate,
     observeFetch: (source, tokens) => {
@@ -215,13 +246,15 @@
       fetches = [...fetches.slice(1 - MAX_OBSERVATIONS), [source, tokens, Math.max(0, excessMs)]];
     },
     getFetchSlowdown: delays.getSlowdown,
-    observeLoad: (server, load) => {
+    observeLoad: (server, load, isFull = false) => {
       const entry = getEntry(server);
       entry.load = load;
       entry.loadAtMs = readMonotonicMs();
       entry.inFlightAtLoad = entry.inFlight;
-      updateSlowness(entry, load.slowness);
+      conditions.observeLoad(server, load, isFull);
     },
+    observeCondition: conditions.observeCondition,
+    listConditions: conditions.listConditions,
     recordUnreadableLoad: (server) => {
       const entry = getEntry(server);
       entry.unreadableLoads += 1;
@@ -244,6 +277,15 @@
       [...entries]
         .filter(([, entry]) => entry.inFlight > 0)
         .map(([server, entry]) => [server, entry.inFlight, entry.pendingTokens, entry.heldTokens] as const),
+    listWork: () =>
+      [...entries]
+        .filter(([, entry]) => entry.timedCalls.size > 0)
+        .map(([server, entry]) => {
+          const { running = 0, waiting = 0 } = entry.load ?? {};
+          const runningShare = running > 0 ? running / (running + waiting) : 1;
+          const { calls, ms } = computeWork(server, entry, runningShare);
+          return [server, calls, Math.round(ms)] as const;
+        }),
     watchLoads: (handler) => {
       handlers.push(handler);
     },
@@ -252,12 +294,14 @@
         results: [...results].map(([server, { served, failed }]) => [server, served, failed] as const),
         reads,
         fetches,
+        engineRuns,
         runs,
       };
       results.clear();
       reads = [];
       fetches = [];
       runs = [];
+      engineRuns = [];
       return taken;
     },
     addObservations: (observations) => {
@@ -271,8 +315,12 @@
       for (const fetch of observations.fetches) delays.addDelay(...fetch);
       for (const [service, ms] of observations.runs) updateRunTime(service, ms);
     },
+    addEngineRuns: (added) => {
+      for (const run of added) updateRunFactor(run);
+    },
     removeServer: (server) => {
       entries.delete(server);
+      conditions.removeServer(server);
     },
   };
 }
--- a/packages/track-engines/src/server-tracker.ts
+++ b/packages/track-engines/src/server-tracker.ts
@@ -1,8 +1,11 @@
 import type { BackendLoad, PromptPiece } from '@laburnumshift/forward-types';
 import type { CallObservations } from './call-observations.js';
 import type { CallWork } from './call-work.js';
+import type { EngineRun } from './engine-run.js';
 import type { CacheFetch } from './cache-fetch.js';
+import type { OutstandingWork } from './outstanding-work.js';
 import type { PieceTable } from './piece-table.js';
+import type { ServerCondition } from './server-condition.js';
 import type { ServerState } from './server-state.js';
 import type { TrackedCall } from './tracked-call.js';
 
@@ -11,8 +14,18 @@
   /** Records that a call is sent to a server. */
   readonly beginCall: (server: string, work: CallWork) => TrackedCall;
   readonly getState: (server: string) => ServerState;
-  /** Records the load that a server reported with an answer. */
-  readonly observeLoad: (server: string, load: BackendLoad) => void;
+  /**
+   * Returns the work that this host's calls still have to do at a server.
+   *
+   * @param runningShare share of the calls at the server that run, 0 to 1
+   */
+  readonly getOutstandingWork: (server: string, runningShare: number) => OutstandingWork;
+  /** Records the load that a server reported with an answer. `isFull` when the answer refused a call because the queue is full. */
+  readonly observeLoad: (server: string, load: BackendLoad, isFull?: boolean) => void;
+  /** Records the condition that a server reported to another host. */
+  readonly observeCondition: (condition: ServerCondition) => void;
+  /** Lists the recent conditions of servers, at most 64, the newest first. */
+  readonly listConditions: () => readonly ServerCondition[];
   /** Counts a load report that could not be read; returns how many the server has sent. */
   readonly recordUnreadableLoad: (server: string) => number;
   /** Returns the recent prefill rate of a service's engines, prompt tokens per millisecond. */
@@ -21,8 +34,10 @@
   readonly observePrefill: (service: string, tokens: number, ms: number) => void;
   /** Returns the recent average time for which a call of a service occupies a slot, milliseconds. */
   readonly getRunMs: (service: string) => number;
-  /** Records the time for which a call of a service occupied a slot, milliseconds. */
-  readonly observeRun: (service: string, ms: number) => void;
+  /** Returns the factor by which calls recently occupied the slots of an engine for longer than those of its service; 1 when unknown. */
+  readonly getRunFactor: (server: string) => number;
+  /** Records the time for which a call of a service occupied a slot of a server at usual speed, milliseconds. */
+  readonly observeRun: (service: string, ms: number, server?: string) => void;
   /** Returns the recent rate at which this host's calls fetch cached pieces from an address, tokens per millisecond. */
   readonly getFetchRate: (source: string) => number;
   /** Records that a call of this host fetches `tokens` from an address. */
@@ -47,12 +62,16 @@
   readonly countCachedTokens: (server: string, scope: string, piece: string) => number;
   /** Lists, for each server with calls of this host, its id and their number, pending tokens and held tokens. */
   readonly listLoads: () => (readonly [string, number, number, number])[];
+  /** Lists, for each server with calls of this host whose expected time is known, its id, their number and what they still take. */
+  readonly listWork: () => (readonly [string, number, number])[];
   /** Calls the handler when the load of this host's calls changed. */
   readonly watchLoads: (handler: () => void) => void;
   /** Returns and clears the observations of this host's calls since the last call of this function, to be sent to other hosts. */
   readonly drainObservations: () => CallObservations;
   /** Adds the observations of another host's calls. Results of servers without any state at this host are ignored. */
-  readonly addObservations: (observations: CallObservations) => void;
+  readonly addObservations: (observations: Omit<CallObservations, 'engineRuns'>) => void;
+  /** Adds the run times of another host's calls by engine. Those of servers without any state at this host are ignored. */
+  readonly addEngineRuns: (engineRuns: readonly EngineRun[]) => void;
   /** Removes all state of a server that was removed from the fleet. */
   readonly removeServer: (server: string) => void;
 }
