--- a/packages/continue-runs/src/backup-candidate.ts
+++ b/packages/continue-runs/src/backup-candidate.ts
@@ -1,4 +1,4 @@
-/** An engine that may hold the copy of a run. */
+/** An engine that may get the memory of a run. */
 export interface BackupCandidate {
   readonly id: string;
   /** Address of the machine that the engine runs on, without a port. */
--- a/packages/continue-runs/src/backup-input.ts
+++ b/packages/continue-runs/src/backup-input.ts
@@ -1,18 +1,7 @@
-import type { BackupCandidate } from './backup-candidate.js';
 import type { RunFacts } from './run-facts.js';
+import type { TargetInput } from './target-input.js';
 
 /** Input of the decision whether a run gets a copy, and at which engine. */
-export interface BackupInput {
+export interface BackupInput extends TargetInput {
   readonly run: RunFacts;
-  /** Tokens that the run holds at its end: prompt and expected output. */
-  readonly tokens: number;
-  readonly source: Pick<BackupCandidate, 'id' | 'machine' | 'failureDomain'>;
-  /** Weight version that the run has to run under. */
-  readonly version: number | undefined;
-  /** Size of one engine's memory, tokens. */
-  readonly capacityTokens: number;
-  readonly bytesPerToken: number;
-  /** Bandwidth of an engine's link, megabits per second. */
-  readonly linkMbps: number;
-  readonly candidates: readonly BackupCandidate[];
 }
--- a/packages/forward-calls/src/attempt-input.ts
+++ b/packages/forward-calls/src/attempt-input.ts
@@ -21,6 +21,10 @@
   readonly splitter: EventSplitter;
   /** Returns whether another attempt can follow if this one is abandoned now. */
   readonly canRetry: () => boolean;
+  /** The run continues at the engine that stopped it, which may be leaving. */
+  readonly isReturning: boolean;
+  /** Aborted when the server has stopped the run, so that its connection can be closed. */
+  readonly stoppedSignal: AbortSignal | undefined;
   /** Called when the call gets a connection, for which it may have waited. */
   readonly onConnection: () => void;
   /** Called each time complete events are about to be written to the caller. */
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -1,10 +1,10 @@
 import { COLLECT_FAULTS, createByteCollector, type CollectFault } from '@laburnumshift/collect-bytes';
-import { isUsableServer } from '@laburnumshift/choose-server';
 import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
 import { CALL_KINDS, type ResponseHead } from '@laburnumshift/forward-types';
 import type { OutgoingCall } from '@laburnumshift/call-backend';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import type { AttemptInput } from './attempt-input.js';
+import { findAllowedTarget } from './find-allowed-target.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import { watchProgress } from './watch-progress.js';
 
@@ -49,6 +49,7 @@
       observed.finish('open');
       matchedCall.callerSignal.removeEventListener('abort', handleCallerGone);
       matchedCall.stopSignal.removeEventListener('abort', handleStop);
+      input.stoppedSignal?.removeEventListener('abort', handleStopped);
       tracked.finish(result);
       if (outcome.kind !== 'answered') buffered.clear();
       resolve(outcome);
@@ -64,6 +65,9 @@
       if (sentCall.isSent()) cancel({ kind: 'ended' }, 'cancelled');
       else cancel({ kind: 'not-run', reason: 'the host is stopping', isSent: false }, 'cancelled');
     };
+    const handleStopped = (): void => {
+      cancel(buildBrokenOutcome('the run was stopped for a move'), 'cancelled');
+    };
     const stopDeadlineTimer = startTimer(
       Math.max(0, matchedCall.endsAtMs - readMonotonicMs()) + DEADLINE_GRACE_MS,
       () => {
@@ -108,6 +112,7 @@
 
     matchedCall.callerSignal.addEventListener('abort', handleCallerGone);
     matchedCall.stopSignal.addEventListener('abort', handleStop);
+    input.stoppedSignal?.addEventListener('abort', handleStopped);
     const progressWatch = watchProgress(deps, {
       callId: matchedCall.call.id,
       server,
@@ -135,9 +140,7 @@
       {
         isSendAllowed: () => {
           input.onConnection();
-          const entry = deps.fleet.getBackend(server.id);
-          const isSameProcess = entry?.bornMs === server.bornMs && entry.address === server.address;
-          return isSameProcess && isUsableServer(deps, entry, undefined);
+          return findAllowedTarget(deps, server, undefined, input.isReturning) !== undefined;
         },
         onHeaders: (received) => {
           head = received;
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -35,6 +35,9 @@
   readonly pickRandom: () => number;
   /** Polls a server for its liveness and its running calls. */
   readonly probeServer: EngineControl['probeServer'];
+  /** Copies the memory of a run to another engine, and frees such memory. */
+  readonly moveRun: EngineControl['moveRun'];
+  readonly freeHandle: EngineControl['freeHandle'];
   /** Calls `check` at a fixed interval until the returned function is called. */
   readonly startStallChecks: (check: () => void) => () => void;
 }
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -16,7 +16,7 @@
 import { createEventSplitter } from './create-event-splitter.js';
 import { decideNextStep } from './decide-next-step.js';
 import { estimateOutputTokens } from './estimate-output-tokens.js';
-import { findBackupContinuation } from './find-backup-continuation.js';
+import { findContinuation } from './find-continuation.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import type { MatchedCall } from './matched-call.js';
 import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
@@ -24,6 +24,7 @@
 import type { PendingContinuation } from './pending-continuation.js';
 import { PASSING_REFUSALS } from './passing-refusals.js';
 import { replyError } from './reply-error.js';
+import { startRunMover } from './start-run-mover.js';
 import { STOPPING_RETRY_AFTER_MS } from './stopping-retry-after-ms.js';
 
 /** Number of attempts that may fail before anything is sent without using up `maxAttempts`; the next one goes to another server. */
@@ -200,6 +201,16 @@
     const backup = chooseRunBackup(deps, matchedCall, choice, { isRepeatable: isRetryable, excluded });
     if (backup !== undefined) deps.metrics.addToCounter('run_copies_total', { route: route.name });
     let connectionMs: number | undefined;
+    let lastOwnEventMs: number | undefined;
+    const mover =
+      continuations < MAX_CONTINUATIONS
+        ? startRunMover(deps, matchedCall, {
+            choice,
+            isRepeatable: isRetryable,
+            excluded,
+            getLastEventMs: () => lastOwnEventMs,
+          })
+        : undefined;
     const attemptOutcome = await dispatchCall(deps, {
       matchedCall,
       suspectCall,
@@ -232,6 +243,8 @@
       expectedMs: choice.expectedMs,
       splitter,
       canRetry: () => hasOtherAttempt(server),
+      isReturning: continuation?.isReturning ?? false,
+      stoppedSignal: mover?.stoppedSignal,
       onConnection: () => {
         connectionMs = Math.round(readMonotonicMs() - startedMs);
       },
@@ -240,6 +253,7 @@
         if (lastEventAtMs !== undefined)
           longestPauseMs = Math.max(longestPauseMs, Math.round(now - lastEventAtMs));
         lastEventAtMs = now;
+        lastOwnEventMs = now;
       },
       onFirstEvent: () => {
         firstMs = Math.round(readMonotonicMs() - startedMs);
@@ -251,11 +265,13 @@
         for (const { id, tokens } of call.prompt?.pieces ?? []) pieces.addPiece(cacheScope, id, tokens);
       },
     });
+    const moveEnd = await mover?.finish();
     const nextContinuation =
       continuations < MAX_CONTINUATIONS
-        ? await findBackupContinuation(deps, matchedCall, {
+        ? await findContinuation(deps, matchedCall, {
             choice,
             backup,
+            moveEnd,
             outcome: attemptOutcome,
             isRepeatable: isRetryable,
             isSameScope: () => cacheScope === buildScope(choice.version),
@@ -272,7 +288,10 @@
       const readMs = choice.uncachedTokens / deps.serverTracker.getPrefillRate(service.name);
       const runMs = readMonotonicMs() - startedMs - firstMs;
       deps.serverTracker.observeRun(service.name, readMs + runMs);
-      if (service.engine?.hasBackups === true && call.prompt !== undefined)
+      if (
+        (service.engine?.hasBackups === true || service.engine?.hasMoves === true) &&
+        call.prompt !== undefined
+      )
         deps.runCopies.tokenTimes.observeRun(service.name, estimateOutputTokens(call.prompt), runMs);
     }
     const isRefusedContinuation = continuation !== undefined && attemptOutcome.kind === 'not-run';
@@ -306,6 +325,7 @@
       copyCostMs: backup && Math.round(backup.choice.costMs),
       copyGainMs: backup && Math.round(backup.choice.gainMs),
       continuedFrom: continuation?.from,
+      move: moveEnd && { reason: moveEnd.reason, step: moveEnd.step, holder: moveEnd.holder?.id },
       end: attemptOutcome.kind,
       connectionMs,
       firstMs,
@@ -329,6 +349,18 @@
       },
       isRefusedContinuation ? continuation.brokenOutcome : attemptOutcome,
     );
+    if (
+      moveEnd?.handle !== undefined &&
+      (nextStep.kind !== 'continue' || nextContinuation?.from !== 'handle')
+    )
+      void deps.freeHandle(server.address, moveEnd.handle);
+    // The engine may not have got the request, and then holds the memory of the run still.
+    if (
+      continuation?.from === 'handle' &&
+      lastOwnEventMs === undefined &&
+      attemptOutcome.kind !== 'delivered'
+    )
+      void deps.freeHandle(continuation.memory.sourceAddress, continuation.memory.memoryId);
     if (nextStep.kind === 'continue') {
       pending = nextContinuation;
       continuations += 1;
--- a/packages/forward-types/src/engine-control.ts
+++ b/packages/forward-types/src/engine-control.ts
@@ -2,7 +2,9 @@
 import type { BackendEntry } from './backend-entry.js';
 import type { CacheEventsPage } from './cache-events-page.js';
 import type { EngineReport } from './engine-report.js';
+import type { MoveAnswer } from './move-answer.js';
 import type { OrderOutcome } from './order-outcome.js';
+import type { RunMove } from './run-move.js';
 import type { WeightOrder } from './weight-order.js';
 
 /** Control requests to engines and stores, apart from callers' calls. Its promises never reject; `undefined` means no usable answer. */
@@ -15,6 +17,10 @@
   readonly probeServer: (server: Pick<BackendEntry, 'id' | 'address'>) => Promise<ProbeResult>;
   /** Sends an order to load weights. */
   readonly sendOrder: (engine: BackendEntry, order: WeightOrder) => Promise<OrderOutcome>;
+  /** Copies the memory of a run to another engine. */
+  readonly moveRun: (engine: Pick<BackendEntry, 'id' | 'address'>, move: RunMove) => Promise<MoveAnswer>;
+  /** Frees the memory of a stopped or copied run that does not continue from it; resolves to false when that failed. */
+  readonly freeHandle: (address: string, handle: string) => Promise<boolean>;
   /** Frees pieces of a store if its boot id is still `bootId`; resolves to false when that failed. */
   readonly freePieces: (
     address: string,
--- a/packages/forward-types/src/forward-service.ts
+++ b/packages/forward-types/src/forward-service.ts
@@ -22,5 +22,7 @@
     readonly hasMoves?: boolean;
     /** Time for which the memory of a stopped run is kept, milliseconds; `undefined` when not stated. */
     readonly handleMs?: number | undefined;
+    /** Most tokens of one event of a stream; `undefined` when not stated. */
+    readonly maxEventTokens?: number | undefined;
   };
 }
--- a/packages/forward-types/src/index.ts
+++ b/packages/forward-types/src/index.ts
@@ -36,6 +36,8 @@
 export type { RequestHead } from './request-head.js';
 export type { RelayedChanges } from './relayed-changes.js';
 export type { ProbeResult } from './probe-result.js';
+export type { MoveAnswer } from './move-answer.js';
+export type { RunMove } from './run-move.js';
 export type { RunContinuation } from './run-continuation.js';
 export type { StoredObject } from './stored-object.js';
 export type { UnavailableOutcome } from './unavailable-outcome.js';
--- a/packages/forward-types/src/probe-result.ts
+++ b/packages/forward-types/src/probe-result.ts
@@ -17,6 +17,8 @@
       readonly waiting: number | undefined;
       /** Calls that run. */
       readonly running: number | undefined;
+      /** Time until the server leaves, milliseconds; `undefined` unless it does. */
+      readonly leavesInMs?: number | undefined;
       /** Events produced so far by each running call, by call id. */
       readonly runs: ReadonlyMap<string, number> | undefined;
     };
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -154,6 +154,8 @@
       failureDomain: settings.failureDomain,
       pickRandom: Math.random,
       probeServer: createSharedReportReader(options.control.probeServer),
+      moveRun: options.control.moveRun,
+      freeHandle: options.control.freeHandle,
       startStallChecks: createSharedInterval(times.stallCheckIntervalMs),
     }),
   );
