--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -16,7 +16,7 @@
 import { createEventSplitter } from './create-event-splitter.js';
 import { decideNextStep } from './decide-next-step.js';
 import { estimateOutputTokens } from './estimate-output-tokens.js';
-import { findBackupContinuation } from './find-backup-continuation.js';
+import { findContinuation } from './find-continuation.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import type { MatchedCall } from './matched-call.js';
 import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
@@ -26,6 +26,7 @@
 import { observePlainCall } from './observe-plain-call.js';
 import { PASSING_REFUSALS } from './passing-refusals.js';
 import { replyError } from './reply-error.js';
+import { startRunMover } from './start-run-mover.js';
 import { STOPPING_RETRY_AFTER_MS } from './stopping-retry-after-ms.js';
 
 /** Number of attempts that may fail before anything is sent without using up `maxAttempts`; the next one goes to another server. */
@@ -218,6 +219,16 @@
     if (backup !== undefined) deps.metrics.addToCounter('run_copies_total', { route: route.name });
     const { slowness } = deps.serverTracker.getState(server.id);
     let connectionMs: number | undefined;
+    let lastOwnEventMs: number | undefined;
+    const mover =
+      continuations < MAX_CONTINUATIONS
+        ? startRunMover(deps, matchedCall, {
+            choice,
+            isRepeatable: isRetryable,
+            excluded,
+            getLastEventMs: () => lastOwnEventMs,
+          })
+        : undefined;
     const attemptOutcome = await dispatchCall(deps, {
       matchedCall,
       suspectCall,
@@ -251,6 +262,8 @@
       expectedMs: call.prompt === undefined ? 0 : choice.expectedMs,
       splitter,
       canRetry: () => hasOtherAttempt(server),
+      isReturning: continuation?.isReturning ?? false,
+      stoppedSignal: mover?.stoppedSignal,
       onConnection: () => {
         connectionMs = Math.round(readMonotonicMs() - startedMs);
       },
@@ -259,6 +272,7 @@
         if (lastEventAtMs !== undefined)
           longestPauseMs = Math.max(longestPauseMs, Math.round(now - lastEventAtMs));
         lastEventAtMs = now;
+        lastOwnEventMs = now;
       },
       onFirstEvent: () => {
         firstMs = Math.round(readMonotonicMs() - startedMs);
@@ -271,11 +285,13 @@
         for (const { id, tokens } of call.prompt?.pieces ?? []) pieces.addPiece(cacheScope, id, tokens);
       },
     });
+    const moveEnd = await mover?.finish();
     const nextContinuation =
       continuations < MAX_CONTINUATIONS
-        ? await findBackupContinuation(deps, matchedCall, {
+        ? await findContinuation(deps, matchedCall, {
             choice,
             backup,
+            moveEnd,
             outcome: attemptOutcome,
             isRepeatable: isRetryable,
             isSameScope: () => cacheScope === buildScope(choice.version),
@@ -298,7 +314,10 @@
       const readMs = choice.uncachedTokens / deps.serverTracker.getPrefillRate(service.name);
       const decodeMs = (readMonotonicMs() - startedMs - firstMs) / slowness;
       deps.serverTracker.observeRun(service.name, readMs + decodeMs, server.id);
-      if (service.engine?.hasBackups === true && call.prompt !== undefined)
+      if (
+        (service.engine?.hasBackups === true || service.engine?.hasMoves === true) &&
+        call.prompt !== undefined
+      )
         deps.runCopies.tokenTimes.observeRun(service.name, estimateOutputTokens(call.prompt), decodeMs);
       const lastEventId = splitter.getLastEventId();
       // A resumed stream begins after events that its caller has already.
@@ -336,6 +355,7 @@
       copyCostMs: backup && Math.round(backup.choice.costMs),
       copyGainMs: backup && Math.round(backup.choice.gainMs),
       continuedFrom: continuation?.from,
+      move: moveEnd && { reason: moveEnd.reason, step: moveEnd.step, holder: moveEnd.holder?.id },
       end: attemptOutcome.kind,
       connectionMs,
       firstMs,
@@ -359,6 +379,18 @@
       },
       isRefusedContinuation ? continuation.brokenOutcome : attemptOutcome,
     );
+    if (
+      moveEnd?.handle !== undefined &&
+      (nextStep.kind !== 'continue' || nextContinuation?.from !== 'handle')
+    )
+      void deps.freeHandle(server.address, moveEnd.handle);
+    // The engine may not have got the request, and then holds the memory of the run still.
+    if (
+      continuation?.from === 'handle' &&
+      lastOwnEventMs === undefined &&
+      attemptOutcome.kind !== 'delivered'
+    )
+      void deps.freeHandle(continuation.memory.sourceAddress, continuation.memory.memoryId);
     if (nextStep.kind === 'continue') {
       pending = nextContinuation;
       continuations += 1;
