--- a/packages/host-channel/src/message-kinds.ts
+++ b/packages/host-channel/src/message-kinds.ts
@@ -18,4 +18,6 @@
   serverLimits: 7,
   /** Version of the configuration that the sender knows, and question for that of the receiver. */
   configFloor: 8,
+  /** Servers that stated in answers to the sender that they are cold. */
+  coldServers: 9,
 } as const;
--- a/packages/limit-server-rates/test/cold-limits.test.ts
+++ b/packages/limit-server-rates/test/cold-limits.test.ts
@@ -1,5 +1,5 @@
 import { installClock } from '@laburnumshift/test-utils';
-import { createColdLimits, type ColdLimits } from '@laburnumshift/limit-server-rates';
+import { createColdLimits, startColdSharing, type ColdLimits } from '@laburnumshift/limit-server-rates';
 import test from 'ava';
 
 const STEP_MS = 10;
@@ -113,3 +113,58 @@
     clock.uninstall();
   },
 );
+
+test.serial(
+  'guards against cold servers that other hosts do not hear of as a message is lost or malformed',
+  async (t) => {
+    const clock = installClock();
+    const hosts = buildHosts(2);
+    const [first, second] = hosts;
+    if (first === undefined || second === undefined) throw new Error('no hosts');
+    const getPlan = () => ({
+      isRelayed: false,
+      reportTo: [second],
+      otherRelays: [],
+      upstream: undefined,
+      objectsUpstream: undefined,
+      isRelay: false,
+    });
+    const known: unknown[] = [];
+    let messages = 0;
+    const receive: ((message: readonly unknown[], from: string) => boolean)[] = [];
+    const receiver = startColdSharing({
+      self: second,
+      listPeers: () => [first],
+      getPlan,
+      channel: { sendMessage: () => undefined, handleMessages: (_, handler) => receive.push(handler) },
+      onCold: (server, coldMs) => known.push([server.id, server.bornMs, coldMs]),
+    });
+    const sender = startColdSharing({
+      self: first,
+      listPeers: () => [second],
+      getPlan,
+      channel: {
+        handleMessages: () => undefined,
+        sendMessage: (addresses, message) => {
+          messages += 1;
+          t.deepEqual(addresses, [second.address]);
+          if (messages > 1) for (const handler of receive) t.true(handler(message, first.address));
+        },
+      },
+      onCold: () => undefined,
+    });
+    sender.sendCold({ id: 'engine', bornMs: 7 }, 3000);
+    await clock.tickAsync(1000);
+    t.deepEqual(known[0], ['engine', 7, 2910]);
+    t.is(messages, 3);
+    for (const handler of receive) {
+      t.false(handler([9, first.host, [['engine', 7, 1e300]]], first.address));
+      t.false(handler([9, first.host, [['engine', 7, -1]]], first.address));
+      t.false(handler([9, first.host, [['engine', 7, 10]]], '10.9.9.9:1'));
+    }
+    t.is(known.length, 2);
+    receiver.close();
+    sender.close();
+    clock.uninstall();
+  },
+);
--- a/packages/run-forwarder/src/open-host-context.ts
+++ b/packages/run-forwarder/src/open-host-context.ts
@@ -3,7 +3,7 @@
 import type { BackendEntry } from '@laburnumshift/forward-types';
 import { openHostChannel } from '@laburnumshift/host-channel';
 import { createPieceTransferPlanner, getStoreId } from '@laburnumshift/keep-pieces';
-import { createColdLimits, createServerLimits } from '@laburnumshift/limit-server-rates';
+import { createColdLimits, createServerLimits, startColdSharing } from '@laburnumshift/limit-server-rates';
 import { createLogger } from '@laburnumshift/logger';
 import type { OrderedStore } from '@laburnumshift/order-revisions';
 import { createEventsRelay } from '@laburnumshift/relay-events';
@@ -144,10 +144,22 @@
     getConfigVersion: () => trackedFleet.getConfig()?.version,
     getConfigAgeMs: trackedFleet.getConfigAgeMs,
   });
+  const coldSharing = startColdSharing({
+    self,
+    channel,
+    listPeers,
+    getPlan: sharing.getPlan,
+    onCold: trackedFleet.markCold,
+  });
   const fleet: FleetView = {
     ...trackedFleet,
     // A restored store confirms a configuration that other hosts know to be replaced.
     getConfigAgeMs: configFloor.getAgeMs,
+    markCold: (server, coldMs) => {
+      const isNews = trackedFleet.markCold(server, coldMs);
+      if (isNews) coldSharing.sendCold(server, coldMs);
+      return isNews;
+    },
   };
   isInitialized = true;
 
@@ -217,6 +229,7 @@
       events.close();
       sharing.close();
       limits.close();
+      coldSharing.close();
       configFloor.close();
       hostRegistry.close();
       fleet.close();
--- a/packages/track-fleet/src/fleet-view.ts
+++ b/packages/track-fleet/src/fleet-view.ts
@@ -15,8 +15,8 @@
   readonly countEvacuated: () => number;
   /** Number of servers that are cold now. */
   readonly countCold: () => number;
-  /** Records that a server stated in an answer that it stays cold for `coldMs` milliseconds. */
-  readonly markCold: (server: Pick<BackendEntry, 'id' | 'bornMs'>, coldMs: number) => void;
+  /** Records that a server stated in an answer that it stays cold for `coldMs` milliseconds; returns whether that was not known. */
+  readonly markCold: (server: Pick<BackendEntry, 'id' | 'bornMs'>, coldMs: number) => boolean;
   readonly getBackend: (id: string) => BackendEntry | undefined;
   /** Lists all registered servers, draining ones included. */
   readonly listAllBackends: () => readonly BackendEntry[];
--- a/packages/track-fleet/src/track-fleet.ts
+++ b/packages/track-fleet/src/track-fleet.ts
@@ -250,13 +250,14 @@
     },
     markCold: ({ id, bornMs }, coldMs) => {
       const entry = backends.get(id);
-      if (entry?.bornMs !== bornMs || coldMs === 0) return;
+      if (entry?.bornMs !== bornMs || coldMs === 0) return false;
       const coldUntilMs = readMonotonicMs() + coldMs;
-      if (coldUntilMs <= (entry.coldUntilMs ?? -Infinity) + COLD_STEP_MS) return;
+      if (coldUntilMs <= (entry.coldUntilMs ?? -Infinity) + COLD_STEP_MS) return false;
       if ((entry.coldUntilMs ?? -Infinity) < readMonotonicMs())
         logger.info('server says that it is cold', { server: id, coldMs });
       backends.set(id, { ...entry, coldUntilMs });
       updateService(entry.service);
+      return true;
     },
     getBackend: (id) => backends.get(id),
     listAllBackends: () => [...backends.values()],
