--- a/packages/run-forwarder/src/compute-watch-waits.ts
+++ b/packages/run-forwarder/src/compute-watch-waits.ts
@@ -8,8 +8,8 @@
 const WEIGHTS_WAIT_RATIO = 0.2;
 
 /**
- * Fraction of the bound on evacuations: after a connection without traffic, a pause and a slow answer of the store, a quarter of the
- * usual bound is left.
+ * Fraction of the bound on evacuations: after a connection without traffic, a pause and a slow answer of the store, a quarter of a bound
+ * of 5 s is left. The wait for the configuration is used where it is longer and keeps the bound, as each call to the store costs.
  */
 const EVACUATIONS_WAIT_RATIO = 0.4;
 
@@ -30,7 +30,12 @@
     config: Math.round(bounds.configApplyMs * WAIT_RATIO),
     backends: Math.round(bounds.drainMs * WAIT_RATIO),
     maxBatchDelay: Math.round(bounds.drainMs * BATCH_DELAY_RATIO),
-    evacuations: Math.round(bounds.evacuateMs * EVACUATIONS_WAIT_RATIO),
+    evacuations: Math.round(
+      Math.max(
+        bounds.evacuateMs * EVACUATIONS_WAIT_RATIO,
+        Math.min(bounds.evacuateMs, bounds.configApplyMs) * WAIT_RATIO,
+      ),
+    ),
     weights: Math.round(bounds.versionMs * WEIGHTS_WAIT_RATIO),
   };
 }
