--- a/packages/run-forwarder/src/compute-watch-waits.ts
+++ b/packages/run-forwarder/src/compute-watch-waits.ts
@@ -8,8 +8,8 @@
 const WEIGHTS_WAIT_RATIO = 0.2;
 
 /**
- * Fraction of the bound on evacuations: after a connection without traffic, a pause and a slow answer of the store, a quarter of the
- * usual bound is left.
+ * Fraction of the bound on evacuations: after a connection without traffic, a pause and a slow answer of the store, a quarter of a bound
+ * of 5 s is left. The wait for the configuration is used where it is longer and keeps the bound, as each call to the store costs.
  */
 const EVACUATIONS_WAIT_RATIO = 0.4;
 
@@ -26,11 +26,14 @@
   readonly evacuations: number;
   readonly maxBatchDelay: number;
 } {
+  const { evacuateMs = bounds.configApplyMs } = bounds;
   return {
     config: Math.round(bounds.configApplyMs * WAIT_RATIO),
     backends: Math.round(bounds.drainMs * WAIT_RATIO),
     maxBatchDelay: Math.round(bounds.drainMs * BATCH_DELAY_RATIO),
-    evacuations: Math.round((bounds.evacuateMs ?? bounds.configApplyMs) * EVACUATIONS_WAIT_RATIO),
+    evacuations: Math.round(
+      Math.max(evacuateMs * EVACUATIONS_WAIT_RATIO, Math.min(evacuateMs, bounds.configApplyMs) * WAIT_RATIO),
+    ),
     weights: Math.round(bounds.versionMs * WEIGHTS_WAIT_RATIO),
   };
 }
