--- a/packages/ask-home/src/create-home-client.ts
+++ b/packages/ask-home/src/create-home-client.ts
@@ -73,7 +73,15 @@
         signal.addEventListener('abort', handleAbort);
         channel.sendMessage(
           [home.address],
-          [MESSAGE_KINDS.placementRequest, host, bornMs, requestNumber, encodePlacementRequest(request)],
+          [
+            MESSAGE_KINDS.placementRequest,
+            host,
+            bornMs,
+            requestNumber,
+            encodePlacementRequest(request),
+            // Outside the body, whose length home hosts of earlier versions check.
+            request.account ?? null,
+          ],
         );
       });
     },
--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -7,8 +7,10 @@
 import { createRetrySchedule } from './create-retry-schedule.js';
 import { createQueueWaitEstimator } from './create-queue-wait-estimator.js';
 import { RETRY_BOUNDS } from '@laburnumshift/place-calls';
+import { createReturnOrders } from './create-return-orders.js';
 import type { PlacementQueueOptions } from './placement-queue-options.js';
 import { PLACEMENT_TIMING } from './placement-timing.js';
+import type { QueueWaitEstimator } from './queue-wait-estimator.js';
 import type { PlacementQueue } from './placement-queue.js';
 
 /** Maximum number of queued placement requests. Further ones are answered with `wait` at once, and their hosts ask again later. */
@@ -22,16 +24,36 @@
 const MAX_QUEUE_WAIT_SHARE = 0.2;
 /** The same for a wait until servers at their limits take further calls: these are not slow, so the rest of the time suffices. */
 const MAX_ROOM_WAIT_SHARE = 0.5;
+/**
+ * Share of the freed capacity that is promised to returning callers; the rest serves new calls while they can still meet their target.
+ * With a share of 1 every call is refused once and then late.
+ */
+const PROMISED_SHARE = 0.3;
+/** Maximum number of services whose placement rate is measured. */
+const MAX_SERVICES = 256;
 
+/** Position of a call among those that wait. */
+interface QueuePosition {
+  readonly service: string;
+  readonly priority: number;
+  /** Whether the caller was refused before and came at the time that it was told. */
+  readonly isReturn: boolean;
+  /** Time at which the call arrived at its host, monotonic milliseconds. */
+  readonly sinceMs: number;
+}
 interface QueuedRequest {
+  readonly position: QueuePosition;
   readonly request: PlacementRequest;
   readonly onChoice: (choice: ServerChoice) => void;
   readonly queuedAtMs: number;
 }
 
+const comparePositions = (a: QueuePosition, b: QueuePosition): number =>
+  a.priority - b.priority || Number(b.isReturn) - Number(a.isReturn) || a.sinceMs - b.sinceMs;
+
 /**
- * Creates a placement queue. Under overload, calls wait here until a server has free capacity, ordered by priority and then by time
- * waited; a new call does not overtake queued calls. Queued calls are decided by the same rule as new ones, so a call is refused as soon
+ * Creates a placement queue. Under overload, calls wait here until a server has free capacity, ordered by priority, then returning
+ * callers that were told this time, then by time waited; a new call does not overtake queued calls. Queued calls are decided by the same rule as new ones, so a call is refused as soon
  * as more waiting cannot help it.
  */
 export function createPlacementQueue({
@@ -41,50 +63,65 @@
 }: PlacementQueueOptions): PlacementQueue {
   const logger = createLogger('placement');
   const pollCapacity = createSharedInterval(PLACEMENT_TIMING.capacityPollMs);
-  const waitEstimator = createQueueWaitEstimator();
   const retrySchedule = createRetrySchedule();
   const memoryReservations = createMemoryReservations();
+  const returnOrders = createReturnOrders();
+  const waitEstimators = new Map<string, QueueWaitEstimator>();
   let queue: QueuedRequest[] = [];
   let stopPolling: (() => void) | undefined;
 
-  const computeWaitedMs = ({ request, queuedAtMs }: QueuedRequest): number =>
-    request.waitedMs + readMonotonicMs() - queuedAtMs;
-  const listAhead = (request: PlacementRequest): readonly QueuedRequest[] =>
+  /** Services do not share servers, so the rate of one says nothing about another. */
+  const getWaitEstimator = (service: string): QueueWaitEstimator => {
+    const estimator = waitEstimators.get(service) ?? createQueueWaitEstimator();
+    waitEstimators.delete(service);
+    waitEstimators.set(service, estimator);
+    const [oldest] = waitEstimators.keys();
+    if (waitEstimators.size > MAX_SERVICES && oldest !== undefined) waitEstimators.delete(oldest);
+    return estimator;
+  };
+  const listAhead = (position: QueuePosition): readonly QueuedRequest[] =>
     queue.filter(
       (entry) =>
-        entry.request.priority < request.priority ||
-        (entry.request.priority === request.priority && computeWaitedMs(entry) >= request.waitedMs),
+        entry.position.service === position.service && comparePositions(entry.position, position) <= 0,
     );
-  const countAhead = (request: PlacementRequest): number => listAhead(request).length;
-  const scheduleRetry = (request: PlacementRequest, minRetryMs: number): number =>
-    waitEstimator.scheduleRetry(
+  /** Returns the time after which the caller should retry, milliseconds, and promises it its turn then if it can wait so long. */
+  const scheduleRetry = (request: PlacementRequest, position: QueuePosition, fallbackMs: number): number => {
+    const estimator = getWaitEstimator(request.service);
+    const minRetryMs = estimator.hasRate() ? RETRY_BOUNDS.minMs : fallbackMs;
+    const maxRetryMs = Math.max(minRetryMs, request.remainingMs * RETRY_BOUNDS.maxRemainingShare);
+    const retryAfterMs = estimator.scheduleRetry(
       request.priority,
-      countAhead(request),
+      listAhead(position).length,
       minRetryMs,
-      Math.max(minRetryMs, request.remainingMs * RETRY_BOUNDS.maxRemainingShare),
+      maxRetryMs,
+      1 / PROMISED_SHARE,
     );
-  const decide = (request: PlacementRequest): ServerChoice => {
+    if (retryAfterMs < maxRetryMs) returnOrders.addOrder(request, retryAfterMs);
+    return retryAfterMs;
+  };
+  const decide = (request: PlacementRequest, position: QueuePosition): ServerChoice => {
     const choice = chooseServer(request, (engine, engineCount, capacityTokens) =>
       memoryReservations.getReservedTokens(request, engine, engineCount, capacityTokens),
     );
     if (choice.kind === 'wait' && choice.memory !== undefined)
       memoryReservations.reserveEngine(request, choice.memory.engine, choice.memory.neededTokens);
-    else memoryReservations.releaseCall(request.callId);
     if (choice.kind === 'wait' && choice.room !== undefined)
-      return checkRoomWait(request, choice.room) ?? choice;
+      return checkRoomWait(request, position, choice.room) ?? choice;
     if (choice.kind === 'refuse' && choice.cause === REFUSAL_CAUSES.noCapacity)
-      return { ...choice, retryAfterMs: scheduleRetry(request, choice.retryAfterMs) };
+      return { ...choice, retryAfterMs: scheduleRetry(request, position, choice.retryAfterMs) };
     if (choice.kind !== 'server') return choice;
     if (request.isResend && !takeResend(request.service))
       return buildRefusal(REFUSAL_CAUSES.resendBudgetUsedUp, RESEND_BUDGET_RETRY_AFTER_MS);
-    waitEstimator.recordPlacement(request.priority);
+    getWaitEstimator(request.service).recordPlacement(request.priority);
     return choice;
   };
   /** Refuses a call to servers at their limits that would wait too long for its turn; else `undefined`. */
-  const checkRoomWait = (request: PlacementRequest, room: RoomForecast): ServerChoice | undefined => {
-    const ahead = listAhead(request).filter(
-      (entry) => entry.request.service === request.service && entry.request.callId !== request.callId,
-    );
+  const checkRoomWait = (
+    request: PlacementRequest,
+    position: QueuePosition,
+    room: RoomForecast,
+  ): ServerChoice | undefined => {
+    const ahead = listAhead(position).filter((entry) => entry.request.callId !== request.callId);
     const waitMs = room.firstMs + ahead.length * room.perCallMs;
     if (request.waitedMs + waitMs <= request.targetMs * MAX_ROOM_WAIT_SHARE) return undefined;
     const maxRetryMs = Math.max(RETRY_BOUNDS.minMs, request.remainingMs * RETRY_BOUNDS.maxRemainingShare);
@@ -95,22 +132,20 @@
       Math.max(RETRY_BOUNDS.minMs, waitMs),
       maxRetryMs,
     );
+    returnOrders.addOrder(request, retryAfterMs);
     return buildRefusal(REFUSAL_CAUSES.allLimited, retryAfterMs);
   };
   /** Refuses a call without free capacity when its expected queue wait exceeds `MAX_QUEUE_WAIT_SHARE` of its target; else `undefined`. */
-  const checkQueueWait = (request: PlacementRequest): ServerChoice | undefined => {
-    const waitMs = waitEstimator.estimateWaitMs(request.priority, countAhead(request));
+  const checkQueueWait = (request: PlacementRequest, position: QueuePosition): ServerChoice | undefined => {
+    const estimator = getWaitEstimator(request.service);
+    const waitMs = estimator.estimateWaitMs(request.priority, listAhead(position).length);
     if (waitMs <= request.targetMs * MAX_QUEUE_WAIT_SHARE) return undefined;
-    return buildRefusal(REFUSAL_CAUSES.noCapacity, scheduleRetry(request, RETRY_BOUNDS.minMs));
+    return buildRefusal(REFUSAL_CAUSES.noCapacity, scheduleRetry(request, position, RETRY_BOUNDS.minMs));
   };
-  const decideEntry = (entry: QueuedRequest): ServerChoice => {
-    const waitedMs = readMonotonicMs() - entry.queuedAtMs;
-    const { request } = entry;
-    return decide({
-      ...request,
-      waitedMs: request.waitedMs + waitedMs,
-      remainingMs: request.remainingMs - waitedMs,
-    });
+  const decideEntry = ({ request, position }: QueuedRequest): ServerChoice => {
+    const waitedMs = readMonotonicMs() - position.sinceMs;
+    const remainingMs = request.remainingMs - (waitedMs - request.waitedMs);
+    return decide({ ...request, waitedMs, remainingMs }, position);
   };
   /** Decides a queued request. An error refuses that request, so that the others are still decided. */
   const decideSafely = (entry: QueuedRequest): ServerChoice => {
@@ -122,6 +157,10 @@
       return buildRefusal(REFUSAL_CAUSES.noServer, RETRY_BOUNDS.minMs);
     }
   };
+  const releaseCall = (callId: string): void => {
+    memoryReservations.releaseCall(callId);
+    returnOrders.releaseCall(callId);
+  };
   const drainQueue = (maxDecisions: number): void => {
     const now = readMonotonicMs();
     const finished = new Set<QueuedRequest>();
@@ -131,6 +170,7 @@
       const choice = index < maxDecisions ? decideSafely(entry) : ({ kind: 'wait' } as const);
       if (choice.kind === 'wait' && !isExpired) continue;
       finished.add(entry);
+      if (choice.kind !== 'wait') releaseCall(entry.request.callId);
       entry.onChoice(choice);
     }
     if (finished.size === 0) return;
@@ -146,20 +186,24 @@
       // A call that has waited for longer was asked for and counted before.
       const isFirstRequest = !request.isResend && request.waitedMs < PLACEMENT_TIMING.maxQueueMs;
       if (isFirstRequest) recordFirstAttempt(request.service);
-      const decided = decide(request);
+      const position = {
+        service: request.service,
+        priority: request.priority,
+        isReturn: returnOrders.claimOrder(request, isFirstRequest),
+        sinceMs: readMonotonicMs() - request.waitedMs,
+      };
+      const decided = decide(request, position);
       if (isFirstRequest && decided.kind === 'wait' && decided.memory !== undefined)
         memoryReservations.observeNeed(request);
       const hasToQueue = decided.kind === 'wait' && decided.room === undefined;
-      const choice = hasToQueue ? (checkQueueWait(request) ?? decided) : decided;
-      if (choice.kind === 'refuse') memoryReservations.releaseCall(request.callId);
+      const choice = hasToQueue ? (checkQueueWait(request, position) ?? decided) : decided;
+      if (choice.kind !== 'wait') releaseCall(request.callId);
       if (choice.kind !== 'wait' || queue.length >= MAX_QUEUED) {
         onChoice(choice);
         return false;
       }
-      queue.push({ request, onChoice, queuedAtMs: readMonotonicMs() });
-      queue.sort(
-        (a, b) => a.request.priority - b.request.priority || computeWaitedMs(b) - computeWaitedMs(a),
-      );
+      queue.push({ request, position, onChoice, queuedAtMs: readMonotonicMs() });
+      queue.sort((a, b) => comparePositions(a.position, b.position));
       stopPolling ??= pollCapacity(() => {
         drainQueue(MAX_DECISIONS_PER_POLL);
       });
--- a/packages/ask-home/src/create-queue-wait-estimator.ts
+++ b/packages/ask-home/src/create-queue-wait-estimator.ts
@@ -10,12 +10,16 @@
   readonly atMs: number;
   readonly priority: number;
 }
+interface TimedRetry extends TimedEvent {
+  /** Placements before the next retry. */
+  readonly work: number;
+}
 
 /** Creates an estimator without recorded placements. */
 export function createQueueWaitEstimator(): QueueWaitEstimator {
   let placements: TimedEvent[] = [];
   /** Times at which refused callers were told to retry, monotonic milliseconds. */
-  let scheduledRetries: TimedEvent[] = [];
+  let scheduledRetries: TimedRetry[] = [];
   const estimateWaitMs = (priority: number, ahead: number): number => {
     const now = readMonotonicMs();
     const recentPlacements = placements.filter(({ atMs }) => atMs > now - RATE_WINDOW_MS);
@@ -33,15 +37,19 @@
       placements.push({ atMs: now, priority });
     },
     estimateWaitMs,
-    scheduleRetry: (priority, ahead, minRetryMs, maxRetryMs) => {
+    hasRate: () => placements.some(({ atMs }) => atMs > readMonotonicMs() - RATE_WINDOW_MS),
+    scheduleRetry: (priority, ahead, minRetryMs, maxRetryMs, work = 1) => {
       const now = readMonotonicMs();
       scheduledRetries = scheduledRetries.filter(({ atMs }) => atMs > now);
-      const retriesBefore = scheduledRetries.filter((event) => event.priority <= priority).length;
+      const retriesBefore = scheduledRetries.reduce(
+        (sum, event) => sum + (event.priority <= priority ? event.work : 0),
+        0,
+      );
       const retryAfterMs = Math.max(
         minRetryMs,
-        Math.min(maxRetryMs, estimateWaitMs(priority, ahead + retriesBefore + 1)),
+        Math.min(maxRetryMs, estimateWaitMs(priority, ahead + retriesBefore + work)),
       );
-      scheduledRetries.push({ atMs: now + retryAfterMs, priority });
+      scheduledRetries.push({ atMs: now + retryAfterMs, priority, work });
       return retryAfterMs;
     },
   };
--- a/packages/ask-home/src/serve-placement-requests.ts
+++ b/packages/ask-home/src/serve-placement-requests.ts
@@ -12,11 +12,14 @@
 export function servePlacementRequests(options: ServePlacementRequestsOptions): void {
   const { channel, host, bornMs, placementQueue, reservations } = options;
 
-  channel.handleMessages(MESSAGE_KINDS.placementRequest, ([, sender, senderBornMs, number, body], from) => {
-    const request = decodePlacementRequest(body);
+  channel.handleMessages(MESSAGE_KINDS.placementRequest, (message, from) => {
+    const [, sender, senderBornMs, number, body, account] = message;
+    const decoded = decodePlacementRequest(body);
     const isValid =
       typeof sender === 'string' && typeof senderBornMs === 'number' && typeof number === 'number';
-    if (request === undefined || !isValid) return false;
+    if (decoded === undefined || !isValid) return false;
+    // Hosts of earlier versions name no account.
+    const request = { ...decoded, account: typeof account === 'string' ? account : undefined };
     const sendAnswer = (answer: PlacementAnswer): void => {
       channel.sendMessage(
         [from],
--- a/packages/ask-home/test/create-placement-queue.test.ts
+++ b/packages/ask-home/test/create-placement-queue.test.ts
@@ -187,3 +187,19 @@
     t.is(placementQueue.countQueued(), 0);
   },
 );
+
+test.serial('a caller that retries at the promised time is not overtaken by new calls again', async (t) => {
+  const { clock, state, order, addPlacementRequest } = createFixture(t, 1);
+  addPlacementRequest('placed');
+  clock.tick(600);
+  addPlacementRequest('before', { account: 'b' });
+  t.false(addPlacementRequest('refused', { account: 'a' }));
+  // One placement in 600 ms, one call ahead, and 1 / 0.3 placements for each promised retry.
+  await clock.tickAsync(2600);
+  order.length = 0;
+  addPlacementRequest('new', { account: 'c' });
+  addPlacementRequest('return', { account: 'a' });
+  state.room = 1;
+  await clock.tickAsync(PLACEMENT_TIMING.capacityPollMs);
+  t.deepEqual(order, ['return server']);
+});
--- a/packages/ask-home/test/simulate-shortage.ts
+++ b/packages/ask-home/test/simulate-shortage.ts
@@ -217,7 +217,7 @@
     const output = Math.round(kind.output * 4 ** (pickRandom() - 0.5));
     const ask = (): void => {
       const request: PlacementRequest = {
-        callId: `${account}${String(startedMs)}`,
+        callId: `${account}${String(arrivedMs)}`,
         service: 'm',
         prompt: {
           model: 'model',
@@ -230,6 +230,7 @@
           ],
         },
         cacheOwner: 'shared',
+        account,
         priority: kind.priority,
         targetMs: kind.targetMs,
         remainingMs: endMs - performance.now(),
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -133,6 +133,7 @@
       service: service.name,
       prompt: call.prompt,
       cacheOwner: getCacheOwner(),
+      account: account?.name,
       priority: account?.priority ?? route.priority,
       targetMs: route.targetMs,
       remainingMs: matchedCall.endsAtMs - now,
--- a/packages/forward-types/src/placement-request.ts
+++ b/packages/forward-types/src/placement-request.ts
@@ -8,6 +8,8 @@
   readonly prompt: PromptMetadata | undefined;
   /** Owner of the cached pieces that the call uses and makes. */
   readonly cacheOwner: string;
+  /** Client account of the call; `undefined` without one, and when a host of an earlier version asks. */
+  readonly account?: string | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Target latency to the start of the answer, milliseconds; a later answer loses value. */
