--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -3,6 +3,7 @@
 import type { PlacementRequest } from '@laburnumshift/forward-types';
 import type { RoomForecast } from '@laburnumshift/limit-server-rates';
 import { createLogger } from '@laburnumshift/logger';
+import { createAccountShares } from './create-account-shares.js';
 import { createMemoryReservations } from './create-memory-reservations.js';
 import { createRetrySchedule } from './create-retry-schedule.js';
 import { createQueueWaitEstimator } from './create-queue-wait-estimator.js';
@@ -40,6 +41,8 @@
   readonly isReturn: boolean;
   /** Time at which the call arrived at its host, monotonic milliseconds. */
   readonly sinceMs: number;
+  /** The same, later for an account that has more than an equal share of the capacity. */
+  readonly rankMs: number;
 }
 interface QueuedRequest {
   readonly position: QueuePosition;
@@ -49,11 +52,12 @@
 }
 
 const comparePositions = (a: QueuePosition, b: QueuePosition): number =>
-  a.priority - b.priority || Number(b.isReturn) - Number(a.isReturn) || a.sinceMs - b.sinceMs;
+  a.priority - b.priority || Number(b.isReturn) - Number(a.isReturn) || a.rankMs - b.rankMs;
 
 /**
  * Creates a placement queue. Under overload, calls wait here until a server has free capacity, ordered by priority, then returning
- * callers that were told this time, then by time waited; a new call does not overtake queued calls. Queued calls are decided by the same rule as new ones, so a call is refused as soon
+ * callers that were told this time, then by time waited,
+ * with a delay for accounts that have more than an equal share; a new call does not overtake queued calls. Queued calls are decided by the same rule as new ones, so a call is refused as soon
  * as more waiting cannot help it.
  */
 export function createPlacementQueue({
@@ -66,6 +70,7 @@
   const retrySchedule = createRetrySchedule();
   const memoryReservations = createMemoryReservations();
   const returnOrders = createReturnOrders();
+  const accountShares = createAccountShares();
   const waitEstimators = new Map<string, QueueWaitEstimator>();
   let queue: QueuedRequest[] = [];
   let stopPolling: (() => void) | undefined;
@@ -113,6 +118,7 @@
     if (request.isResend && !takeResend(request.service))
       return buildRefusal(REFUSAL_CAUSES.resendBudgetUsedUp, RESEND_BUDGET_RETRY_AFTER_MS);
     getWaitEstimator(request.service).recordPlacement(request.priority);
+    accountShares.recordPlacement(request);
     return choice;
   };
   /** Refuses a call to servers at their limits that would wait too long for its turn; else `undefined`. */
@@ -186,11 +192,13 @@
       // A call that has waited for longer was asked for and counted before.
       const isFirstRequest = !request.isResend && request.waitedMs < PLACEMENT_TIMING.maxQueueMs;
       if (isFirstRequest) recordFirstAttempt(request.service);
+      const sinceMs = readMonotonicMs() - request.waitedMs;
       const position = {
         service: request.service,
         priority: request.priority,
         isReturn: returnOrders.claimOrder(request, isFirstRequest),
-        sinceMs: readMonotonicMs() - request.waitedMs,
+        sinceMs,
+        rankMs: sinceMs + accountShares.computeExcessShare(request) * request.targetMs,
       };
       const decided = decide(request, position);
       if (isFirstRequest && decided.kind === 'wait' && decided.memory !== undefined)
--- a/packages/ask-home/test/create-placement-queue.test.ts
+++ b/packages/ask-home/test/create-placement-queue.test.ts
@@ -203,3 +203,16 @@
   await clock.tickAsync(PLACEMENT_TIMING.capacityPollMs);
   t.deepEqual(order, ['return server']);
 });
+
+test.serial('a burst of one account does not delay the other accounts of its priority', async (t) => {
+  const { clock, state, order, addPlacementRequest } = createFixture(t, 4);
+  for (const account of ['burst', 'burst', 'burst', 'b']) addPlacementRequest('placed', { account });
+  order.length = 0;
+  clock.tick(1000);
+  addPlacementRequest('burst', { account: 'burst' });
+  await clock.tickAsync(100);
+  addPlacementRequest('other', { account: 'b' });
+  state.room = 1;
+  await clock.tickAsync(PLACEMENT_TIMING.capacityPollMs);
+  t.deepEqual(order, ['other server']);
+});
