--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -6,6 +6,7 @@
 import { createAccountShares } from './create-account-shares.js';
 import { createMemoryReservations } from './create-memory-reservations.js';
 import { createRetrySchedule } from './create-retry-schedule.js';
+import { createPriorityShares } from './create-priority-shares.js';
 import { createQueueWaitEstimator } from './create-queue-wait-estimator.js';
 import { RETRY_BOUNDS } from '@laburnumshift/place-calls';
 import { createReturnOrders } from './create-return-orders.js';
@@ -71,6 +72,7 @@
   const memoryReservations = createMemoryReservations();
   const returnOrders = createReturnOrders();
   const accountShares = createAccountShares();
+  const priorityShares = createPriorityShares();
   const waitEstimators = new Map<string, QueueWaitEstimator>();
   let queue: QueuedRequest[] = [];
   let stopPolling: (() => void) | undefined;
@@ -105,9 +107,13 @@
     return retryAfterMs;
   };
   const decide = (request: PlacementRequest, position: QueuePosition): ServerChoice => {
-    const choice = chooseServer(request, (engine, engineCount, capacityTokens) =>
-      memoryReservations.getReservedTokens(request, engine, engineCount, capacityTokens),
-    );
+    const isStarved = priorityShares.isStarved(request);
+    // A priority below its minimum share is admitted by the limits of the most urgent calls, and need not leave memory for them.
+    const choice = isStarved
+      ? chooseServer({ ...request, priority: 0 }, () => 0)
+      : chooseServer(request, (engine, engineCount, capacityTokens) =>
+          memoryReservations.getReservedTokens(request, engine, engineCount, capacityTokens),
+        );
     if (choice.kind === 'wait' && choice.memory !== undefined)
       memoryReservations.reserveEngine(request, choice.memory.engine, choice.memory.neededTokens);
     if (choice.kind === 'wait' && choice.room !== undefined)
@@ -119,6 +125,7 @@
       return buildRefusal(REFUSAL_CAUSES.resendBudgetUsedUp, RESEND_BUDGET_RETRY_AFTER_MS);
     getWaitEstimator(request.service).recordPlacement(request.priority);
     accountShares.recordPlacement(request);
+    priorityShares.recordPlacement(request);
     return choice;
   };
   /** Refuses a call to servers at their limits that would wait too long for its turn; else `undefined`. */
--- a/packages/ask-home/test/create-account-shares.test.ts
+++ b/packages/ask-home/test/create-account-shares.test.ts
@@ -1,6 +1,7 @@
 import { installClock } from '@laburnumshift/test-utils';
 import test, { type ExecutionContext } from 'ava';
 import { createAccountShares } from '../src/create-account-shares.js';
+import { createPriorityShares } from '../src/create-priority-shares.js';
 import { createPlacementRequest } from './fixtures.js';
 
 const createFixture = (t: ExecutionContext) => {
@@ -40,3 +41,25 @@
   place('b', 1);
   t.is(getExcess('a'), 0);
 });
+
+test.serial('a less urgent priority is starved only while more urgent calls get nearly all capacity', (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const shares = createPriorityShares();
+  const build = (priority: number, inputTokens: number, service = 'm') =>
+    createPlacementRequest({
+      priority,
+      service,
+      prompt: { model: 'model', inputTokens, maxOutputTokens: 0, expectedOutputTokens: 0, pieces: [] },
+    });
+  t.false(shares.isStarved(build(1, 100)));
+  shares.recordPlacement(build(0, 100_000));
+  t.true(shares.isStarved(build(1, 100)));
+  t.false(shares.isStarved(build(0, 100)));
+  t.false(shares.isStarved(build(1, 100, 'other')));
+  shares.recordPlacement(build(1, 5000));
+  t.false(shares.isStarved(build(1, 100)));
+  t.true(shares.isStarved(build(2, 100)));
+});
--- a/packages/ask-home/test/create-placement-queue.test.ts
+++ b/packages/ask-home/test/create-placement-queue.test.ts
@@ -216,3 +216,21 @@
   await clock.tickAsync(PLACEMENT_TIMING.capacityPollMs);
   t.deepEqual(order, ['other server']);
 });
+
+test.serial('urgent calls that take all capacity do not starve a less urgent priority', (t) => {
+  const { asked, addPlacementRequest } = createFixture(t, 9);
+  const prompt = {
+    model: 'model',
+    inputTokens: 10_000,
+    maxOutputTokens: 0,
+    expectedOutputTokens: 0,
+    pieces: [],
+  };
+  addPlacementRequest('urgent', { priority: 0, prompt });
+  addPlacementRequest('first', { priority: 2, prompt });
+  addPlacementRequest('second', { priority: 2, prompt });
+  t.deepEqual(
+    asked.map(({ priority }) => priority),
+    [0, 0, 2],
+  );
+});
