--- a/packages/ask-home/test/create-placement-queue.test.ts
+++ b/packages/ask-home/test/create-placement-queue.test.ts
@@ -187,3 +187,50 @@
     t.is(placementQueue.countQueued(), 0);
   },
 );
+
+test.serial('a caller that retries at the promised time is not overtaken by new calls again', async (t) => {
+  const { clock, state, order, addPlacementRequest } = createFixture(t, 1);
+  addPlacementRequest('placed');
+  clock.tick(600);
+  addPlacementRequest('before', { account: 'b' });
+  t.false(addPlacementRequest('refused', { account: 'a' }));
+  // One placement in 600 ms, one call ahead, and 1 / 0.3 placements for each promised retry.
+  await clock.tickAsync(2600);
+  order.length = 0;
+  addPlacementRequest('new', { account: 'c' });
+  addPlacementRequest('return', { account: 'a' });
+  state.room = 1;
+  await clock.tickAsync(PLACEMENT_TIMING.capacityPollMs);
+  t.deepEqual(order, ['return server']);
+});
+
+test.serial('a burst of one account does not delay the other accounts of its priority', async (t) => {
+  const { clock, state, order, addPlacementRequest } = createFixture(t, 4);
+  for (const account of ['burst', 'burst', 'burst', 'b']) addPlacementRequest('placed', { account });
+  order.length = 0;
+  clock.tick(1000);
+  addPlacementRequest('burst', { account: 'burst' });
+  await clock.tickAsync(100);
+  addPlacementRequest('other', { account: 'b' });
+  state.room = 1;
+  await clock.tickAsync(PLACEMENT_TIMING.capacityPollMs);
+  t.deepEqual(order, ['other server']);
+});
+
+test.serial('urgent calls that take all capacity do not starve a less urgent priority', (t) => {
+  const { asked, addPlacementRequest } = createFixture(t, 9);
+  const prompt = {
+    model: 'model',
+    inputTokens: 10_000,
+    maxOutputTokens: 0,
+    expectedOutputTokens: 0,
+    pieces: [],
+  };
+  addPlacementRequest('urgent', { priority: 0, prompt });
+  addPlacementRequest('first', { priority: 2, prompt });
+  addPlacementRequest('second', { priority: 2, prompt });
+  t.deepEqual(
+    asked.map(({ priority }) => priority),
+    [0, 0, 2],
+  );
+});
