--- a/packages/call-backend/src/backend-agent.ts
+++ b/packages/call-backend/src/backend-agent.ts
@@ -16,6 +16,9 @@
     super({ keepAlive: true, maxSockets, maxFreeSockets: maxSockets, scheduling: 'lifo' });
   }
 
+  /** Number of open connections; kept by Node.js, whose types lack it. */
+  declare readonly totalSocketCount: number;
+
   override keepSocketAlive(stream: net.Socket): boolean {
     const message = (stream as { _httpMessage?: { res?: http.IncomingMessage } })._httpMessage;
     const timeoutSeconds = /timeout=(\d+)/.exec(String(message?.res?.headers['keep-alive'] ?? ''))?.[1];
--- a/packages/call-backend/src/backend-pool.ts
+++ b/packages/call-backend/src/backend-pool.ts
@@ -12,6 +12,8 @@
     body: Buffer,
     handlers: SendHandlers,
   ) => OutgoingCall;
+  /** Returns how many connections are open, and how many there may be to the servers that have had calls. */
+  readonly countConnections: () => { readonly open: number; readonly max: number };
   /** Closes the idle connections to a server that is no longer registered; those with calls are closed after them. */
   readonly removeBackend: (id: string) => void;
   /** Closes the idle connections to all servers; those with calls are closed after them. */
--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -203,6 +203,15 @@
         },
       };
     },
+    countConnections: () => {
+      let open = 0;
+      let max = 0;
+      for (const agent of agents.values()) {
+        open += agent.totalSocketCount;
+        max += agent.maxSockets;
+      }
+      return { open, max };
+    },
     removeBackend: (id) => {
       agents.get(id)?.closeIdleConnections();
       agents.delete(id);
--- a/packages/forward-calls/src/drop-body.ts
+++ b/packages/forward-calls/src/drop-body.ts
@@ -8,12 +8,17 @@
 
 /**
  * Reads the rest of the body of a refused request, as its caller may read the response only afterwards. When the rest is longer than
- * `maxBytes`, or comes in too small chunks, it is not read to its end and the connection is closed.
+ * `maxBytes`, or comes in too small chunks, it is not read to its end and the connection is closed. Calls `onBytes` for each chunk.
  */
-export function dropBody(request: http.IncomingMessage, maxBytes: number): void {
+export function dropBody(
+  request: http.IncomingMessage,
+  maxBytes: number,
+  onBytes: (bytes: number) => void,
+): void {
   let bytes = 0;
   let chunks = 0;
   const dropChunk = (chunk: Buffer): void => {
+    onBytes(chunk.length);
     bytes += chunk.length;
     chunks += 1;
     if (bytes <= maxBytes && !hasTooSmallChunks(chunks, bytes)) return;
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -2,6 +2,7 @@
 import type { BackendPool } from '@laburnumshift/call-backend';
 import type { ByteBudget } from '@laburnumshift/collect-bytes';
 import type { EdgeCodec, EngineControl, ForwardBounds } from '@laburnumshift/forward-types';
+import type { ConnectionGuard } from '@laburnumshift/limit-connections';
 import type { ResendBudget } from '@laburnumshift/limit-resends';
 import type { ServerLimits } from '@laburnumshift/limit-server-rates';
 import type { Metrics } from '@laburnumshift/record-metrics';
@@ -26,6 +27,9 @@
   readonly bounds: ForwardBounds;
   /** Memory of the bodies of all requests, and of the answers that are kept until they or an event of theirs are complete. */
   readonly memory: { readonly bodies: ByteBudget; readonly answers: ByteBudget };
+  readonly connectionGuard: ConnectionGuard;
+  /** Notes that bytes of a body or answer were read, whose buffers become garbage. */
+  readonly observeReadBytes: (bytes: number) => void;
   /** Failure domain of this host. */
   readonly failureDomain: string;
   /** Returns a random number from 0 (inclusive) to 1 (exclusive), which selects the service of a call by weight. */
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -7,7 +7,10 @@
 import { createLogger } from '@laburnumshift/logger';
 import type { CallerReply } from './caller-reply.js';
 import { BODY_REFUSALS } from './body-refusals.js';
+import type { TrackedConnection } from '@laburnumshift/limit-connections';
+import { CLOSE_REASONS } from '@laburnumshift/limit-connections';
 import { createCallerReply } from './create-caller-reply.js';
+import { createCloseReport } from './create-close-report.js';
 import { createKeptConnections } from './create-kept-connections.js';
 import { dropBody } from './drop-body.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
@@ -33,6 +36,8 @@
 const CONFIG_RETRY_AFTER_MS = 500;
 /** Retry-After when the bodies of other requests take all memory for them, in milliseconds: a few calls end in this time. */
 const MEMORY_RETRY_AFTER_MS = 1000;
+/** Retry-After when there is no room for another call, in milliseconds: many calls end in this time. */
+const FULL_RETRY_AFTER_MS = 1000;
 /** Maximum size of the body of a refused request that is read while no configuration is known, in bytes. */
 const DEFAULT_DISCARD_BYTES = 1_048_576;
 /**
@@ -55,6 +60,8 @@
   const maxNotFoundAgeMs = bounds.configApplyMs * MAX_CONFIG_AGE_RATIO;
   const stopController = new AbortController();
   const connections = createKeptConnections();
+  const guarded = new WeakMap<net.Socket, TrackedConnection>();
+  const closeReport = createCloseReport(deps.metrics, logger);
   let isDraining = false;
   let isListening = true;
   const isStopping = (): boolean => !isListening;
@@ -75,6 +82,7 @@
     call: ForwardCall | CallDecodeFailure,
     callerSignal: AbortSignal,
     { bodyMemory, answerMemory }: Record<'bodyMemory' | 'answerMemory', ByteReservation>,
+    isAdmitted: boolean,
   ): Promise<void> => {
     const arrivedAtMs = readMonotonicMs();
     const refuse = (
@@ -83,7 +91,11 @@
       retryAfterMs?: number,
     ): void => {
       const id = 'id' in call ? call.id : undefined;
-      dropBody(request, fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES);
+      dropBody(
+        request,
+        fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES,
+        deps.observeReadBytes,
+      );
       replyError(codec, reply, id, status, retryAfterMs);
       deps.metrics.addToCounter('refused_calls_total', { reason });
       const config = fleet.getConfig();
@@ -94,6 +106,17 @@
       refuse(call.status, call.message);
       return;
     }
+    if (!isAdmitted) {
+      dropBody(
+        request,
+        fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES,
+        deps.observeReadBytes,
+      );
+      replyError(codec, reply, call.id, 503, FULL_RETRY_AFTER_MS);
+      deps.metrics.addToCounter('refused_calls_total', { reason: 'no room for the call' });
+      closeReport.recordRefusal();
+      return;
+    }
     if (isStopping()) {
       refuse(503, 'the host is stopping', STOPPING_RETRY_AFTER_MS);
       return;
@@ -133,7 +156,7 @@
       return;
     }
     deps.resends.recordCall(service.name);
-    const body = await readBody(request, config.limits.maxBodyBytes, bodyMemory);
+    const body = await readBody(request, config.limits.maxBodyBytes, bodyMemory, deps.observeReadBytes);
     if (body === 'left') return;
     if (typeof body === 'string') {
       const status = BODY_REFUSALS[body];
@@ -171,13 +194,22 @@
     const { socket } = request;
     const isBehindLast = connections.isClosing(socket);
     const endRequest = connections.beginRequest(socket, request);
+    const connection = guarded.get(socket);
+    const isAdmitted = connection?.beginCall() ?? true;
+    if (isAdmitted && connection !== undefined) request.once('end', connection.markWhole);
     // Node.js states the limit that holds as a request begins, and closes by the one that holds as its response ends.
     const statedIdleMs = server.keepAliveTimeout + IDLE_MARGIN_MS;
+    let isCounted = isAdmitted;
+    const finishCall = (): void => {
+      if (isCounted) connection?.endCall();
+      isCounted = false;
+    };
     const whenClosed = new Promise<void>((resolve) => {
       const handleClose = (): void => {
         socket.off('close', handleClose);
         if (!response.writableFinished) callerAbort.abort();
         endRequest();
+        finishCall();
         if (socket.timeout && socket.timeout < statedIdleMs) socket.setTimeout(statedIdleMs);
         resolve();
       };
@@ -194,10 +226,15 @@
         if (isLast) connections.markClosing(socket);
         return isLast;
       },
+      (bytes) => connection?.setUnreadBytes(bytes),
     );
     if (isBehindLast) {
       // No answer can follow the one that closes the connection, so the call must not run.
-      dropBody(request, fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES);
+      dropBody(
+        request,
+        fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES,
+        deps.observeReadBytes,
+      );
       logger.info('call not taken: its connection closes after an earlier answer');
       deps.metrics.addToCounter('refused_calls_total', { reason: 'the connection closes' });
       await whenClosed;
@@ -214,7 +251,7 @@
         headers: request.rawHeaders,
       });
       if ('id' in call) callId = call.id;
-      await handleCall(request, reply, call, callerAbort.signal, { bodyMemory, answerMemory });
+      await handleCall(request, reply, call, callerAbort.signal, { bodyMemory, answerMemory }, isAdmitted);
     } catch (error) {
       failCall(reply, callId, error);
     }
@@ -249,6 +286,20 @@
         socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
     });
   });
+  // Before the listener of Node.js, which reads from the connection.
+  server.prependListener('connection', (socket) => {
+    const connection = deps.connectionGuard.openConnection((reason) => {
+      closeReport.recordClose(reason);
+      socket.destroy();
+    });
+    if (connection === undefined) {
+      closeReport.recordClose(CLOSE_REASONS.full);
+      socket.destroy();
+      return;
+    }
+    guarded.set(socket, connection);
+    socket.once('close', connection.close);
+  });
   server.on('connection', connections.recordOpened);
   server.on('timeout', (socket: net.Socket) => {
     const { bytesRead } = socket;
--- a/packages/forward-calls/test/run-forward.test.ts
+++ b/packages/forward-calls/test/run-forward.test.ts
@@ -52,6 +52,7 @@
     return { isSent: () => true, cancel: dropValue, discard: dropValue, pause: dropValue, resume: dropValue };
   };
   const deps = {
+    observeReadBytes: () => undefined,
     serverTracker: {
       beginCall: () => ({ observeBytes: dropValue, observeFirstEvent: dropValue, finish: dropValue }),
       observePrefill: dropValue,
--- a/packages/forward-calls/test/start-forward-server.test.ts
+++ b/packages/forward-calls/test/start-forward-server.test.ts
@@ -3,6 +3,7 @@
 import { sleep } from '@laburnumshift/clock';
 import { createByteBudget } from '@laburnumshift/collect-bytes';
 import type { EdgeCodec } from '@laburnumshift/forward-types';
+import { computeClientLimits, createConnectionGuard } from '@laburnumshift/limit-connections';
 import { findFreePort } from '@laburnumshift/test-utils';
 import test from 'ava';
 import type { ForwarderDependencies } from '../src/forwarder-dependencies.js';
@@ -29,6 +30,15 @@
   limits: { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
 };
 const MEMORY = { bodies: createByteBudget(100_000), answers: createByteBudget(100_000) };
+const MACHINE = { memoryBytes: 200_000_000, reservedDescriptors: undefined, clientMemoryBytes: undefined };
+const buildGuardDeps = (maxDescriptors?: number) => ({
+  connectionGuard: createConnectionGuard({
+    limits: computeClientLimits({ ...MACHINE, maxDescriptors }),
+    countServerConnections: () => ({ open: 0, max: 0 }),
+    getIdleTimeoutMs: () => 1000,
+  }),
+  observeReadBytes: () => undefined,
+});
 const fail = (): never => {
   throw new TypeError('a part of the host failed');
 };
@@ -66,6 +76,8 @@
       fleet: { getConfig: () => CONFIG, getConfigAgeMs: () => 0 },
       bounds: { configApplyMs: 2000 },
       memory: MEMORY,
+      ...buildGuardDeps(),
+      ...buildGuardDeps(),
       resends: { recordCall: () => undefined },
       metrics: { addToCounter: () => undefined },
       quarantine: { checkCall: () => ({ kind: 'allowed' }) },
@@ -93,6 +105,7 @@
     },
     bounds: { configApplyMs: 2000 },
     memory: MEMORY,
+    ...buildGuardDeps(),
     metrics: { addToCounter: () => undefined },
   };
   const server = await startForwardServer(
@@ -135,6 +148,7 @@
     fleet: { getConfig: () => CONFIG, getConfigAgeMs: () => 0 },
     bounds: { configApplyMs: 2000 },
     memory: MEMORY,
+    ...buildGuardDeps(),
     resends: { recordCall: () => undefined },
     metrics: { addToCounter: () => undefined, recordDuration: () => undefined },
     quarantine: { checkCall: () => ({ kind: 'allowed' }) },
--- a/packages/forward-types/src/forward-settings.ts
+++ b/packages/forward-types/src/forward-settings.ts
@@ -17,6 +17,12 @@
   readonly cores: number;
   /** Memory of the machine for the process, bytes. */
   readonly memoryBytes: number;
+  /** File descriptors of the machine for the process; `undefined` when it states no limit. */
+  readonly maxDescriptors: number | undefined;
+  /** Descriptors that callers may not take; derived from `maxDescriptors` when `undefined`. */
+  readonly reservedDescriptors: number | undefined;
+  /** Memory for the connections and calls of callers beside bodies, bytes; derived from `memoryBytes` when `undefined`. */
+  readonly clientMemoryBytes: number | undefined;
   /** Bandwidth of the host's link, megabits per second. */
   readonly linkMbps: number;
   /** The whole system is starting for the first time. */
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -10,6 +10,7 @@
   watchSuspension,
 } from '@laburnumshift/clock';
 import { startForwardServer } from '@laburnumshift/forward-calls';
+import { computeClientLimits, createConnectionGuard } from '@laburnumshift/limit-connections';
 import { computeHomeShare, computeHostShare, createResendBudget } from '@laburnumshift/limit-resends';
 import { createLogger } from '@laburnumshift/logger';
 import { createCrashQuarantine } from '@laburnumshift/quarantine-pieces';
@@ -114,6 +115,19 @@
     bodies: createByteBudget(settings.memoryBytes * BODY_MEMORY_RATIO),
     answers: createByteBudget(settings.memoryBytes * ANSWER_MEMORY_RATIO),
   };
+  const memoryWatch = watchMemory({
+    memoryBytes: settings.memoryBytes,
+    readMemory: process.memoryUsage,
+    collectGarbage: globalThis.gc === undefined ? undefined : collectGarbage,
+    onCollected: () => {
+      metrics.addToCounter('garbage_collections_total', {});
+    },
+  });
+  const connectionGuard = createConnectionGuard({
+    limits: computeClientLimits(settings),
+    countServerConnections: pool.countConnections,
+    getIdleTimeoutMs: () => fleet.getConfig()?.limits.idleTimeoutMs ?? Infinity,
+  });
   let isDraining = false;
   let isListening = false;
   let wasLastReady: boolean | undefined;
@@ -148,6 +162,8 @@
       resends,
       metrics,
       memory,
+      connectionGuard,
+      observeReadBytes: memoryWatch.observeReadBytes,
       bounds,
       failureDomain: settings.failureDomain,
       pickRandom: Math.random,
@@ -161,6 +177,8 @@
   metrics.registerGauge('limited_servers', limits.countLimited);
   metrics.registerGauge('body_bytes_kept', memory.bodies.countReserved);
   metrics.registerGauge('answer_bytes_kept', memory.answers.countReserved);
+  metrics.registerGauge('caller_connections', connectionGuard.countConnections);
+  metrics.registerGauge('caller_bytes', connectionGuard.countBytes);
   metrics.registerGauge('resident_bytes', () => process.memoryUsage.rss());
   metrics.registerGauge('config_age_ms', fleet.getConfigAgeMs);
   const closeMetrics =
@@ -171,14 +189,6 @@
         });
 
   const orders = startWeightRollouts(options, context, store);
-  const stopMemoryWatch = watchMemory({
-    memoryBytes: settings.memoryBytes,
-    readMemory: process.memoryUsage,
-    collectGarbage: globalThis.gc === undefined ? undefined : collectGarbage,
-    onCollected: () => {
-      metrics.addToCounter('garbage_collections_total', {});
-    },
-  });
   // Connections are dead after a suspension. Unless they are replaced, the configuration stays too old until requests time out.
   const stopWatching = watchSuspension(
     (gapMs) => {
@@ -248,7 +258,7 @@
       const answersEndMs = computeElapsed() + times.lastAnswersMs;
       while (computeElapsed() < answersEndMs && callerServer.countCallsInFlight() > 0)
         await sleep(times.drainCheckIntervalMs);
-      stopMemoryWatch();
+      memoryWatch.stop();
       quarantine.close();
       context.close();
       ready.close();
--- a/packages/watch-memory/test/watch-memory.test.ts
+++ b/packages/watch-memory/test/watch-memory.test.ts
@@ -9,7 +9,7 @@
 const watchBuffers = async (rss: number, growthBytes: number): Promise<number> => {
   const clock = installClock();
   const counts = { arrayBuffers: 0, collections: 0 };
-  const stop = watchMemory({
+  const { stop } = watchMemory({
     memoryBytes: MEMORY_BYTES,
     readMemory: () => ({ rss, arrayBuffers: (counts.arrayBuffers += growthBytes) }),
     collectGarbage: () => {
