--- a/.ci/write-docs.js
+++ b/.ci/write-docs.js
@@ -9,7 +9,9 @@
     title: 'Settings of a daemon',
     text:
       '`laburnumshift serve --settings FILE` reads one file of JSON with comments. All problems of the file are reported ' +
-      'together with line and column. A change needs a restart.',
+      'together with line and column. A change needs a restart.\n\nA forwarding host reads the settings file of its platform ' +
+      'instead. `limits.max-fds`, `limits.reserved-fds` and `limits.client-memory-mb` of that file limit its callers; ' +
+      '[operators/client-limits.md](operators/client-limits.md) gives their units and defaults.',
     schema: SETTINGS_SCHEMA,
   },
   'declarations.md': {
--- a/packages/limit-connections/src/create-connection-guard.ts
+++ b/packages/limit-connections/src/create-connection-guard.ts
@@ -167,6 +167,9 @@
           state.calls -= 1;
           calls -= 1;
           state.hasServed = true;
+          // The answer has been sent, also where the runtime does not say that it is drained.
+          unreadBytes -= state.unreadBytes;
+          state.unreadBytes = 0;
           updateWait(state);
         },
         setUnreadBytes: (bytes) => {
--- a/packages/limit-connections/test/create-connection-guard.test.ts
+++ b/packages/limit-connections/test/create-connection-guard.test.ts
@@ -52,7 +52,9 @@
   });
   const { closed, open, openWhole } = startGuard({ maxDescriptors: 2 });
   openWhole('running');
-  openWhole('idle')?.endCall();
+  const idle = openWhole('idle');
+  idle?.setUnreadBytes(16_000);
+  idle?.endCall();
   clock.tick(IDLE_MS * 0.8 - 1);
   t.is(open('early'), undefined);
   t.deepEqual(closed, []);
