--- a/packages/relay-objects/src/create-relayed-source.ts
+++ b/packages/relay-objects/src/create-relayed-source.ts
@@ -25,18 +25,15 @@
 /** Wait of a watch at the store after the other host failed, milliseconds: short, so that the copy is confirmed at once. */
 const CONFIRM_WAIT_MS = 1;
 /**
- * When the copy of a relay has become old, its followers probe the store within this time, milliseconds. The store may refuse the relay
- * and serve others. It is short because the bound on applying a configuration goes on, and random because all followers notice at once.
+ * Time after which a follower confirms a copy at the store itself, beyond the age at which the copy of its relay counts as old: the
+ * interval between two messages of the relay, in which the copy ages without a fault, milliseconds.
  */
-const FIRST_PROBE_SPREAD_MS = 300;
-/** Random delay after a failed probe, milliseconds: the store is then probably down for all hosts, and each call to it has a cost. */
-const MIN_PROBE_DELAY_MS = 2000;
-const MAX_PROBE_DELAY_MS = 6000;
-/**
- * A follower whose relay had an old copy twice within this time reads the store for as long, milliseconds. A relay without the store takes
- * its copies from other hosts, so they are recent and old by turns, and each change to the store costs a call for every kind.
- */
-const DIRECT_HOLD_MS = 10_000;
+const CONFIRM_MARGIN_MS = 300;
+/** Random part of that time, milliseconds, as all followers notice at once. The bound on applying a configuration leaves no more. */
+const CONFIRM_SPREAD_MS = 200;
+/** Random delay after a failed call, milliseconds: the store is then probably down for all hosts, and each call to it has a cost. */
+const MIN_RETRY_DELAY_MS = 2000;
+const MAX_RETRY_DELAY_MS = 6000;
 
 /** A call that waits for the other host; `after` is the revision after which changes are wanted. */
 interface PendingCall<T> {
@@ -59,15 +56,10 @@
   const pendingLists = new Map<string, PendingCall<ListOutcome>>();
   /** When the other host last sent a kind with a recent enough copy, monotonic milliseconds. */
   const lastAnswerMs = new Map<string, number>();
-  /** When a follower probes the store, by the kind whose copy at the followed host is then too old, monotonic milliseconds. */
-  const probeDueMs = new Map<string, number>();
-  let stopProbeTimer = (): void => undefined;
+  /** When a follower confirms its copy of a kind at the store unless the followed host does so before, monotonic milliseconds. */
+  const confirmDueMs = new Map<string, number>();
+  let stopConfirmTimer = (): void => undefined;
   let isFollowing = false;
-  /** Whether the followed host has an old copy while the store answers this host. */
-  let isDirect = false;
-  /** When this host last began to read the store because of an old copy, and until when it does so at least, monotonic milliseconds. */
-  let directSinceMs = -Infinity;
-  let directUntilMs = -Infinity;
   /** Revisions after which changes of a kind were last requested. */
   const lastRevisions = new Map<string, number>();
 
@@ -79,7 +71,6 @@
       });
     isFollowing = value;
   };
-  const isStaleTolerant = (kind: string): boolean => staleTolerantKinds.includes(kind);
   const callGuarded = async <T extends WatchOutcome | ListOutcome>(
     ask: () => Promise<T>,
   ): Promise<T | UnavailableOutcome> => {
@@ -93,7 +84,6 @@
     const outcome = await ask();
     if (isLocal(outcome)) breaker.cancelProbe();
     else breaker.recordOutcome(outcome.kind !== 'unavailable', sentMs);
-    if (outcome.kind === 'unavailable') isDirect = false;
     return outcome;
   };
   const watchStore = (kind: string, after: number, waitMs: number): Promise<WatchOutcome> =>
@@ -126,90 +116,82 @@
     new Promise((resolve) => {
       const stopTimer = startTimer(HOST_TIMEOUT_MS, () => {
         if (!isFollower() || !isHostAnswering()) stopFollowing('no answer of the host');
-        else if (isReadFromStore(kind)) sendToStore(kind);
         else {
-          ensureProbe(kind);
+          ensureConfirmation(kind);
           waitAgain(kind);
         }
       });
       waiting.set(kind, { after, resolve, stopTimer });
     });
   const isHostAnswering = (): boolean => kinds.some(isKindAnswered);
-  /** Probes the store with a short watch when the circuit breaker admits it; returns whether the store answered. */
-  const probeStore = async (kind: string): Promise<boolean> => {
+  /** Asks the store for changes without waiting when the circuit breaker admits it; returns `undefined` without an answer. */
+  const callProbe = async (kind: string): Promise<WatchOutcome | undefined> => {
     const after = lastRevisions.get(kind);
-    if (after === undefined || !breaker.admitCall()) return false;
+    if (after === undefined || !breaker.admitCall()) return undefined;
     const sentMs = readMonotonicMs();
     const outcome = await source.watchChanges(kind, after, CONFIRM_WAIT_MS);
     if (isLocal(outcome)) {
       // The next probe is a list, which calls the store.
       lastRevisions.delete(kind);
       breaker.cancelProbe();
-      return false;
+      return undefined;
     }
     breaker.recordOutcome(outcome.kind !== 'unavailable', sentMs);
-    return outcome.kind !== 'unavailable';
+    return outcome.kind === 'unavailable' ? undefined : outcome;
   };
-  /** Whether calls for a kind go to the store because the followed host has an old copy of it. */
-  const isReadFromStore = (kind: string): boolean => isDirect && !isStaleTolerant(kind);
   const waitAgain = (kind: string): void => {
     const watch = takePending(pendingWatches, kind);
     if (watch !== undefined) void waitForHost(pendingWatches, kind, watch.after).then(watch.resolve);
     const list = takePending(pendingLists, kind);
     if (list !== undefined) void waitForHost(pendingLists, kind, list.after).then(list.resolve);
   };
-  const setProbe = (kind: string, delayMs: number): void => {
-    probeDueMs.set(kind, readMonotonicMs() + delayMs);
-    stopProbeTimer();
-    const nextMs = Math.min(...probeDueMs.values()) - readMonotonicMs();
-    stopProbeTimer = startTimer(Math.max(0, nextMs), () => {
-      void runDueProbe();
+  const setConfirmation = (kind: string, delayMs: number): void => {
+    confirmDueMs.set(kind, readMonotonicMs() + delayMs);
+    stopConfirmTimer();
+    const nextMs = Math.min(...confirmDueMs.values()) - readMonotonicMs();
+    stopConfirmTimer = startTimer(Math.max(0, nextMs), () => {
+      void confirmDueKinds();
     });
   };
-  /** Probes the store soon for a kind that the other host does not confirm, unless a probe for it is due already. */
-  const ensureProbe = (kind: string): void => {
-    if (!probeDueMs.has(kind)) setProbe(kind, pickRandom() * FIRST_PROBE_SPREAD_MS);
+  /** Schedules the confirmation of a copy that is `ageMs` old now. */
+  const scheduleConfirmation = (kind: string, ageMs: number): void => {
+    setConfirmation(kind, getMaxAgeMs() - ageMs + CONFIRM_MARGIN_MS + pickRandom() * CONFIRM_SPREAD_MS);
   };
-  const scheduleNextProbe = (kind: string): void => {
-    setProbe(kind, MIN_PROBE_DELAY_MS + pickRandom() * (MAX_PROBE_DELAY_MS - MIN_PROBE_DELAY_MS));
+  /** Schedules the confirmation of a kind that the followed host does not answer for, unless one is due already. */
+  const ensureConfirmation = (kind: string): void => {
+    if (!confirmDueMs.has(kind)) setConfirmation(kind, pickRandom() * CONFIRM_SPREAD_MS);
   };
-  /** Probes the store for the kinds whose copies at the followed host are too old, and uses the store from then on if it answers. */
-  const runDueProbe = async (): Promise<void> => {
+  /** Confirms the copies at the store that the followed host has not confirmed in time. The first kind probes the store for the others. */
+  const confirmDueKinds = async (): Promise<void> => {
     const now = readMonotonicMs();
-    const dueKinds = [...probeDueMs].filter(([, dueMs]) => dueMs <= now).map(([kind]) => kind);
-    const [firstKind] = dueKinds;
-    if (firstKind === undefined || !isFollower() || isDirect) {
-      for (const kind of dueKinds) probeDueMs.delete(kind);
-      return;
-    }
-    for (const kind of dueKinds) scheduleNextProbe(kind);
+    const dueKinds = [...confirmDueMs].filter(([, dueMs]) => dueMs <= now).map(([kind]) => kind);
+    for (const kind of dueKinds)
+      setConfirmation(kind, MIN_RETRY_DELAY_MS + pickRandom() * (MAX_RETRY_DELAY_MS - MIN_RETRY_DELAY_MS));
     const listedKind = dueKinds.find((kind) => pendingLists.has(kind));
-    if (listedKind !== undefined) {
-      sendToStore(listedKind);
-      return;
-    }
-    if (!(await probeStore(firstKind)) || !isFollower()) return;
-    const directMs = readMonotonicMs();
-    if (directMs - directSinceMs < DIRECT_HOLD_MS) directUntilMs = directMs + DIRECT_HOLD_MS;
-    directSinceMs = directMs;
-    isDirect = true;
-    stopFollowing('the host has an old copy and the store answers');
+    const [firstKind, ...otherKinds] = dueKinds;
+    if (listedKind !== undefined) sendToStore(listedKind);
+    if (listedKind !== undefined || firstKind === undefined || !isFollower()) return;
+    const after = pendingWatches.get(firstKind)?.after;
+    const outcome = await callProbe(firstKind);
+    if (outcome === undefined || !isFollower()) return;
+    logger.info('the copy of the host is old; confirmed at the store', { kinds: dueKinds });
+    for (const kind of dueKinds) scheduleConfirmation(kind, 0);
+    if (pendingWatches.get(firstKind)?.after === after)
+      takePending(pendingWatches, firstKind)?.resolve(outcome);
+    for (const kind of otherKinds) sendToStore(kind);
   };
   /** Checks the age of the other host's copy; returns false when it is too old to be followed. */
   const checkAge = (kind: string, ageMs: number): boolean => {
-    const maxAgeMs = isStaleTolerant(kind) ? STALE_TOLERANT_MAX_AGE_MS : getMaxAgeMs();
-    const isHeld = isReadFromStore(kind) && readMonotonicMs() < directUntilMs;
-    if (ageMs <= maxAgeMs && !isHeld) {
+    const isStaleTolerant = staleTolerantKinds.includes(kind);
+    if (ageMs <= (isStaleTolerant ? STALE_TOLERANT_MAX_AGE_MS : getMaxAgeMs())) {
       setFollowing(true, 'the host sends changes');
       lastAnswerMs.set(kind, readMonotonicMs());
-      // Old copies of kinds that tolerate them say nothing about the host's way to the store.
-      if (isStaleTolerant(kind)) return true;
-      if (isFollower()) setProbe(kind, maxAgeMs - ageMs + pickRandom() * FIRST_PROBE_SPREAD_MS);
-      isDirect = false;
+      // An old copy of a kind that tolerates it says nothing about the host's way to the store.
+      if (isFollower() && !isStaleTolerant) scheduleConfirmation(kind, ageMs);
       return true;
     }
     if (isFollower()) {
-      if (!isReadFromStore(kind)) ensureProbe(kind);
+      ensureConfirmation(kind);
       return false;
     }
     setFollowing(false, 'the copy of the host is too old');
@@ -261,9 +243,13 @@
     watchChanges: (kind, after, waitMs) => {
       if (!kinds.includes(kind)) return source.watchChanges(kind, after, waitMs);
       lastRevisions.set(kind, after);
-      const isFollowed = isKindAnswered(kind) || (isFollower() && isHostAnswering());
-      if (isFollowed && !isReadFromStore(kind)) return waitForHost(pendingWatches, kind, after);
-      return watchStore(kind, after, isStaleTolerant(kind) ? waitMs : Math.min(waitMs, getMaxWaitMs()));
+      if (isKindAnswered(kind) || (isFollower() && isHostAnswering()))
+        return waitForHost(pendingWatches, kind, after);
+      return watchStore(
+        kind,
+        after,
+        staleTolerantKinds.includes(kind) ? waitMs : Math.min(waitMs, getMaxWaitMs()),
+      );
     },
     listWantedKinds: () =>
       // Only the age is requested of kinds without a pending call.
@@ -286,7 +272,8 @@
     isStoreDown: breaker.isOpen,
     probeStore: async () => {
       const [kind] = lastRevisions.keys();
-      if (kind !== undefined && (await probeStore(kind))) stopFollowing('the store answers again');
+      if (kind !== undefined && (await callProbe(kind)) !== undefined)
+        stopFollowing('the store answers again');
     },
   };
 }
