--- a/packages/continue-runs/src/is-worth-backup.ts
+++ b/packages/continue-runs/src/is-worth-backup.ts
@@ -17,6 +17,6 @@
     run.copies < MAX_COPIES &&
     run.outputTokens >= MIN_OUTPUT_TOKENS &&
     Math.min(run.expectedRunMs, run.remainingMs) >= MIN_RUN_MS &&
-    (!run.isRepeatable || run.isSourceAtRisk)
+    run.isSourceAtRisk
   );
 }
