--- a/packages/forward-calls/src/find-continuation.ts
+++ b/packages/forward-calls/src/find-continuation.ts
@@ -25,6 +25,7 @@
   readonly isRepeatable: boolean;
   /** Whether the call still uses the cache scope that the run began with, in which its memory lies. */
   readonly isSameScope: () => boolean;
+  /** Aborted when the caller has left or the host ends its calls, so that nothing is sent any more. */
   readonly signal: AbortSignal;
 }
 
@@ -54,12 +55,14 @@
 ): Promise<PendingContinuation | undefined> {
   const { choice, outcome, moveEnd } = attempt;
   if (outcome.kind !== 'broken' && outcome.kind !== 'cut') return undefined;
+  const isAborted = (): boolean => attempt.signal.aborted;
+  if (isAborted()) return undefined;
   const memory = listMemory(call.id, attempt);
   if (memory.length === 0) return undefined;
   const boundMs = attempt.isRepeatable ? MAX_REPEATABLE_CONFIRM_MS : MAX_CONFIRM_MS;
   const isOver =
     moveEnd?.isStopped === true || (await confirmSourceEnd(deps, choice.server, boundMs, attempt.signal));
-  if (!isOver || !attempt.isSameScope()) return undefined;
+  if (!isOver || isAborted() || !attempt.isSameScope()) return undefined;
   const weights = { model: call.prompt?.model ?? '', version: choice.version };
   for (const { from, server: holder, memoryId } of memory) {
     const isReturning = holder.id === choice.server.id;
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -264,6 +264,11 @@
         const pieces = deps.serverTracker.getPieceTable(server.id);
         for (const { id, tokens } of call.prompt?.pieces ?? []) pieces.addPiece(cacheScope, id, tokens);
       },
+    }).catch((error: unknown) => {
+      // An error of the host must not keep the copy counted or the run watched.
+      backup?.release();
+      void mover?.finish();
+      throw error;
     });
     const moveEnd = await mover?.finish();
     const nextContinuation =
