--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -65,6 +65,7 @@
   chooseServer,
   recordFirstAttempt,
   takeResend,
+  metrics,
 }: PlacementQueueOptions): PlacementQueue {
   const logger = createLogger('placement');
   const pollCapacity = createSharedInterval(PLACEMENT_TIMING.capacityPollMs);
@@ -91,6 +92,10 @@
       (entry) =>
         entry.position.service === position.service && comparePositions(entry.position, position) <= 0,
     );
+  const reserveTurn = (request: PlacementRequest, retryAfterMs: number): void => {
+    returnOrders.addOrder(request, retryAfterMs);
+    metrics?.addToCounter('promised_retries_total', { event: 'promised' });
+  };
   /** Returns the time after which the caller should retry, milliseconds, and promises it its turn then if it can wait so long. */
   const scheduleRetry = (request: PlacementRequest, position: QueuePosition, fallbackMs: number): number => {
     const estimator = getWaitEstimator(request.service);
@@ -103,7 +108,7 @@
       maxRetryMs,
       1 / PROMISED_SHARE,
     );
-    if (retryAfterMs < maxRetryMs) returnOrders.addOrder(request, retryAfterMs);
+    if (retryAfterMs < maxRetryMs) reserveTurn(request, retryAfterMs);
     return retryAfterMs;
   };
   const decide = (request: PlacementRequest, position: QueuePosition): ServerChoice => {
@@ -119,7 +124,11 @@
     if (choice.kind === 'wait' && choice.room !== undefined)
       return checkRoomWait(request, position, choice.room) ?? choice;
     if (choice.kind === 'refuse' && choice.cause === REFUSAL_CAUSES.noCapacity)
-      return { ...choice, retryAfterMs: scheduleRetry(request, position, choice.retryAfterMs) };
+      return {
+        ...choice,
+        retryAfterMs: scheduleRetry(request, position, choice.retryAfterMs),
+        inputs: { ...choice.inputs, ahead: listAhead(position).length, isReturn: Number(position.isReturn) },
+      };
     if (choice.kind !== 'server') return choice;
     if (request.isResend && !takeResend(request.service))
       return buildRefusal(REFUSAL_CAUSES.resendBudgetUsedUp, RESEND_BUDGET_RETRY_AFTER_MS);
@@ -145,7 +154,7 @@
       Math.max(RETRY_BOUNDS.minMs, waitMs),
       maxRetryMs,
     );
-    returnOrders.addOrder(request, retryAfterMs);
+    reserveTurn(request, retryAfterMs);
     return buildRefusal(REFUSAL_CAUSES.allLimited, retryAfterMs);
   };
   /** Refuses a call without free capacity when its expected queue wait exceeds `MAX_QUEUE_WAIT_SHARE` of its target; else `undefined`. */
@@ -200,10 +209,12 @@
       const isFirstRequest = !request.isResend && request.waitedMs < PLACEMENT_TIMING.maxQueueMs;
       if (isFirstRequest) recordFirstAttempt(request.service);
       const sinceMs = readMonotonicMs() - request.waitedMs;
+      const isReturn = returnOrders.claimOrder(request, isFirstRequest);
+      if (isReturn && isFirstRequest) metrics?.addToCounter('promised_retries_total', { event: 'returned' });
       const position = {
         service: request.service,
         priority: request.priority,
-        isReturn: returnOrders.claimOrder(request, isFirstRequest),
+        isReturn,
         sinceMs,
         rankMs: sinceMs + accountShares.computeExcessShare(request) * request.targetMs,
       };
--- a/packages/ask-home/src/placement-queue-options.ts
+++ b/packages/ask-home/src/placement-queue-options.ts
@@ -1,5 +1,6 @@
 import type { ChoiceDeps, ServerChoice } from '@laburnumshift/choose-server';
 import type { PlacementRequest } from '@laburnumshift/forward-types';
+import type { Metrics } from '@laburnumshift/record-metrics';
 
 /** Options of `createPlacementQueue`. */
 export interface PlacementQueueOptions {
@@ -16,4 +17,6 @@
   readonly recordFirstAttempt: (service: string) => void;
   /** Takes one resend from the budget of a service; false when the budget is exhausted. */
   readonly takeResend: (service: string) => boolean;
+  /** Counts promises to refused callers and the calls that come at the promised time. */
+  readonly metrics?: Pick<Metrics, 'addToCounter'>;
 }
--- a/packages/ask-home/test/serve-placement-requests.test.ts
+++ b/packages/ask-home/test/serve-placement-requests.test.ts
@@ -8,6 +8,7 @@
 const SERVER = createChoice('e', { uncachedTokens: 7, version: 1 });
 const createFixture = (changes: Partial<Parameters<typeof servePlacementRequests>[0]> = {}) => {
   const sent: unknown[][] = [];
+  const accounts: (string | undefined)[] = [];
   const held: ((choice: ServerChoice) => void)[] = [];
   const reservations = createReservationTable();
   const state: { choice: ServerChoice } = { choice: SERVER };
@@ -23,7 +24,8 @@
     bornMs: 3,
     reservations,
     placementQueue: {
-      submitPlacementRequest: (_, onChoice) => {
+      submitPlacementRequest: ({ account }, onChoice) => {
+        accounts.push(account);
         if (state.choice.kind === 'wait') held.push(onChoice);
         else onChoice(state.choice);
         return state.choice.kind === 'wait';
@@ -38,9 +40,10 @@
     number: unknown,
     host: unknown = 'h',
     body: unknown = encodePlacementRequest(createPlacementRequest()),
-  ): boolean => handle([MESSAGE_KINDS.placementRequest, host, 2, number, body], '10.0.0.9:1');
+    ...rest: unknown[]
+  ): boolean => handle([MESSAGE_KINDS.placementRequest, host, 2, number, body, ...rest], '10.0.0.9:1');
   const listBodies = (): unknown[] => sent.map((message) => message.at(-1));
-  return { ask, sent, held, reservations, state, listBodies };
+  return { ask, sent, accounts, held, reservations, state, listBodies };
 };
 
 test('a placed call counts as load of its server from the answer on', (t) => {
@@ -85,3 +88,13 @@
   t.false(ask(1, 'h', ['c']));
   t.deepEqual(sent, []);
 });
+
+test('a request without a valid account, as hosts of earlier versions send it, is placed all the same', (t) => {
+  const { ask, accounts } = createFixture();
+  const body = encodePlacementRequest(createPlacementRequest());
+  t.true(ask(1));
+  t.true(ask(2, 'h', body, null));
+  t.true(ask(3, 'h', body, 7));
+  t.true(ask(4, 'h', body, 'a'));
+  t.deepEqual(accounts, [undefined, undefined, undefined, 'a']);
+});
--- a/packages/ask-home/test/simulate-shortage.ts
+++ b/packages/ask-home/test/simulate-shortage.ts
@@ -68,7 +68,7 @@
       clearTimeout(timer);
     };
   };
-  const preempt = (): void => {
+  const evictRun = (): void => {
     const least = Math.max(...running.map(({ kind }) => kind.priority));
     const victim = running.findLast(({ kind }) => kind.priority === least);
     if (victim === undefined) return;
@@ -84,7 +84,7 @@
       if (run === undefined || running.length >= ENGINE.slots) return;
       if (countTokens() + run.tokens > ENGINE.capacityTokens) {
         if (!running.some(({ kind }) => kind.priority > run.kind.priority)) return;
-        preempt();
+        evictRun();
         waiting.sort((a, b) => a.kind.priority - b.kind.priority);
         continue;
       }
@@ -94,7 +94,7 @@
       setTimer(run, readyMs - performance.now(), () => {
         run.onFirstToken();
         run.tokens += run.output;
-        while (countTokens() > ENGINE.capacityTokens) preempt();
+        while (countTokens() > ENGINE.capacityTokens) evictRun();
         if (!running.includes(run)) return;
         setTimer(run, run.output * DECODE_MS_PER_TOKEN, () => {
           running = running.filter((other) => other !== run);
@@ -105,7 +105,6 @@
     }
   };
   return {
-    countTokens,
     run: (run: Run): void => {
       waiting.push(run);
       startWaiting();
@@ -113,14 +112,14 @@
   };
 };
 
-const createStats = () => ({ offered: 0, onTime: 0, prompt: 0, served: 0, refused: 0, refusedAgain: 0 });
+/** Counts of calls; `onTime` are those with their first token within the target, counted from the first attempt. */
+const createStats = () => ({ offered: 0, onTime: 0, served: 0, refused: 0, refusedAgain: 0 });
 export type ShortageStats = ReturnType<typeof createStats>;
 
 /** Simulates calls of several accounts for more memory than the engines have; returns results by kind, and by kind and account. */
 export function simulateShortage({ load, seed, homeEndsMs, reportsStopMs = Infinity }: ShortageOptions): {
   readonly stats: Readonly<Record<string, ShortageStats>>;
   readonly preemptions: number;
-  readonly meanMemoryShare: number;
 } {
   const clock = installClock();
   const generator = xoroshiro128plus(seed);
@@ -193,12 +192,6 @@
       takeResend: () => true,
     });
   };
-  let memoryShares = 0;
-  for (let atMs = 3000; atMs < DURATION_MS; atMs += 100)
-    setTimeout(() => {
-      for (const engine of engines.values())
-        memoryShares += engine.countTokens() / ENGINE.capacityTokens / ENGINES / ((DURATION_MS - 3000) / 100);
-    }, atMs);
   let home = createHome();
   if (homeEndsMs !== undefined)
     setTimeout(() => {
@@ -274,7 +267,6 @@
           isStarted = true;
           if (performance.now() <= endMs) count('served');
           if (performance.now() - startedMs <= kind.targetMs) count('onTime');
-          if (performance.now() - arrivedMs <= kind.targetMs) count('prompt');
         },
         onEnd: () => {
           tracked.finish('served');
@@ -297,5 +289,5 @@
     }
   clock.tick(DURATION_MS + 8000);
   clock.uninstall();
-  return { stats, preemptions, meanMemoryShare: memoryShares };
+  return { stats, preemptions };
 }
--- a/packages/run-forwarder/src/open-placement.ts
+++ b/packages/run-forwarder/src/open-placement.ts
@@ -72,6 +72,7 @@
   });
   onHomeClient(homeClient);
   const placementQueue = createPlacementQueue({
+    metrics,
     chooseServer: (request, getReservedTokens) =>
       chooseServer({ ...choiceDependencies, getReservedTokens }, request),
     recordFirstAttempt: (service) => {
