--- a/packages/ask-home/test/simulate-shortage.ts
+++ b/packages/ask-home/test/simulate-shortage.ts
@@ -35,7 +35,7 @@
 const ACCOUNTS = ['half', 'b', 'c', 'd', 'e'];
 
 interface ShortageOptions {
-  /** Multiple of the load that fills about nine tenths of the memory. */
+  /** Multiple of the load that fills 0.85 of the memory. */
   readonly load: number;
   readonly seed: number;
   /** Time at which another home without any state replaces the home, milliseconds. */
