--- a/packages/choose-server/src/choice-deps.ts
+++ b/packages/choose-server/src/choice-deps.ts
@@ -2,10 +2,19 @@
 import type { ForwardBounds } from '@laburnumshift/forward-types';
 import type { PieceTransferPlanner } from '@laburnumshift/keep-pieces';
 import type { ServerLimits } from '@laburnumshift/limit-server-rates';
+import type { ScoreTerms } from '@laburnumshift/place-calls';
 import type { LoadSharing } from '@laburnumshift/share-load';
 import type { ServerTracker, ServerNotices } from '@laburnumshift/track-engines';
 import type { FleetView } from '@laburnumshift/track-fleet';
 
+/** A server that was compared with others, and why it was chosen or not. */
+interface ScoredCandidate {
+  readonly id: string;
+  /** Sum of the terms; the lowest one is chosen. */
+  readonly score: number;
+  readonly terms: ScoreTerms;
+}
+
 /** The state of a host that the choice of a server reads. */
 export interface ChoiceDeps {
   readonly fleet: Pick<FleetView, 'listBackends' | 'getWeights' | 'findNextWeights' | 'getConfig'>;
@@ -20,6 +29,8 @@
   /** Called with the number of servers of a plain service that a call passed over because they are full. */
   readonly recordFullServers?: (service: string, servers: number) => void;
   readonly bounds: Pick<ForwardBounds, 'versionMs'>;
+  /** Called with the candidates that are compared and the terms of their scores, once per round; not called for other servers. */
+  readonly recordScores?: (candidates: readonly ScoredCandidate[]) => void;
   /** Returns a number from 0 to 1; breaks ties and draws candidates. */
   readonly pickRandom: () => number;
   /**
--- a/packages/choose-server/src/choose-engine.ts
+++ b/packages/choose-server/src/choose-engine.ts
@@ -6,8 +6,10 @@
   estimateSlowdown,
   listCandidateRounds,
   placeCall,
+  rankEngines,
   type Admission,
   type Placement,
+  type PlacementInput,
 } from '@laburnumshift/place-calls';
 import { buildRefusal } from './build-refusal.js';
 import type { CacheFetch } from '@laburnumshift/track-engines';
@@ -87,7 +89,7 @@
   const [firstPiece] = prompt.pieces;
   const countCached = (server: BackendEntry, piece: string): number =>
     deps.serverTracker.countCachedTokens(server.id, getVersionPlan(server).fetchRequest.scope, piece);
-  const rankEngines = (engines: readonly BackendEntry[]): BestEngine => {
+  const findBest = (engines: readonly BackendEntry[]): BestEngine => {
     const candidates = engines.map((server) => {
       const state = deps.serverTracker.getState(server.id);
       const otherHosts = deps.sharing.getLoadOfOthers(server.id);
@@ -110,7 +112,7 @@
         isOutdated: weights.isOutdated(server),
       };
     });
-    const placement = placeCall({
+    const placementInput: PlacementInput = {
       candidates,
       affinityKey,
       inputTokens: prompt.inputTokens,
@@ -123,7 +125,9 @@
         runMs: deps.serverTracker.getRunMs(service),
         fetchTokensPerMs: fetchPerMs,
       },
-    });
+    };
+    if (deps.recordScores !== undefined) deps.recordScores(rankEngines(placementInput));
+    const placement = placeCall(placementInput);
     const admission = admitCall({
       expectedMs: placement.expectedMs,
       queueMs: placement.queueMs,
@@ -147,11 +151,11 @@
     });
     for (const { listEngines, maxQueueMs } of rounds) {
       const engines = listEngines();
-      const best = rankEngines(engines);
+      const best = findBest(engines);
       const isAcceptable = best.admission.kind === 'admit' && best.placement.queueMs <= maxQueueMs;
       if (isAcceptable || engines.length === usable.length) return best;
     }
-    return rankEngines(usable);
+    return findBest(usable);
   };
 
   const { placement, admission } = placeInRounds();
--- a/packages/choose-server/src/choose-plain-server.ts
+++ b/packages/choose-server/src/choose-plain-server.ts
@@ -3,6 +3,7 @@
   estimateCapacity,
   isFullServer,
   placePlainCall,
+  rankPlainServers,
   type PlainCandidate,
 } from '@laburnumshift/place-calls';
 import { buildRefusal } from './build-refusal.js';
@@ -51,6 +52,7 @@
   if (open.length === 0 && candidates.length > 0)
     return { kind: 'wait', room: estimateCapacity(candidates, serviceMs) };
   const cost = meanMs === undefined ? undefined : { callMs: request.costMs ?? meanMs, meanMs };
+  deps.recordScores?.(rankPlainServers(open, request.failureDomain, cost));
   const chosen = placePlainCall(open, request.failureDomain, deps.pickRandom(), cost);
   const server = servers.find(({ id }) => id === chosen?.id);
   if (chosen === undefined || server === undefined)
--- a/packages/choose-server/test/choose-server.test.ts
+++ b/packages/choose-server/test/choose-server.test.ts
@@ -288,3 +288,23 @@
   serverTracker.observeLoad('p', { ...load, slowness: 1 });
   t.is(choosePlain(serverTracker), 'p');
 });
+
+test('the terms that are recorded of each compared server add up to the score by which it is chosen', (t) => {
+  const recorded: { id: string; score: number; terms: Readonly<Record<string, number>> }[] = [];
+  const recordScores: ChoiceDeps['recordScores'] = (candidates) => recorded.push(...candidates);
+  const serverTracker = createServerTracker();
+  const plain = choosePlain(serverTracker, { recordScores });
+  t.deepEqual(
+    recorded.map(({ id }) => id),
+    ['p', 'q'],
+  );
+  t.is(recorded.toSorted((a, b) => a.score - b.score)[0]?.id, plain as string);
+  const engine = chooseServer({ ...createDeps(serverTracker), recordScores }, REQUEST);
+  const engines = recorded.slice(2).toSorted((a, b) => a.score - b.score);
+  t.is(engine.kind === 'server' && engine.server.id, engines[0]?.id ?? '');
+  for (const { score, terms } of recorded)
+    t.is(
+      score,
+      Object.values(terms).reduce((sum, term) => sum + term, 0),
+    );
+});
