--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -163,7 +163,6 @@
             cancel(buildBrokenOutcome('the answer has no response seal or has a content encoding'), 'failed');
         },
         onBodyBytes: (bytes) => {
-          deps.observeReadBytes(bytes.length);
           tracked.observeBytes();
           if (isStreamAnswer()) {
             const events = splitter.addBytes(bytes, isResumed);
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -28,7 +28,7 @@
   /** Memory of the bodies of all requests, and of the answers that are kept until they or an event of theirs are complete. */
   readonly memory: { readonly bodies: ByteBudget; readonly answers: ByteBudget };
   readonly connectionGuard: ConnectionGuard;
-  /** Notes that bytes of a body or answer were read, whose buffers become garbage. */
+  /** Notes that bytes of a request body were read, whose buffers become garbage. */
   readonly observeReadBytes: (bytes: number) => void;
   /** Failure domain of this host. */
   readonly failureDomain: string;
--- a/packages/forward-calls/test/dispatch-call.test.ts
+++ b/packages/forward-calls/test/dispatch-call.test.ts
@@ -24,7 +24,6 @@
   let handlers: SendHandlers | undefined;
   let convict: (reason: string) => void = dropValue;
   const deps = {
-    observeReadBytes: () => undefined,
     serverTracker: {
       beginCall: () => ({ observeBytes: dropValue, observeFirstEvent: dropValue, finish: dropValue }),
       avoidServer: () => (servers.avoided += 1),
--- a/packages/forward-calls/test/run-forward.test.ts
+++ b/packages/forward-calls/test/run-forward.test.ts
@@ -52,7 +52,6 @@
     return { isSent: () => true, cancel: dropValue, discard: dropValue, pause: dropValue, resume: dropValue };
   };
   const deps = {
-    observeReadBytes: () => undefined,
     serverTracker: {
       beginCall: () => ({ observeBytes: dropValue, observeFirstEvent: dropValue, finish: dropValue }),
       observePrefill: dropValue,
