--- a/.ci/write-docs.js
+++ b/.ci/write-docs.js
@@ -11,7 +11,9 @@
       '`laburnumshift serve --settings FILE` reads one file of JSON with comments. All problems of the file are reported ' +
       'together with line and column. A change needs a restart.\n\nA forwarding host reads the settings file of its platform ' +
       'instead. `limits.max-fds`, `limits.reserved-fds` and `limits.client-memory-mb` of that file limit its callers; ' +
-      '[operators/client-limits.md](operators/client-limits.md) gives their units and defaults.',
+      '[operators/client-limits.md](operators/client-limits.md) gives their units and defaults. `limits.engine-life-s` states the ' +
+      'average time between unannounced ends of one engine in seconds; where it is set, long streams that cannot be sent again ' +
+      'get backups. It is not set by default.',
     schema: SETTINGS_SCHEMA,
   },
   'declarations.md': {
--- a/packages/continue-runs/src/choose-backup.ts
+++ b/packages/continue-runs/src/choose-backup.ts
@@ -4,8 +4,6 @@
 import { isWorthBackup } from './is-worth-backup.js';
 import { LOST_RUN_MS } from './lost-run-ms.js';
 
-/** Average time between unannounced ends of one engine, milliseconds. */
-const ENGINE_LIFE_MS = 600_000;
 /** Chance that an engine at risk ends during the run. */
 const RISK_CHANCE = 0.25;
 /** Share of an engine's memory up to which it gets copies: above it they would take the memory of its own runs soon. */
@@ -19,7 +17,9 @@
 export function chooseBackup(input: BackupInput): BackupChoice | undefined {
   const { run } = input;
   if (!isWorthBackup(run)) return undefined;
-  const chance = run.isSourceAtRisk ? RISK_CHANCE : Math.min(1, run.expectedRunMs / ENGINE_LIFE_MS);
+  const chance = run.isSourceAtRisk
+    ? RISK_CHANCE
+    : Math.min(1, run.expectedRunMs / (run.engineLifeMs ?? Infinity));
   const gainMs = chance * (run.isRepeatable ? run.expectedRunMs : run.expectedRunMs + LOST_RUN_MS);
   return chooseTarget(input, gainMs, MAX_MEMORY_SHARE);
 }
--- a/packages/continue-runs/src/is-worth-backup.ts
+++ b/packages/continue-runs/src/is-worth-backup.ts
@@ -8,8 +8,8 @@
 const MAX_COPIES = 32;
 
 /**
- * Tells whether a run may get a copy at all, before engines are compared: long streams that cannot be sent again, and others while their
- * engine is at risk. Load: each attempt of a call to an engine service with backups.
+ * Tells whether a run may get a copy at all, before engines are compared: streams whose engine is at risk, and where engines are stated to
+ * end often, long ones that cannot be sent again. A copy displaces cached prompts at its engine. Load: each attempt of a call to an engine service with backups.
  */
 export function isWorthBackup(run: RunFacts): boolean {
   return (
@@ -17,6 +17,6 @@
     run.copies < MAX_COPIES &&
     run.outputTokens >= MIN_OUTPUT_TOKENS &&
     Math.min(run.expectedRunMs, run.remainingMs) >= MIN_RUN_MS &&
-    run.isSourceAtRisk
+    (run.isSourceAtRisk || (!run.isRepeatable && run.engineLifeMs !== undefined))
   );
 }
--- a/packages/continue-runs/src/run-facts.ts
+++ b/packages/continue-runs/src/run-facts.ts
@@ -4,6 +4,8 @@
   readonly isStream: boolean;
   /** The run may be sent again to another engine after it broke. */
   readonly isRepeatable: boolean;
+  /** Average time between unannounced ends of one engine, milliseconds; `undefined` where engines rarely end. */
+  readonly engineLifeMs: number | undefined;
   /** The engine of the run gets no new calls, or its calls failed recently. */
   readonly isSourceAtRisk: boolean;
   /** Expected time from the dispatch of the run to its end, milliseconds. */
--- a/packages/continue-runs/test/choose-backup.test.ts
+++ b/packages/continue-runs/test/choose-backup.test.ts
@@ -14,6 +14,7 @@
   run: {
     isStream: true,
     isRepeatable: false,
+    engineLifeMs: 600_000,
     isSourceAtRisk: false,
     expectedRunMs: 2000,
     remainingMs: 10_000,
@@ -37,6 +38,12 @@
   t.is(chooseFor({}), 'b');
 });
 
+// Copies displace cached prompts: on a deployment whose engines rarely end, 60% more prompt tokens of shared pieces were read again.
+test('a run gets no copy where engines are not stated to end often, unless its engine is at risk', (t) => {
+  t.is(chooseFor({ engineLifeMs: undefined }), undefined);
+  t.is(chooseFor({ engineLifeMs: undefined, isSourceAtRisk: true }), 'b');
+});
+
 test('runs that lose little do not take up links and memory for copies', (t) => {
   t.is(chooseFor({ expectedRunMs: 500 }), undefined);
   t.is(chooseFor({ outputTokens: 3 }), undefined);
--- a/packages/forward-calls/src/choose-run-backup.ts
+++ b/packages/forward-calls/src/choose-run-backup.ts
@@ -22,11 +22,12 @@
   const { engine } = service;
   const { prompt } = call;
   if (engine?.hasBackups !== true || prompt === undefined || choice.transfers === undefined) return undefined;
-  const { copies, tokenTimes } = deps.runCopies;
+  const { copies, tokenTimes, engineLifeMs } = deps.runCopies;
   const outputTokens = estimateOutputTokens(prompt);
   const facts = {
     isStream: route.kind === CALL_KINDS.stream,
     isRepeatable: run.isRepeatable,
+    engineLifeMs,
     isSourceAtRisk: isAtRisk(deps, choice.server.id),
     expectedRunMs: choice.expectedMs + outputTokens * tokenTimes.getTokenMs(service.name),
     remainingMs: endsAtMs - readMonotonicMs(),
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -25,8 +25,13 @@
   readonly pool: BackendPool;
   readonly placer: CallPlacer;
   readonly sharing: Pick<LoadSharing, 'countCoveredHosts' | 'getLoadOfOthers'>;
-  /** Copies of this host's runs, and the times of output tokens by which runs are chosen for copies. */
-  readonly runCopies: { readonly copies: CopyTable; readonly tokenTimes: TokenTimes };
+  /** Copies of this host's runs, the times of output tokens by which runs are chosen for copies, and the stated life of engines. */
+  readonly runCopies: {
+    readonly copies: CopyTable;
+    readonly tokenTimes: TokenTimes;
+    /** Average time between unannounced ends of one engine, milliseconds; `undefined` when not stated. */
+    readonly engineLifeMs: number | undefined;
+  };
   readonly resends: Pick<ResendBudget, 'recordCall' | 'hasResend'>;
   readonly metrics: Metrics;
   readonly bounds: ForwardBounds;
--- a/packages/forward-types/src/forward-settings.ts
+++ b/packages/forward-types/src/forward-settings.ts
@@ -19,6 +19,8 @@
   readonly memoryBytes: number;
   /** File descriptors of the machine for the process; `undefined` when it states no limit. */
   readonly maxDescriptors: number | undefined;
+  /** Average time between unannounced ends of one engine, milliseconds; runs that cannot be sent again get backups where it is stated. */
+  readonly engineLifeMs: number | undefined;
   /** Descriptors that callers may not take; derived from `maxDescriptors` when `undefined`. */
   readonly reservedDescriptors: number | undefined;
   /** Memory for the connections and calls of callers beside bodies, bytes; derived from `memoryBytes` when `undefined`. */
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -168,7 +168,11 @@
       pool,
       placer,
       sharing,
-      runCopies: { copies: createCopyTable(), tokenTimes: createTokenTimes() },
+      runCopies: {
+        copies: createCopyTable(),
+        tokenTimes: createTokenTimes(),
+        engineLifeMs: settings.engineLifeMs,
+      },
       resends,
       metrics,
       memory,
