--- a/packages/choose-server/src/choice-deps.ts
+++ b/packages/choose-server/src/choice-deps.ts
@@ -5,6 +5,7 @@
 import type { LoadSharing } from '@laburnumshift/share-load';
 import type { ServerTracker, ServerNotices } from '@laburnumshift/track-engines';
 import type { FleetView } from '@laburnumshift/track-fleet';
+import type { ChoiceTrace } from './choice-trace.js';
 
 /** The state of a host that the choice of a server reads. */
 export interface ChoiceDeps {
@@ -23,6 +24,8 @@
   readonly costs?: Pick<CostEstimator, 'getServiceMs'>;
   /** Called with the number of servers of a plain service that a call passed over because they are full. */
   readonly recordFullServers?: (service: string, servers: number) => void;
+  /** Set when a choice is explained. */
+  readonly trace?: ChoiceTrace;
   readonly bounds: Pick<ForwardBounds, 'versionMs'>;
   /** Returns the memory of an engine that the call must leave free for more urgent calls, tokens. Absent: none. */
   readonly getReservedTokens?: (engine: string, engineCount: number, capacityTokens: number) => number;
--- a/packages/choose-server/src/choose-engine.ts
+++ b/packages/choose-server/src/choose-engine.ts
@@ -6,8 +6,10 @@
   estimateSlowdown,
   listCandidateRounds,
   placeCall,
+  rankEngines,
   type Admission,
   type Placement,
+  type PlacementInput,
 } from '@laburnumshift/place-calls';
 import { buildRefusal } from './build-refusal.js';
 import type { CacheFetch } from '@laburnumshift/track-engines';
@@ -19,6 +21,7 @@
 import type { EnginePlacementRequest } from './engine-placement-request.js';
 import { checkWeights } from './check-weights.js';
 import { REFUSAL_CAUSES } from './refusal-causes.js';
+import { RULED_OUT_REASONS } from './ruled-out-reasons.js';
 
 /** Bytes of a response per output token: one event with its fields. */
 const BYTES_PER_TOKEN = 64;
@@ -38,6 +41,10 @@
   const { prompt, engine, cacheOwner, service } = request;
   const weights = checkWeights(deps, prompt.model);
   const usable = servers.filter(weights.isUsable);
+  deps.trace?.recordRuledOut(
+    servers.filter((server) => !usable.includes(server)),
+    RULED_OUT_REASONS.weights,
+  );
   if (usable.length === 0) return buildRefusal(REFUSAL_CAUSES.weights, CHOICE_TIMES.noServerRetryMs);
 
   const homeDomain = deps.getHomeDomain();
@@ -87,7 +94,7 @@
   const [firstPiece] = prompt.pieces;
   const countCached = (server: BackendEntry, piece: string): number =>
     deps.serverTracker.countCachedTokens(server.id, getVersionPlan(server).fetchRequest.scope, piece);
-  const rankEngines = (engines: readonly BackendEntry[]): BestEngine => {
+  const findBest = (engines: readonly BackendEntry[]): BestEngine => {
     const candidates = engines.map((server) => {
       const state = deps.serverTracker.getState(server.id);
       const otherHosts = deps.sharing.getLoadOfOthers(server.id);
@@ -113,7 +120,7 @@
         isOutdated: weights.isOutdated(server),
       };
     });
-    const placement = placeCall({
+    const input: PlacementInput = {
       candidates,
       affinityKey,
       inputTokens: prompt.inputTokens,
@@ -126,7 +133,9 @@
         runMs: deps.serverTracker.getRunMs(service),
         fetchTokensPerMs: fetchPerMs,
       },
-    });
+    };
+    deps.trace?.recordScores(rankEngines(input));
+    const placement = placeCall(input);
     const admission = admitCall({
       expectedMs: placement.expectedMs,
       queueMs: placement.queueMs,
@@ -150,11 +159,11 @@
     });
     for (const { listEngines, maxQueueMs } of rounds) {
       const engines = listEngines();
-      const best = rankEngines(engines);
+      const best = findBest(engines);
       const isAcceptable = best.admission.kind === 'admit' && best.placement.queueMs <= maxQueueMs;
       if (isAcceptable || engines.length === usable.length) return best;
     }
-    return rankEngines(usable);
+    return findBest(usable);
   };
 
   const { placement, admission } = placeInRounds();
--- a/packages/choose-server/src/choose-plain-server.ts
+++ b/packages/choose-server/src/choose-plain-server.ts
@@ -3,6 +3,7 @@
   estimateCapacity,
   isFullServer,
   placePlainCall,
+  rankPlainServers,
   type PlainCandidate,
 } from '@laburnumshift/place-calls';
 import { buildRefusal } from './build-refusal.js';
@@ -12,6 +13,7 @@
 import { countOtherCalls } from './count-other-calls.js';
 import { estimateOutstandingMs } from './estimate-outstanding-ms.js';
 import { REFUSAL_CAUSES } from './refusal-causes.js';
+import { RULED_OUT_REASONS } from './ruled-out-reasons.js';
 
 /**
  * Chooses the server for a call of a plain service, which runs no model. Servers that would refuse the call because they are full are
@@ -48,9 +50,14 @@
   const open = candidates.filter((candidate) => !isFullServer(candidate, request.priority));
   if (open.length < candidates.length)
     deps.recordFullServers?.(request.service, candidates.length - open.length);
+  deps.trace?.recordRuledOut(
+    candidates.filter((candidate) => !open.includes(candidate)),
+    RULED_OUT_REASONS.full,
+  );
   if (open.length === 0 && candidates.length > 0)
     return { kind: 'wait', room: estimateCapacity(candidates, serviceMs) };
   const cost = meanMs === undefined ? undefined : { callMs: request.costMs ?? meanMs, meanMs };
+  deps.trace?.recordScores(rankPlainServers(open, request.failureDomain, cost));
   const chosen = placePlainCall(open, request.failureDomain, deps.pickRandom(), cost);
   const server = servers.find(({ id }) => id === chosen?.id);
   if (chosen === undefined || server === undefined)
--- a/packages/choose-server/src/choose-server.ts
+++ b/packages/choose-server/src/choose-server.ts
@@ -8,6 +8,7 @@
 import { splitByRoom } from './split-by-room.js';
 import { isReadmitted } from './is-readmitted.js';
 import { REFUSAL_CAUSES } from './refusal-causes.js';
+import { RULED_OUT_REASONS } from './ruled-out-reasons.js';
 
 /**
  * Chooses the server for the next attempt of a call. Leaving servers, servers of evacuated failure domains and servers that asked this
@@ -17,13 +18,22 @@
  * reset connections, are used only when no others are left.
  */
 export function chooseServer(deps: ChoiceDeps, request: PlacementRequest): ServerChoice {
-  const staying = deps.fleet
+  const { trace } = deps;
+  const listed = deps.fleet
     .listBackends(request.service)
-    .map((server) => ({ server, availability: deps.notices.getAvailability(server) }))
-    .filter(({ availability }) => !availability.isLeaving);
+    .map((server) => ({ server, availability: deps.notices.getAvailability(server) }));
+  const staying = listed.filter(({ availability }) => !availability.isLeaving);
+  trace?.recordRuledOut(
+    listed.filter(({ availability }) => availability.isLeaving).map(({ server }) => server),
+    RULED_OUT_REASONS.leaving,
+  );
   if (staying.length === 0 && deps.fleet.listEvacuated(request.service).length > 0)
     return buildRefusal(REFUSAL_CAUSES.allEvacuated, CHOICE_TIMES.noServerRetryMs);
   const open = staying.filter(({ availability }) => availability.pauseMs === 0);
+  trace?.recordRuledOut(
+    staying.filter(({ availability }) => availability.pauseMs > 0).map(({ server }) => server),
+    RULED_OUT_REASONS.paused,
+  );
   if (open.length === 0 && staying.length > 0) {
     const retryAfterMs = Math.ceil(Math.min(...staying.map(({ availability }) => availability.pauseMs)));
     return buildRefusal(REFUSAL_CAUSES.allPaused, retryAfterMs);
@@ -33,6 +43,14 @@
   const readmitted = untried.filter(({ server }) => isReadmitted(server, request.callId));
   const service = deps.fleet.getConfig()?.services.get(request.service);
   const candidates = readmitted.length > 0 ? readmitted : untried;
+  trace?.recordRuledOut(
+    open.filter((entry) => !untried.includes(entry)).map(({ server }) => server),
+    RULED_OUT_REASONS.excluded,
+  );
+  trace?.recordRuledOut(
+    untried.filter((entry) => !candidates.includes(entry)).map(({ server }) => server),
+    RULED_OUT_REASONS.readmitted,
+  );
   const { warm, cold, estimateRoom } = splitByRoom(
     deps,
     candidates.map(({ server }) => server),
@@ -51,6 +69,10 @@
   const chooseAmong = (servers: readonly BackendEntry[]): ServerChoice => {
     const preferred = servers.filter(isPreferred);
     const usable = preferred.length > 0 ? preferred : servers;
+    trace?.recordRuledOut(
+      servers.filter((server) => !usable.includes(server)),
+      RULED_OUT_REASONS.avoided,
+    );
     const { prompt } = request;
     const engine = service?.engine;
     return prompt === undefined || engine === undefined
@@ -59,6 +81,7 @@
   };
   const firstChoice = chooseAmong(warm.length > 0 ? warm : cold);
   const needsCold = firstChoice.kind !== 'server' && warm.length > 0 && cold.length > 0;
+  if (warm.length > 0 && !needsCold) trace?.recordRuledOut(cold, RULED_OUT_REASONS.cold);
   const coldChoice = needsCold ? chooseAmong(cold) : undefined;
   const choice = coldChoice?.kind === 'server' ? coldChoice : firstChoice;
   if (choice.kind === 'server') {
--- a/packages/choose-server/src/split-by-room.ts
+++ b/packages/choose-server/src/split-by-room.ts
@@ -2,6 +2,7 @@
 import type { BackendEntry } from '@laburnumshift/forward-types';
 import type { RoomForecast } from '@laburnumshift/limit-server-rates';
 import type { ChoiceDeps } from './choice-deps.js';
+import { RULED_OUT_REASONS } from './ruled-out-reasons.js';
 
 /** Servers that take a call of this host now, and when the others do. */
 interface RoomGroups {
@@ -24,20 +25,26 @@
  * @param coldPerS rate of calls that a cold server sustains; `undefined` when servers of the service are never cold
  */
 export function splitByRoom(
-  { limits, coldLimits }: Pick<ChoiceDeps, 'limits' | 'coldLimits'>,
+  { limits, coldLimits, trace }: Pick<ChoiceDeps, 'limits' | 'coldLimits' | 'trace'>,
   servers: readonly BackendEntry[],
   coldPerS: number | undefined,
 ): RoomGroups {
   const limited = new Set(servers.filter((server) => !limits.hasRoom(server)));
   const open = servers.filter((server) => !limited.has(server));
+  trace?.recordRuledOut([...limited], RULED_OUT_REASONS.limited);
   if (coldPerS === undefined)
     return { warm: open, cold: [], estimateRoom: () => limits.estimateRoom([...limited]) };
   const now = readMonotonicMs();
   const isCold = ({ coldUntilMs }: BackendEntry): boolean => coldUntilMs !== undefined && coldUntilMs > now;
   const cold = open.filter(isCold);
+  const sendable = cold.filter((server) => coldLimits.hasRoom(server, coldPerS));
+  trace?.recordRuledOut(
+    cold.filter((server) => !sendable.includes(server)),
+    RULED_OUT_REASONS.coldFull,
+  );
   return {
     warm: open.filter((server) => !isCold(server)),
-    cold: cold.filter((server) => coldLimits.hasRoom(server, coldPerS)),
+    cold: sendable,
     estimateRoom: () =>
       mergeForecasts(
         limited.size > 0 ? limits.estimateRoom([...limited]) : NO_ROOM,
--- a/packages/choose-server/test/choose-server.test.ts
+++ b/packages/choose-server/test/choose-server.test.ts
@@ -1,5 +1,11 @@
 import { readMoment, readMonotonicMs } from '@laburnumshift/clock';
-import { chooseServer, isUsableServer, REFUSAL_CAUSES, type ChoiceDeps } from '@laburnumshift/choose-server';
+import {
+  chooseServer,
+  isUsableServer,
+  REFUSAL_CAUSES,
+  RULED_OUT_REASONS,
+  type ChoiceDeps,
+} from '@laburnumshift/choose-server';
 import type { BackendEntry, PlacementRequest } from '@laburnumshift/forward-types';
 import { createServerTracker, createServerNotices } from '@laburnumshift/track-engines';
 import { installClock } from '@laburnumshift/test-utils';
@@ -369,3 +375,51 @@
   serverTracker.observeLoad('p', { ...load, slowness: 1 });
   t.is(choosePlain(serverTracker), 'p');
 });
+
+test('guards against an explained choice without a ruled-out server, its reason or the terms of the others', (t) => {
+  const notices = createServerNotices();
+  const serverTracker = createServerTracker();
+  const [chosen, leaving, paused, limited, cold, avoided, excluded] = ENGINES.map((engine, index) => ({
+    ...engine,
+    ...(index === 4 && { coldUntilMs: Infinity }),
+  }));
+  if (!chosen || !leaving || !paused || !limited || !cold || !avoided || !excluded)
+    throw new Error('too few servers');
+  const servers = [chosen, leaving, paused, limited, cold, avoided, excluded];
+  notices.markLeaving(leaving);
+  notices.markPaused(paused, 5000);
+  serverTracker.avoidServer(avoided.id, 5000);
+  const ruledOut = new Map<string, string>();
+  const rounds: (readonly { readonly id: string; readonly score: number }[])[] = [];
+  const base = createDeps(serverTracker, notices);
+  const config = { ...CONFIG, services: new Map([['m', { ...CONFIG.services.get('m'), coldPerS: 10 }]]) };
+  const deps = {
+    ...base,
+    fleet: { ...base.fleet, listBackends: () => servers, getConfig: () => config },
+    limits: { ...base.limits, hasRoom: ({ id }: BackendEntry) => id !== limited.id },
+    coldLimits: { ...base.limits, hasRoom: () => false },
+    trace: {
+      recordRuledOut: (entries: readonly { readonly id: string }[], reason: string) => {
+        for (const { id } of entries) ruledOut.set(id, reason);
+      },
+      recordScores: (scored: (typeof rounds)[number]) => rounds.push(scored),
+    },
+  } as unknown as ChoiceDeps;
+  const choice = chooseServer(deps, { ...REQUEST, excluded: [excluded.id] });
+  t.like(choice, { kind: 'server', server: { id: chosen.id } });
+  const {
+    leaving: isLeaving,
+    paused: isPaused,
+    limited: isLimited,
+    coldFull,
+    avoided: isAvoided,
+  } = RULED_OUT_REASONS;
+  t.deepEqual(
+    [leaving, paused, limited, cold, avoided, excluded].map(({ id }) => ruledOut.get(id)),
+    [isLeaving, isPaused, isLimited, coldFull, isAvoided, RULED_OUT_REASONS.excluded],
+  );
+  t.deepEqual(
+    rounds.at(-1)?.map(({ id }) => id),
+    [chosen.id],
+  );
+});
