--- a/packages/limit-server-rates/src/cold-limits.ts
+++ b/packages/limit-server-rates/src/cold-limits.ts
@@ -9,5 +9,7 @@
   readonly takeRoom: (server: ColdServer) => void;
   /** Estimates when the servers take further calls of this host, also because they become warm. */
   readonly estimateRoom: (servers: readonly ColdServer[], coldPerS: number) => RoomForecast;
+  /** Returns functions with the same results that change nothing, to explain a choice. */
+  readonly getReader: () => Pick<ColdLimits, 'hasRoom' | 'takeRoom' | 'estimateRoom'>;
   readonly removeServer: (id: string) => void;
 }
--- a/packages/limit-server-rates/src/create-cold-limits.ts
+++ b/packages/limit-server-rates/src/create-cold-limits.ts
@@ -4,6 +4,7 @@
 import type { ColdServer } from './cold-server.js';
 import type { ColdShare } from './cold-share.js';
 import { computeColdShare } from './compute-cold-share.js';
+import type { RoomForecast } from './room-forecast.js';
 
 /** Wait that is forecast while the other hosts are unknown, milliseconds: the first list of hosts usually takes less. */
 const UNKNOWN_WAIT_MS = 1000;
@@ -23,8 +24,10 @@
   let sharesPeers: readonly unknown[] | undefined;
   let joinedMs: number | undefined;
 
-  const getShare = (coldPerS: number): ColdShare | undefined => {
+  const getShare = (coldPerS: number, isReading = false): ColdShare | undefined => {
     if (!isJoined()) return undefined;
+    // The settling time begins with the first call, not with a request to explain one.
+    if (isReading && joinedMs === undefined) return undefined;
     joinedMs ??= readMonotonicMs();
     if (readMonotonicMs() - joinedMs < SETTLE_MS) return undefined;
     const peers = listPeers();
@@ -48,6 +51,22 @@
     return 0;
   };
 
+  const estimateRoom = (
+    servers: readonly ColdServer[],
+    coldPerS: number,
+    share: ColdShare | undefined,
+  ): RoomForecast => {
+    const now = readMonotonicMs();
+    const waits = servers.map((server) =>
+      Math.min(
+        Math.max(0, (server.coldUntilMs ?? now) - now),
+        share === undefined ? UNKNOWN_WAIT_MS : computeWaitMs(server, share),
+      ),
+    );
+    const ratePerS = (share?.ratePerS ?? coldPerS) * Math.max(1, servers.length);
+    return { firstMs: Math.min(...waits), perCallMs: MS_PER_S / ratePerS };
+  };
+
   return {
     hasRoom: (server, coldPerS) => {
       const share = getShare(coldPerS);
@@ -56,18 +75,15 @@
     takeRoom: ({ id }) => {
       sentMs.set(id, readMonotonicMs());
     },
-    estimateRoom: (servers, coldPerS) => {
-      const share = getShare(coldPerS);
-      const now = readMonotonicMs();
-      const waits = servers.map((server) =>
-        Math.min(
-          Math.max(0, (server.coldUntilMs ?? now) - now),
-          share === undefined ? UNKNOWN_WAIT_MS : computeWaitMs(server, share),
-        ),
-      );
-      const ratePerS = (share?.ratePerS ?? coldPerS) * Math.max(1, servers.length);
-      return { firstMs: Math.min(...waits), perCallMs: MS_PER_S / ratePerS };
-    },
+    estimateRoom: (servers, coldPerS) => estimateRoom(servers, coldPerS, getShare(coldPerS)),
+    getReader: () => ({
+      hasRoom: (server, coldPerS) => {
+        const share = getShare(coldPerS, true);
+        return share !== undefined && computeWaitMs(server, share) === 0;
+      },
+      takeRoom: () => undefined,
+      estimateRoom: (servers, coldPerS) => estimateRoom(servers, coldPerS, getShare(coldPerS, true)),
+    }),
     removeServer: (id) => {
       sentMs.delete(id);
     },
--- a/packages/limit-server-rates/src/create-server-limits.ts
+++ b/packages/limit-server-rates/src/create-server-limits.ts
@@ -6,6 +6,7 @@
 import { createTokenBucket } from './create-token-bucket.js';
 import type { LimitStatement } from './limit-statement.js';
 import type { LimitedServer } from './limited-server.js';
+import type { RoomForecast } from './room-forecast.js';
 import type { ServerLimits } from './server-limits.js';
 import type { ServerLimitsOptions } from './server-limits-options.js';
 import { startLimitSharing } from './start-limit-sharing.js';
@@ -51,6 +52,28 @@
   });
   const computeRate = (service: string, limitPerS: number): number =>
     Math.max(MIN_LIMIT, limitPerS) * shares.computeShare(service);
+  /** Returns the tokens of a server and their rate without a change to its bucket; `undefined` for a server without a limit. */
+  const computeTokens = (server: LimitedServer): { tokens: number; ratePerS: number } | undefined => {
+    const limitPerS = limits.getLimit(server);
+    if (limitPerS === undefined) return undefined;
+    const known = buckets.get(server.id);
+    const bucket = known?.bornMs === server.bornMs ? known.bucket : createTokenBucket(options.pickRandom);
+    const ratePerS = computeRate(server.service, limitPerS);
+    const idleCapacity = (IDLE_BURST + limitPerS) / shares.countPlacingHosts();
+    return { tokens: bucket.computeTokens(ratePerS, idleCapacity), ratePerS };
+  };
+  const computeForecast = (
+    fills: readonly ({ tokens: number; ratePerS: number } | undefined)[],
+  ): RoomForecast => {
+    const waits = fills.map((fill) => {
+      if (fill === undefined) return { firstMs: 0, ratePerS: Infinity };
+      return { firstMs: (Math.max(0, 1 - fill.tokens) * MS_PER_S) / fill.ratePerS, ratePerS: fill.ratePerS };
+    });
+    return {
+      firstMs: Math.min(...waits.map(({ firstMs }) => firstMs)),
+      perCallMs: MS_PER_S / waits.reduce((sum, { ratePerS }) => sum + ratePerS, 0),
+    };
+  };
   /** Returns the bucket of a server, filled up to now; `undefined` for a server without a limit. */
   const updateBucket = (server: LimitedServer): { bucket: TokenBucket; ratePerS: number } | undefined => {
     const limitPerS = limits.getLimit(server);
@@ -79,18 +102,18 @@
     takeRoom: (server) => {
       updateBucket(server)?.bucket.takeToken();
     },
-    estimateRoom: (servers) => {
-      const waits = servers.map((server) => {
-        const refilled = updateBucket(server);
-        if (refilled === undefined) return { firstMs: 0, ratePerS: Infinity };
-        const { bucket, ratePerS } = refilled;
-        return { firstMs: (Math.max(0, 1 - bucket.getTokens()) * MS_PER_S) / ratePerS, ratePerS };
-      });
-      return {
-        firstMs: Math.min(...waits.map(({ firstMs }) => firstMs)),
-        perCallMs: MS_PER_S / waits.reduce((sum, { ratePerS }) => sum + ratePerS, 0),
-      };
-    },
+    estimateRoom: (servers) =>
+      computeForecast(
+        servers.map((server) => {
+          const refilled = updateBucket(server);
+          return refilled && { tokens: refilled.bucket.getTokens(), ratePerS: refilled.ratePerS };
+        }),
+      ),
+    getReader: () => ({
+      hasRoom: (server) => (computeTokens(server)?.tokens ?? 1) >= 1,
+      takeRoom: () => undefined,
+      estimateRoom: (servers) => computeForecast(servers.map(computeTokens)),
+    }),
     removeServer: (id) => {
       limits.removeServer(id);
       buckets.delete(id);
--- a/packages/limit-server-rates/src/create-token-bucket.ts
+++ b/packages/limit-server-rates/src/create-token-bucket.ts
@@ -18,14 +18,18 @@
   let tokens = idlePart;
   let refilledMs = readMonotonicMs();
   let wantedMs = -Infinity;
+  const computeTokens = (tokensPerS: number, idleCapacity: number): number => {
+    const now = readMonotonicMs();
+    const isWanted = now - wantedMs < WANTED_MS;
+    const capacity = (isWanted ? 1 : Math.min(1, idlePart + idleCapacity)) + tokensPerS * BURST_S;
+    return Math.min(capacity, tokens + (tokensPerS * (now - refilledMs)) / MS_PER_S);
+  };
   return {
     refill: (tokensPerS, idleCapacity) => {
-      const now = readMonotonicMs();
-      const isWanted = now - wantedMs < WANTED_MS;
-      const capacity = (isWanted ? 1 : Math.min(1, idlePart + idleCapacity)) + tokensPerS * BURST_S;
-      tokens = Math.min(capacity, tokens + (tokensPerS * (now - refilledMs)) / MS_PER_S);
-      refilledMs = now;
+      tokens = computeTokens(tokensPerS, idleCapacity);
+      refilledMs = readMonotonicMs();
     },
+    computeTokens,
     getTokens: () => tokens,
     markWanted: () => {
       const now = readMonotonicMs();
--- a/packages/limit-server-rates/src/server-limits.ts
+++ b/packages/limit-server-rates/src/server-limits.ts
@@ -17,6 +17,8 @@
   readonly takeRoom: (server: LimitedServer) => void;
   /** Estimates when the servers take further calls of this host. */
   readonly estimateRoom: (servers: readonly LimitedServer[]) => RoomForecast;
+  /** Returns functions with the same results that change nothing, to explain a choice. */
+  readonly getReader: () => Pick<ServerLimits, 'hasRoom' | 'takeRoom' | 'estimateRoom'>;
   readonly removeServer: (id: string) => void;
   /** Number of servers with a limit in force. */
   readonly countLimited: () => number;
--- a/packages/quarantine-pieces/src/crash-quarantine.ts
+++ b/packages/quarantine-pieces/src/crash-quarantine.ts
@@ -7,6 +7,8 @@
 export interface CrashQuarantine {
   /** Decides whether a call may be sent to a server. */
   readonly checkCall: (call: SuspectCall) => QuarantineVerdict;
+  /** Returns the verdict of `checkCall` without recording a refusal, to explain it. */
+  readonly readVerdict: (call: SuspectCall) => QuarantineVerdict;
   /**
    * Observes one attempt. An attempt that `checkCall` allowed as a trial is recorded as such.
    *
--- a/packages/quarantine-pieces/src/create-crash-quarantine.ts
+++ b/packages/quarantine-pieces/src/create-crash-quarantine.ts
@@ -45,6 +45,7 @@
   return {
     checkCall: (call) =>
       table.countConvicted() === 0 ? { kind: 'allowed' } : table.checkTraits(call.listTraits()),
+    readVerdict: (call) => table.readVerdict(call.listTraits()),
     beginAttempt: (server, call, onConvicted) => {
       const attempt = { call, onConvicted };
       waiting.add(attempt);
--- a/packages/quarantine-pieces/src/create-suspect-table.ts
+++ b/packages/quarantine-pieces/src/create-suspect-table.ts
@@ -134,6 +134,25 @@
     return getLastActionMs(entry.suspect) + computeTrialGap(culprit) + spreadMs - readMonotonicMs();
   };
 
+  const findVerdict = (
+    traits: readonly CallTrait[],
+    onRefusing?: (entry: Entry) => void,
+  ): QuarantineVerdict => {
+    if (culprits.size === 0) return { kind: 'allowed' };
+    let verdict: QuarantineVerdict = { kind: 'allowed' };
+    for (const { trait } of traits) {
+      const culprit = culprits.get(trait);
+      if (culprit === undefined) continue;
+      const retryAfterMs = computeTrialWait(trait, culprit);
+      if (retryAfterMs <= 0 && verdict.kind === 'allowed') verdict = { kind: 'trial' };
+      const entry = entries.get(trait);
+      if (retryAfterMs > 0 && entry !== undefined) onRefusing?.(entry);
+      if (retryAfterMs > (verdict.kind === 'refused' ? verdict.retryAfterMs : 0))
+        verdict = { kind: 'refused', trait, crashes: culprit.moments, retryAfterMs };
+    }
+    return verdict;
+  };
+
   return {
     recordCrash: (crash, traits) => {
       const unique = new Map(traits.map((callTrait) => [callTrait.trait, callTrait]));
@@ -169,21 +188,11 @@
     mergeSuspects: (suspects) => {
       applyChanges(suspects, false);
     },
-    checkTraits: (traits): QuarantineVerdict => {
-      if (culprits.size === 0) return { kind: 'allowed' };
-      let verdict: QuarantineVerdict = { kind: 'allowed' };
-      for (const { trait } of traits) {
-        const culprit = culprits.get(trait);
-        if (culprit === undefined) continue;
-        const retryAfterMs = computeTrialWait(trait, culprit);
-        if (retryAfterMs <= 0 && verdict.kind === 'allowed') verdict = { kind: 'trial' };
-        const entry = entries.get(trait);
-        if (retryAfterMs > 0 && entry !== undefined) entry.refusedAtMs = readMonotonicMs();
-        if (retryAfterMs > (verdict.kind === 'refused' ? verdict.retryAfterMs : 0))
-          verdict = { kind: 'refused', trait, crashes: culprit.moments, retryAfterMs };
-      }
-      return verdict;
-    },
+    checkTraits: (traits) =>
+      findVerdict(traits, (entry) => {
+        entry.refusedAtMs = readMonotonicMs();
+      }),
+    readVerdict: (traits) => findVerdict(traits),
     startTrial: (traits) => {
       const trialAtMs = readMonotonicMs();
       const tested = traits
--- a/packages/quarantine-pieces/src/suspect-table.ts
+++ b/packages/quarantine-pieces/src/suspect-table.ts
@@ -13,6 +13,8 @@
   readonly mergeSuspects: (suspects: readonly Suspect[]) => void;
   /** Decides whether a call with these traits may be sent to a server. */
   readonly checkTraits: (traits: readonly CallTrait[]) => QuarantineVerdict;
+  /** Returns the verdict of `checkTraits` without recording a refusal. */
+  readonly readVerdict: (traits: readonly CallTrait[]) => QuarantineVerdict;
   /** Records that a call is sent in order to test its convicted traits. */
   readonly startTrial: (traits: readonly CallTrait[]) => void;
   /** True when the trait is convicted. */
--- a/packages/quarantine-pieces/test/create-suspect-table.test.ts
+++ b/packages/quarantine-pieces/test/create-suspect-table.test.ts
@@ -131,3 +131,17 @@
   await clock.tickAsync(SETTLE_MS);
   t.is(table.checkTraits(PIECE).kind, 'refused');
 });
+
+test.serial('guards against an explained verdict other than that of the call', async (t) => {
+  const { clock, table, recordCrash } = openTable(t);
+  t.deepEqual(table.readVerdict(PIECE), { kind: 'allowed' });
+  for (let crash = 0; crash < 3; crash += 1) {
+    await recordCrash();
+    await clock.tickAsync(1000);
+  }
+  const verdict = table.readVerdict(PIECE);
+  t.is(verdict.kind, 'refused');
+  t.deepEqual(verdict, table.checkTraits(PIECE));
+  await clock.tickAsync(readRetryAfter(table));
+  t.is(table.readVerdict(PIECE).kind, 'trial');
+});
--- a/packages/share-load/src/create-load-sharing.ts
+++ b/packages/share-load/src/create-load-sharing.ts
@@ -9,7 +9,6 @@
 import type { PeerHost } from './peer-host.js';
 import { computeRemainingLoads } from './compute-remaining-loads.js';
 import type { LoadMessage } from './load-message.js';
-import type { CoveredLoads } from './covered-loads.js';
 import type { LoadSharing } from './load-sharing.js';
 import type { LoadSum } from './load-sum.js';
 import { mergeLoads } from './merge-loads.js';
@@ -81,12 +80,12 @@
   let isRelaying = false;
   let sumCount = 0;
 
-  const listCurrentLoads = (): CoveredLoads[] => {
+  const listCurrentLoads = (): ReceivedMessage[] => {
     const reports = table.listCurrent(MESSAGE_KINDS.hostLoad);
     const [othersMessage] = table.listCurrent(MESSAGE_KINDS.otherHostsLoad);
     // A host that gets reports is a relay, and its own data are newer than those that another relay returns.
     if (reports.length === 0 && othersMessage !== undefined) return [othersMessage];
-    const domains = new Map<string, CoveredLoads>();
+    const domains = new Map<string, ReceivedMessage>();
     for (const domainMessage of table.listCurrent(MESSAGE_KINDS.domainLoad))
       if (domainMessage.failureDomain !== self.failureDomain && !domains.has(domainMessage.failureDomain))
         domains.set(domainMessage.failureDomain, domainMessage);
@@ -290,6 +289,11 @@
     getWorkOfOthers: (server) => getCachedSum().work.get(server) ?? NO_WORK,
     countCoveredHosts: () => getCachedSum().hosts,
     countReportingHosts: () => table.listCurrent(MESSAGE_KINDS.hostLoad).length + 1,
+    getLoadsAgeMs: () => {
+      const current = listCurrentLoads();
+      if (current.length === 0) return undefined;
+      return readMonotonicMs() - Math.min(...current.map(({ atMs }) => atMs));
+    },
     getPlan: planManager.getPlan,
     markRelaySuspect: planManager.markRelaySuspect,
     close: () => {
--- a/packages/share-load/src/load-sharing.ts
+++ b/packages/share-load/src/load-sharing.ts
@@ -12,6 +12,8 @@
   readonly countCoveredHosts: () => number;
   /** Number of hosts that report to this host, including itself. */
   readonly countReportingHosts: () => number;
+  /** Returns the age of the oldest message in the sums, milliseconds; `undefined` without any. */
+  readonly getLoadsAgeMs: () => number | undefined;
   /** Returns the current assignment of relays. */
   readonly getPlan: () => RelayPlan;
   /** Excludes a relay that did not answer placement requests, unless a message of it came within the last 500 ms. */
--- a/packages/track-engines/src/create-server-tracker.ts
+++ b/packages/track-engines/src/create-server-tracker.ts
@@ -99,10 +99,8 @@
       : rate.perMs * Math.exp((rate.atMs - readMonotonicMs()) / FETCH_RATE_DECAY_MS);
   };
 
-  const getEntry = (server: string): Entry => {
-    const known = entries.get(server);
-    if (known !== undefined) return known;
-    const entry: Entry = {
+  const findEntry = (server: string): Entry =>
+    entries.get(server) ?? {
       inFlight: 0,
       pendingTokens: 0,
       heldTokens: 0,
@@ -120,6 +118,8 @@
       endlessAnswers: 0,
       pieces: createPieceTable(),
     };
+  const getEntry = (server: string): Entry => {
+    const entry = findEntry(server);
     entries.set(server, entry);
     return entry;
   };
@@ -165,7 +165,25 @@
     entry.failureAtMs = readMonotonicMs();
   };
 
-  return {
+  const buildState = (server: string, entry: Entry): ServerState => {
+    const now = readMonotonicMs();
+    return {
+      inFlight: entry.inFlight,
+      pendingTokens: entry.pendingTokens,
+      heldTokens: entry.heldTokens,
+      load: entry.load,
+      loadAgeMs: entry.load === undefined ? Infinity : now - entry.loadAtMs,
+      inFlightAtLoad: entry.inFlightAtLoad,
+      slowness: conditions.getSlowness(server),
+      isSlownessKnown: conditions.isSlownessKnown(server),
+      queueLimit: conditions.getQueueLimit(server),
+      silentMs: entry.inFlight === 0 ? 0 : now - entry.lastReceivedMs,
+      failureShare: computeFailureShare(entry),
+      isAvoided: now < entry.avoidedUntilMs,
+    };
+  };
+
+  const tracker: ServerTracker = {
     beginCall: (server, work) => {
       const entry = getEntry(server);
       if (entry.inFlight === 0) entry.lastReceivedMs = readMonotonicMs();
@@ -202,24 +220,7 @@
         },
       };
     },
-    getState: (server): ServerState => {
-      const entry = getEntry(server);
-      const now = readMonotonicMs();
-      return {
-        inFlight: entry.inFlight,
-        pendingTokens: entry.pendingTokens,
-        heldTokens: entry.heldTokens,
-        load: entry.load,
-        loadAgeMs: entry.load === undefined ? Infinity : now - entry.loadAtMs,
-        inFlightAtLoad: entry.inFlightAtLoad,
-        slowness: conditions.getSlowness(server),
-        isSlownessKnown: conditions.isSlownessKnown(server),
-        queueLimit: conditions.getQueueLimit(server),
-        silentMs: entry.inFlight === 0 ? 0 : now - entry.lastReceivedMs,
-        failureShare: computeFailureShare(entry),
-        isAvoided: now < entry.avoidedUntilMs,
-      };
-    },
+    getState: (server) => buildState(server, getEntry(server)),
     getOutstandingWork: (server, runningShare) => computeWork(server, getEntry(server), runningShare),
     getPrefillRate: (service) => prefillRates.get(service) ?? INITIAL_PREFILL_RATE,
     observePrefill: (service, tokens, ms) => {
@@ -322,5 +323,17 @@
       entries.delete(server);
       conditions.removeServer(server);
     },
+    getReader: () => ({
+      ...tracker,
+      getState: (server) => buildState(server, findEntry(server)),
+      getOutstandingWork: (server, runningShare) => computeWork(server, findEntry(server), runningShare),
+      getRunFactor: (server) => computeRunFactor(findEntry(server)),
+      getPieceTable: (server) => findEntry(server).pieces,
+      countCachedTokens: (server, scope, piece) =>
+        Math.max(findEntry(server).pieces.getTokens(scope, piece), expected.getTokens(server, scope, piece)),
+      observeFetch: () => undefined,
+      expectPieces: () => undefined,
+    }),
   };
+  return tracker;
 }
--- a/packages/track-engines/src/server-tracker.ts
+++ b/packages/track-engines/src/server-tracker.ts
@@ -72,6 +72,8 @@
   readonly addObservations: (observations: Omit<CallObservations, 'engineRuns'>) => void;
   /** Adds the run times of another host's calls by engine. Those of servers without any state at this host are ignored. */
   readonly addEngineRuns: (engineRuns: readonly EngineRun[]) => void;
+  /** Returns a tracker with the same answers whose functions for the choice of a server change nothing, to explain a choice. */
+  readonly getReader: () => ServerTracker;
   /** Removes all state of a server that was removed from the fleet. */
   readonly removeServer: (server: string) => void;
 }
--- a/packages/track-engines/test/create-server-tracker.test.ts
+++ b/packages/track-engines/test/create-server-tracker.test.ts
@@ -139,3 +139,22 @@
     t.deepEqual(serverTracker.getOutstandingWork('a', 1), { calls: 0, ms: 0 });
   },
 );
+
+test('guards against reads for an explanation that change fetch rates, expected pieces or what other hosts may tell', (t) => {
+  const serverTracker = createServerTracker();
+  const reader = serverTracker.getReader();
+  serverTracker.beginCall('a', WORK);
+  t.deepEqual(reader.getState('a').heldTokens, serverTracker.getState('a').heldTokens);
+  reader.observeFetch('10.0.0.1:80', 500);
+  reader.expectPieces('a', 'scope', [{ id: 'piece', tokens: 400 }]);
+  t.is(serverTracker.getFetchRate('10.0.0.1:80'), 0);
+  t.is(serverTracker.countCachedTokens('a', 'scope', 'piece'), 0);
+  // Observations of servers without any state are ignored, and a read must not make state.
+  reader.getState('b');
+  reader.getOutstandingWork('b', 1);
+  reader.getRunFactor('b');
+  reader.countCachedTokens('b', 'scope', 'piece');
+  reader.getPieceTable('b');
+  serverTracker.addObservations({ results: [['b', 0, 5]], reads: [], fetches: [], runs: [] });
+  t.is(serverTracker.getState('b').failureShare, 0);
+});
