--- a/packages/ask-home/src/create-home-client.ts
+++ b/packages/ask-home/src/create-home-client.ts
@@ -35,10 +35,15 @@
     unavailableUntilMs.set(home, readMonotonicMs() + PLACEMENT_TIMING.unavailableMs);
   };
 
+  const findHome = () => {
+    const now = readMonotonicMs();
+    return options.listHomes().find((peer) => (unavailableUntilMs.get(peer.host) ?? 0) <= now);
+  };
+
   return {
+    findHome: () => findHome()?.host,
     askHome: (request: PlacementRequest, signal: AbortSignal) => {
-      const now = readMonotonicMs();
-      const home = options.listHomes().find((peer) => (unavailableUntilMs.get(peer.host) ?? 0) <= now);
+      const home = findHome();
       if (home === undefined || signal.aborted) return Promise.resolve(undefined);
       lastNumber += 1;
       const requestNumber = lastNumber;
--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -14,6 +14,7 @@
 import { PLACEMENT_TIMING } from './placement-timing.js';
 import type { QueueWaitEstimator } from './queue-wait-estimator.js';
 import type { PlacementQueue } from './placement-queue.js';
+import type { QueueEffects } from './queue-effects.js';
 
 /** Maximum number of queued placement requests. Further ones are answered with `wait` at once, and their hosts ask again later. */
 const MAX_QUEUED = 512;
@@ -91,9 +92,39 @@
       (entry) =>
         entry.position.service === position.service && comparePositions(entry.position, position) <= 0,
     );
+  const effects: QueueEffects = {
+    chooseServer,
+    takeResend,
+    getWaitEstimator,
+    scheduleRoomRetry: retrySchedule.scheduleRetry,
+    reserveEngine: memoryReservations.reserveEngine,
+    addOrder: returnOrders.addOrder,
+    recordPlacement: (request) => {
+      getWaitEstimator(request.service).recordPlacement(request.priority);
+      accountShares.recordPlacement(request);
+      priorityShares.recordPlacement(request);
+    },
+  };
+  const buildReadingEffects = (chooseReading: PlacementQueueOptions['chooseServer']): QueueEffects => ({
+    chooseServer: chooseReading,
+    takeResend: () => true,
+    getWaitEstimator: (service) => {
+      const estimator = waitEstimators.get(service) ?? createQueueWaitEstimator();
+      return { ...estimator, scheduleRetry: estimator.estimateRetryMs };
+    },
+    scheduleRoomRetry: retrySchedule.estimateRetryMs,
+    reserveEngine: () => undefined,
+    addOrder: () => undefined,
+    recordPlacement: () => undefined,
+  });
   /** Returns the time after which the caller should retry, milliseconds, and promises it its turn then if it can wait so long. */
-  const scheduleRetry = (request: PlacementRequest, position: QueuePosition, fallbackMs: number): number => {
-    const estimator = getWaitEstimator(request.service);
+  const scheduleRetry = (
+    request: PlacementRequest,
+    position: QueuePosition,
+    fallbackMs: number,
+    used: QueueEffects,
+  ): number => {
+    const estimator = used.getWaitEstimator(request.service);
     const minRetryMs = estimator.hasRate() ? RETRY_BOUNDS.minMs : fallbackMs;
     const maxRetryMs = Math.max(minRetryMs, request.remainingMs * RETRY_BOUNDS.maxRemainingShare);
     const retryAfterMs = estimator.scheduleRetry(
@@ -103,29 +134,31 @@
       maxRetryMs,
       1 / PROMISED_SHARE,
     );
-    if (retryAfterMs < maxRetryMs) returnOrders.addOrder(request, retryAfterMs);
+    if (retryAfterMs < maxRetryMs) used.addOrder(request, retryAfterMs);
     return retryAfterMs;
   };
-  const decide = (request: PlacementRequest, position: QueuePosition): ServerChoice => {
+  const decide = (
+    request: PlacementRequest,
+    position: QueuePosition,
+    used: QueueEffects = effects,
+  ): ServerChoice => {
     const isStarved = priorityShares.isStarved(request);
     // A priority below its minimum share is admitted by the limits of the most urgent calls, and need not leave memory for them.
     const choice = isStarved
-      ? chooseServer({ ...request, priority: 0 }, () => 0)
-      : chooseServer(request, (engine, engineCount, capacityTokens) =>
+      ? used.chooseServer({ ...request, priority: 0 }, () => 0)
+      : used.chooseServer(request, (engine, engineCount, capacityTokens) =>
           memoryReservations.getReservedTokens(request, engine, engineCount, capacityTokens),
         );
     if (choice.kind === 'wait' && choice.memory !== undefined)
-      memoryReservations.reserveEngine(request, choice.memory.engine, choice.memory.neededTokens);
+      used.reserveEngine(request, choice.memory.engine, choice.memory.neededTokens);
     if (choice.kind === 'wait' && choice.room !== undefined)
-      return checkRoomWait(request, position, choice.room) ?? choice;
+      return checkRoomWait(request, position, choice.room, used) ?? choice;
     if (choice.kind === 'refuse' && choice.cause === REFUSAL_CAUSES.noCapacity)
-      return { ...choice, retryAfterMs: scheduleRetry(request, position, choice.retryAfterMs) };
+      return { ...choice, retryAfterMs: scheduleRetry(request, position, choice.retryAfterMs, used) };
     if (choice.kind !== 'server') return choice;
-    if (request.isResend && !takeResend(request.service))
+    if (request.isResend && !used.takeResend(request.service))
       return buildRefusal(REFUSAL_CAUSES.resendBudgetUsedUp, RESEND_BUDGET_RETRY_AFTER_MS);
-    getWaitEstimator(request.service).recordPlacement(request.priority);
-    accountShares.recordPlacement(request);
-    priorityShares.recordPlacement(request);
+    used.recordPlacement(request);
     return choice;
   };
   /** Refuses a call to servers at their limits that would wait too long for its turn; else `undefined`. */
@@ -133,27 +166,53 @@
     request: PlacementRequest,
     position: QueuePosition,
     room: RoomForecast,
+    used: QueueEffects,
   ): ServerChoice | undefined => {
     const ahead = listAhead(position).filter((entry) => entry.request.callId !== request.callId);
     const waitMs = room.firstMs + ahead.length * room.perCallMs;
     if (request.waitedMs + waitMs <= request.targetMs * MAX_ROOM_WAIT_SHARE) return undefined;
     const maxRetryMs = Math.max(RETRY_BOUNDS.minMs, request.remainingMs * RETRY_BOUNDS.maxRemainingShare);
-    const retryAfterMs = retrySchedule.scheduleRetry(
+    const retryAfterMs = used.scheduleRoomRetry(
       request.service,
       request.priority,
       room.perCallMs,
       Math.max(RETRY_BOUNDS.minMs, waitMs),
       maxRetryMs,
     );
-    returnOrders.addOrder(request, retryAfterMs);
+    used.addOrder(request, retryAfterMs);
     return buildRefusal(REFUSAL_CAUSES.allLimited, retryAfterMs);
   };
   /** Refuses a call without free capacity when its expected queue wait exceeds `MAX_QUEUE_WAIT_SHARE` of its target; else `undefined`. */
-  const checkQueueWait = (request: PlacementRequest, position: QueuePosition): ServerChoice | undefined => {
-    const estimator = getWaitEstimator(request.service);
+  const checkQueueWait = (
+    request: PlacementRequest,
+    position: QueuePosition,
+    used: QueueEffects,
+  ): ServerChoice | undefined => {
+    const estimator = used.getWaitEstimator(request.service);
     const waitMs = estimator.estimateWaitMs(request.priority, listAhead(position).length);
     if (waitMs <= request.targetMs * MAX_QUEUE_WAIT_SHARE) return undefined;
-    return buildRefusal(REFUSAL_CAUSES.noCapacity, scheduleRetry(request, position, RETRY_BOUNDS.minMs));
+    const retryAfterMs = scheduleRetry(request, position, RETRY_BOUNDS.minMs, used);
+    return buildRefusal(REFUSAL_CAUSES.noCapacity, retryAfterMs);
+  };
+  const buildPosition = (request: PlacementRequest, isReturn: boolean): QueuePosition => {
+    const sinceMs = readMonotonicMs() - request.waitedMs;
+    return {
+      service: request.service,
+      priority: request.priority,
+      isReturn,
+      sinceMs,
+      rankMs: sinceMs + accountShares.computeExcessShare(request) * request.targetMs,
+    };
+  };
+  /** Refuses a request that has to queue for too long; else returns the choice. */
+  const limitWait = (
+    request: PlacementRequest,
+    position: QueuePosition,
+    decided: ServerChoice,
+    used: QueueEffects,
+  ): ServerChoice => {
+    const hasToQueue = decided.kind === 'wait' && decided.room === undefined;
+    return hasToQueue ? (checkQueueWait(request, position, used) ?? decided) : decided;
   };
   const decideEntry = ({ request, position }: QueuedRequest): ServerChoice => {
     const waitedMs = readMonotonicMs() - position.sinceMs;
@@ -199,19 +258,11 @@
       // A call that has waited for longer was asked for and counted before.
       const isFirstRequest = !request.isResend && request.waitedMs < PLACEMENT_TIMING.maxQueueMs;
       if (isFirstRequest) recordFirstAttempt(request.service);
-      const sinceMs = readMonotonicMs() - request.waitedMs;
-      const position = {
-        service: request.service,
-        priority: request.priority,
-        isReturn: returnOrders.claimOrder(request, isFirstRequest),
-        sinceMs,
-        rankMs: sinceMs + accountShares.computeExcessShare(request) * request.targetMs,
-      };
+      const position = buildPosition(request, returnOrders.claimOrder(request, isFirstRequest));
       const decided = decide(request, position);
       if (isFirstRequest && decided.kind === 'wait' && decided.memory !== undefined)
         memoryReservations.observeNeed(request);
-      const hasToQueue = decided.kind === 'wait' && decided.room === undefined;
-      const choice = hasToQueue ? (checkQueueWait(request, position) ?? decided) : decided;
+      const choice = limitWait(request, position, decided, effects);
       if (choice.kind !== 'wait') releaseCall(request.callId);
       if (choice.kind !== 'wait' || queue.length >= MAX_QUEUED) {
         onChoice(choice);
@@ -224,6 +275,11 @@
       });
       return true;
     },
+    explainPlacementRequest: (request, chooseReading) => {
+      const used = buildReadingEffects(chooseReading);
+      const position = buildPosition(request, returnOrders.hasDueOrder(request));
+      return limitWait(request, position, decide(request, position, used), used);
+    },
     countQueued: () => queue.length,
   };
 }
--- a/packages/ask-home/src/create-queue-wait-estimator.ts
+++ b/packages/ask-home/src/create-queue-wait-estimator.ts
@@ -29,6 +29,20 @@
     const placedCount = recentPlacements.filter((event) => event.priority >= priority).length;
     return (ahead * Math.max(MIN_RATE_SPAN_MS, now - first.atMs)) / placedCount;
   };
+  const estimateRetryMs: QueueWaitEstimator['estimateRetryMs'] = (
+    priority,
+    ahead,
+    minRetryMs,
+    maxRetryMs,
+    work = 1,
+  ) => {
+    const now = readMonotonicMs();
+    const retriesBefore = scheduledRetries.reduce(
+      (sum, event) => sum + (event.atMs > now && event.priority <= priority ? event.work : 0),
+      0,
+    );
+    return Math.max(minRetryMs, Math.min(maxRetryMs, estimateWaitMs(priority, ahead + retriesBefore + work)));
+  };
   return {
     recordPlacement: (priority) => {
       const now = readMonotonicMs();
@@ -41,16 +55,10 @@
     scheduleRetry: (priority, ahead, minRetryMs, maxRetryMs, work = 1) => {
       const now = readMonotonicMs();
       scheduledRetries = scheduledRetries.filter(({ atMs }) => atMs > now);
-      const retriesBefore = scheduledRetries.reduce(
-        (sum, event) => sum + (event.priority <= priority ? event.work : 0),
-        0,
-      );
-      const retryAfterMs = Math.max(
-        minRetryMs,
-        Math.min(maxRetryMs, estimateWaitMs(priority, ahead + retriesBefore + work)),
-      );
+      const retryAfterMs = estimateRetryMs(priority, ahead, minRetryMs, maxRetryMs, work);
       scheduledRetries.push({ atMs: now + retryAfterMs, priority, work });
       return retryAfterMs;
     },
+    estimateRetryMs,
   };
 }
--- a/packages/ask-home/src/create-return-orders.ts
+++ b/packages/ask-home/src/create-return-orders.ts
@@ -52,6 +52,13 @@
       claims.set(request.callId, now + CLAIM_TTL_MS);
       return true;
     },
+    hasDueOrder: (request) => {
+      const now = readMonotonicMs();
+      const key = buildKey(request);
+      return orders.some(
+        (order) => order.key === key && order.atMs > now - LATE_MS && order.atMs <= now + EARLY_MS,
+      );
+    },
     releaseCall: (callId) => {
       claims.delete(callId);
     },
--- a/packages/ask-home/src/home-client.ts
+++ b/packages/ask-home/src/home-client.ts
@@ -9,6 +9,8 @@
    * `signal` is aborted. Except after an abort, this host then decides itself.
    */
   readonly askHome: (request: PlacementRequest, signal: AbortSignal) => Promise<PlacementAnswer | undefined>;
+  /** Returns the name of the home host that would be asked now; `undefined` when none is available. */
+  readonly findHome: () => string | undefined;
   /** Returns the highest number up to which all placement requests were answered or abandoned; 0 at first. */
   readonly getSettledNumber: () => number;
 }
--- a/packages/ask-home/src/queue-wait-estimator.ts
+++ b/packages/ask-home/src/queue-wait-estimator.ts
@@ -24,4 +24,6 @@
     maxRetryMs: number,
     work?: number,
   ) => number;
+  /** Returns the result of `scheduleRetry` without recording the retry. */
+  readonly estimateRetryMs: QueueWaitEstimator['scheduleRetry'];
 }
--- a/packages/ask-home/src/retry-schedule.ts
+++ b/packages/ask-home/src/retry-schedule.ts
@@ -15,4 +15,6 @@
     minRetryMs: number,
     maxRetryMs: number,
   ) => number;
+  /** Returns the result of `scheduleRetry` without recording the retry. */
+  readonly estimateRetryMs: RetrySchedule['scheduleRetry'];
 }
--- a/packages/ask-home/src/return-orders.ts
+++ b/packages/ask-home/src/return-orders.ts
@@ -9,6 +9,8 @@
    * asked for again keeps the one that it has.
    */
   readonly claimOrder: (request: PlacementRequest, isNewCall: boolean) => boolean;
+  /** Whether a new call like this would get an order. */
+  readonly hasDueOrder: (request: PlacementRequest) => boolean;
   /** Removes the order of a call that was placed or refused. */
   readonly releaseCall: (callId: string) => void;
   /** Number of orders; at most 1024. */
--- a/packages/ask-home/src/serve-placement-requests-options.ts
+++ b/packages/ask-home/src/serve-placement-requests-options.ts
@@ -9,7 +9,7 @@
   readonly host: string;
   /** Start time of this process, wall-clock milliseconds. */
   readonly bornMs: number;
-  readonly placementQueue: PlacementQueue;
+  readonly placementQueue: Pick<PlacementQueue, 'submitPlacementRequest' | 'countQueued'>;
   readonly reservations: Pick<ReservationTable, 'addReservation'>;
   /** Whether this host has enough data to place calls of other hosts. */
   readonly isReady: () => boolean;
--- a/packages/ask-home/test/create-home-client.test.ts
+++ b/packages/ask-home/test/create-home-client.test.ts
@@ -120,3 +120,12 @@
   t.deepEqual(answers, [undefined]);
   t.is(client.getSettledNumber(), 1);
 });
+
+test.serial('guards against an explanation that names a home host that would not be asked', async (t) => {
+  const { clock, client, ask, sent } = createFixture(t);
+  t.is(client.findHome(), 'one');
+  ask();
+  await clock.tickAsync(PLACEMENT_TIMING.answerTimeoutMs);
+  t.is(client.findHome(), 'two');
+  t.is(sent.length, 1);
+});
