--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -5,19 +5,22 @@
   type ResponseHead,
   type PlacementRequest,
 } from '@laburnumshift/forward-types';
-import { buildCacheScope, computeCacheOwner } from '@laburnumshift/keep-pieces';
+import { buildCacheScope } from '@laburnumshift/keep-pieces';
 import type { Logger } from '@laburnumshift/logger';
 import { createSuspectCall } from '@laburnumshift/quarantine-pieces';
 import { estimateHeldTokens } from '@laburnumshift/place-calls';
 import { addContentLength } from './add-content-length.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
+import { buildPlacementRequest } from './build-placement-request.js';
 import { chooseRunBackup } from './choose-run-backup.js';
 import { dispatchCall } from './dispatch-call.js';
 import { createEventSplitter } from './create-event-splitter.js';
 import { decideNextStep } from './decide-next-step.js';
+import { estimateCall } from './estimate-call.js';
 import { estimateOutputTokens } from './estimate-output-tokens.js';
 import { findContinuation } from './find-continuation.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
+import { getCacheOwner } from './get-cache-owner.js';
 import type { MatchedCall } from './matched-call.js';
 import { MIN_RETRY_TIME_MS } from './min-retry-time-ms.js';
 import { NOT_EXECUTED_STATUSES } from './not-executed-statuses.js';
@@ -45,7 +48,6 @@
 const MAX_CONTINUATIONS = 3;
 /** Urgency sent to an engine when the priority is not a finite number. */
 const DEFAULT_URGENCY = 5;
-const NO_ACCOUNTS: ReadonlySet<string> = new Set();
 /** Least urgent value that engines accept; 0 is the most urgent. */
 const MAX_URGENCY = 9;
 
@@ -64,20 +66,11 @@
   const isRetryable =
     route.kind === CALL_KINDS.idempotent || (route.kind === CALL_KINDS.stream && route.isResumable);
   const urgency = Math.min(MAX_URGENCY, 2 * (account?.priority ?? route.priority));
-  const callKind = {
-    service: service.name,
-    route: route.name,
-    method: call.method,
-    bodyBytes: matchedCall.body.length,
-  };
-  const costMs = call.prompt === undefined ? deps.costs.estimateCallMs(callKind) : undefined;
-  const outputKind = { route: route.name, account: account?.name };
-  const hintTokens = call.prompt?.expectedOutputTokens;
-  const expectedTokens = hintTokens === undefined ? 0 : deps.costs.estimateOutput(outputKind, hintTokens);
-  const prompt = call.prompt && {
-    ...call.prompt,
-    ...(hintTokens !== undefined && { expectedOutputTokens: expectedTokens }),
-  };
+  const sizedCall = { call, route, service, account, bodyBytes: matchedCall.body.length };
+  const { callKind, costMs, outputKind, hintTokens, expectedTokens, prompt } = estimateCall(
+    deps.costs,
+    sizedCall,
+  );
   let attempts = 0;
   let firstMs: number | undefined;
   let lastEventAtMs: number | undefined;
@@ -148,29 +141,21 @@
     return true;
   };
 
-  /** The call may have waited while an account was isolated or removed, so the newest configuration decides. */
-  const getCacheOwner = (): string =>
-    computeCacheOwner(account, deps.fleet.getConfig()?.sharingAccounts ?? NO_ACCOUNTS);
   const buildScope = (version: number | undefined): string =>
-    buildCacheScope(getCacheOwner(), call.prompt?.model ?? '', version);
-  const buildPlacementRequest = (): PlacementRequest => {
+    buildCacheScope(getCacheOwner(deps.fleet, account), call.prompt?.model ?? '', version);
+  const buildCurrentRequest = (): PlacementRequest => {
     const now = readMonotonicMs();
-    return {
-      callId: call.id,
-      service: service.name,
-      prompt,
-      cacheOwner: getCacheOwner(),
-      account: account?.name,
-      priority: account?.priority ?? route.priority,
-      targetMs: route.targetMs,
-      remainingMs: matchedCall.endsAtMs - now,
-      waitedMs: now - matchedCall.arrivedAtMs,
-      bodyBytes: matchedCall.body.length,
-      costMs,
-      failureDomain: deps.failureDomain,
-      isResend: attempts > 0,
-      excluded: [...triedServers],
-    };
+    return buildPlacementRequest(
+      deps,
+      sizedCall,
+      { prompt, costMs },
+      {
+        remainingMs: matchedCall.endsAtMs - now,
+        waitedMs: now - matchedCall.arrivedAtMs,
+        isResend: attempts > 0,
+        excluded: [...triedServers],
+      },
+    );
   };
 
   /** Whether another attempt can follow when the one at `server` is abandoned now. */
@@ -185,7 +170,7 @@
     if (refuseQuarantined()) return;
     const continuation = pending;
     pending = undefined;
-    const choice = continuation?.choice ?? (await deps.placer.placeCall(buildPlacementRequest, endSignal));
+    const choice = continuation?.choice ?? (await deps.placer.placeCall(buildCurrentRequest, endSignal));
     if (choice === undefined && !callerSignal.aborted) {
       refuse('the host is stopping', STOPPING_RETRY_AFTER_MS);
       return;
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -3,7 +3,7 @@
 import { openListener } from '@laburnumshift/addresses';
 import { readMonotonicMs, waitForReads } from '@laburnumshift/clock';
 import type { ByteReservation } from '@laburnumshift/collect-bytes';
-import { CALL_KINDS, type CallDecodeFailure, type ForwardCall } from '@laburnumshift/forward-types';
+import type { CallDecodeFailure, ForwardCall } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import type { CallerReply } from './caller-reply.js';
 import { BODY_REFUSALS } from './body-refusals.js';
@@ -15,8 +15,7 @@
 import { dropBody } from './drop-body.js';
 import type { ForwarderDependencies } from './forwarder-dependencies.js';
 import type { ForwardServer } from './forward-server.js';
-import { matchRoute } from './match-route.js';
-import { pickService } from './pick-service.js';
+import { matchCall } from './match-call.js';
 import { readBody } from './read-body.js';
 import { replyError } from './reply-error.js';
 import { runForward } from './run-forward.js';
@@ -32,22 +31,12 @@
 const MIN_IDLE_MS = 200;
 /** Time beyond the stated limit after which Node.js closes an idle connection, in milliseconds. */
 const IDLE_MARGIN_MS = 1000;
-/** Retry-After while the host has no current configuration, in milliseconds. */
-const CONFIG_RETRY_AFTER_MS = 500;
 /** Retry-After when the bodies of other requests take all memory for them, in milliseconds: a few calls end in this time. */
 const MEMORY_RETRY_AFTER_MS = 1000;
 /** Retry-After when there is no room for another call, in milliseconds: many calls end in this time. */
 const FULL_RETRY_AFTER_MS = 1000;
 /** Maximum size of the body of a refused request that is read while no configuration is known, in bytes. */
 const DEFAULT_DISCARD_BYTES = 1_048_576;
-/**
- * Fraction of a configured bound up to which the host relies on its copy of the configuration. The bound on key revocation limits
- * the age at which keys are accepted. The bound on applying a configuration limits the age at which a route or a key that is not
- * found is reported as unknown.
- */
-const MAX_CONFIG_AGE_RATIO = 0.85;
-const HTTP_WITHOUT_CHUNKS = '1.0';
-
 /** Starts the HTTP server for callers on `IP:port`. Rejects when the address cannot be bound. */
 export async function startForwardServer(
   address: string,
@@ -55,9 +44,7 @@
 ): Promise<ForwardServer> {
   const logger = createLogger('callers');
   const forwardLogger = createLogger('forward');
-  const { codec, fleet, bounds } = deps;
-  const maxKeyAgeMs = bounds.revokeMs === undefined ? Infinity : bounds.revokeMs * MAX_CONFIG_AGE_RATIO;
-  const maxNotFoundAgeMs = bounds.configApplyMs * MAX_CONFIG_AGE_RATIO;
+  const { codec, fleet } = deps;
   const stopController = new AbortController();
   const connections = createKeptConnections();
   const guarded = new WeakMap<net.Socket, TrackedConnection>();
@@ -121,40 +108,13 @@
       refuse(503, 'the host is stopping', STOPPING_RETRY_AFTER_MS);
       return;
     }
+    const match = matchCall(deps, call, request.httpVersion);
     const config = fleet.getConfig();
-    if (config === undefined) {
-      refuse(503, 'no configuration yet', CONFIG_RETRY_AFTER_MS);
-      return;
-    }
-    const route = matchRoute(config.routes, call.hostName, call.target);
-    const refuseNotFound = (status: 401 | 404, reason: string): void => {
-      if (fleet.getConfigAgeMs() <= maxNotFoundAgeMs) refuse(status, reason);
-      else refuse(503, `configuration is too old to tell: ${reason}`, CONFIG_RETRY_AFTER_MS);
-    };
-    if (route === undefined) {
-      refuseNotFound(404, 'no route');
-      return;
-    }
-    // Without chunks such a stream would end with its connection, and a truncated one would look complete.
-    if (route.kind === CALL_KINDS.stream && request.httpVersion === HTTP_WITHOUT_CHUNKS) {
-      refuse(505, 'streams need HTTP/1.1');
-      return;
-    }
-    const needsKey = config.accountsByKey !== undefined && !route.isPublic;
-    if (needsKey && fleet.getConfigAgeMs() > maxKeyAgeMs) {
-      refuse(503, 'configuration is too old to accept keys', CONFIG_RETRY_AFTER_MS);
-      return;
-    }
-    const account = call.key === undefined || !needsKey ? undefined : config.accountsByKey.get(call.key);
-    if (needsKey && account === undefined) {
-      refuseNotFound(401, 'unknown key');
-      return;
-    }
-    const service = config.services.get(pickService(route, deps.pickRandom()) ?? '');
-    if (service === undefined) {
-      refuse(503, 'route names no known service', CONFIG_RETRY_AFTER_MS);
+    if (match.kind === 'refused' || config === undefined) {
+      if (match.kind === 'refused') refuse(match.status, match.reason, match.retryAfterMs);
       return;
     }
+    const { route, account, service } = match;
     deps.resends.recordCall(service.name);
     const body = await readBody(request, config.limits.maxBodyBytes, bodyMemory, deps.observeReadBytes);
     if (body === 'left') return;
