--- a/packages/run-forwarder/src/open-placement.ts
+++ b/packages/run-forwarder/src/open-placement.ts
@@ -4,15 +4,16 @@
   createPlacementQueue,
   servePlacementRequests,
   type HomeClient,
-  type CallPlacer,
 } from '@laburnumshift/ask-home';
 import { chooseServer, type ChoiceDeps } from '@laburnumshift/choose-server';
 import { readMonotonicMs } from '@laburnumshift/clock';
-import type { ForwardBounds } from '@laburnumshift/forward-types';
+import type { EngineControl, ForwardBounds } from '@laburnumshift/forward-types';
 import { addLoads, addWork, type PeerHost } from '@laburnumshift/share-load';
+import { createPlacementExplainer } from './create-placement-explainer.js';
 import { FORWARDER_TIMINGS } from './forwarder-timings.js';
 import type { HostContext } from './host-context.js';
 import { isHomeReady } from './is-home-ready.js';
+import type { OpenedPlacement } from './opened-placement.js';
 import type { PlacementDependencies } from './placement-dependencies.js';
 
 /**
@@ -23,8 +24,9 @@
   context: HostContext,
   { reservations, costs, resends, homeResends, metrics }: PlacementDependencies,
   bounds: ForwardBounds,
+  control: Pick<EngineControl, 'freePieces'>,
   onHomeClient: (homeClient: HomeClient) => void,
-): CallPlacer {
+): OpenedPlacement {
   const { self, bornMs, channel, sharing, fleet, events, limits } = context;
   /** Monotonic time at which this host became the first relay of its failure domain, in milliseconds. */
   let homeSinceMs: number | undefined;
@@ -52,7 +54,7 @@
       settleMs: FORWARDER_TIMINGS.homeSettleMs,
     });
   };
-  const choiceDependencies: ChoiceDeps = {
+  const choiceDependencies = {
     ...context,
     bounds,
     sharing: {
@@ -67,7 +69,7 @@
     },
     pickRandom: Math.random,
     getHomeDomain: () => (sharing.getPlan().isRelay ? self.failureDomain : undefined),
-  };
+  } satisfies ChoiceDeps;
   const homeClient = createHomeClient({
     channel,
     host: self.host,
@@ -97,7 +99,7 @@
       context.listPeers().some((peer) => peer.host === host && peer.address === address),
   });
   let reservationCount = 0;
-  return createCallPlacer({
+  const placer = createCallPlacer({
     choiceDeps: choiceDependencies,
     fleet,
     homeClient,
@@ -109,4 +111,14 @@
     },
     hasRemoteHome: () => listHomes().length > 0,
   });
+  const explainPlacement = createPlacementExplainer({
+    choiceDeps: choiceDependencies,
+    fleet,
+    events,
+    control,
+    sharing,
+    placementQueue,
+    homeClient,
+  });
+  return { placer, explainPlacement };
 }
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -11,7 +11,7 @@
 } from '@laburnumshift/clock';
 import { createCopyTable, createTokenTimes } from '@laburnumshift/continue-runs';
 import { createCostEstimator } from '@laburnumshift/estimate-cost';
-import { startForwardServer } from '@laburnumshift/forward-calls';
+import { explainCall, startForwardServer } from '@laburnumshift/forward-calls';
 import { computeClientLimits, createConnectionGuard } from '@laburnumshift/limit-connections';
 import { computeHomeShare, computeHostShare, createResendBudget } from '@laburnumshift/limit-resends';
 import { createLogger } from '@laburnumshift/logger';
@@ -19,6 +19,7 @@
 import { createOrderedStore } from '@laburnumshift/order-revisions';
 import { createMetrics } from '@laburnumshift/record-metrics';
 import { watchMemory } from '@laburnumshift/watch-memory';
+import { buildExplainPage } from './build-explain-page.js';
 import { countEventReaders } from './count-event-readers.js';
 import { countStoreCalls } from './count-store-calls.js';
 import type { ForwarderOptions } from './forwarder-options.js';
@@ -99,10 +100,11 @@
     settings.isFirstStart,
   );
   const costs = createCostEstimator();
-  const placer = openPlacement(
+  const { placer, explainPlacement } = openPlacement(
     context,
     { metrics, reservations, costs, resends, homeResends },
     bounds,
+    options.control,
     (opened) => {
       homeClient = opened;
     },
@@ -198,9 +200,29 @@
   const closeMetrics =
     settings.metricsAddress === undefined
       ? undefined
-      : startMetricsServer(settings.metricsAddress, {
-          '/metrics': () => ({ status: 200, text: metrics.renderMetrics() }),
-        });
+      : startMetricsServer(
+          settings.metricsAddress,
+          { '/metrics': () => ({ status: 200, text: metrics.renderMetrics() }) },
+          {
+            '/explain': buildExplainPage((head, bodyBytes) =>
+              explainCall(
+                {
+                  host: settings.host,
+                  failureDomain: settings.failureDomain,
+                  codec,
+                  fleet,
+                  bounds,
+                  costs,
+                  quarantine,
+                  explainPlacement,
+                  pickRandom: Math.random,
+                },
+                head,
+                bodyBytes,
+              ),
+            ),
+          },
+        );
 
   const orders = startWeightRollouts(options, context, store);
   // Connections are dead after a suspension. Unless they are replaced, the configuration stays too old until requests time out.
--- a/packages/run-forwarder/src/start-metrics-server.ts
+++ b/packages/run-forwarder/src/start-metrics-server.ts
@@ -2,6 +2,7 @@
 import { startLoop } from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
 import { serveStatus } from './serve-status.js';
+import type { QueryPages } from './query-pages.js';
 import type { StatusPages } from './status-pages.js';
 
 /** Pause between attempts to open the address of the metrics, milliseconds. */
@@ -12,7 +13,11 @@
  *
  * @returns a function that ends the server, or the attempts
  */
-export function startMetricsServer(address: string, pages: StatusPages): () => void {
+export function startMetricsServer(
+  address: string,
+  pages: StatusPages,
+  queries: QueryPages = {},
+): () => void {
   const logger = createLogger('status');
   let server: http.Server | undefined;
   let isClosed = false;
@@ -20,7 +25,7 @@
   const loop = startLoop(
     RETRY_MS,
     async () => {
-      const opened = await serveStatus(address, pages);
+      const opened = await serveStatus(address, pages, queries);
       loop.stop();
       server = opened;
       if (isClosed) opened.close();
