--- a/packages/choose-server/src/choose-engine.ts
+++ b/packages/choose-server/src/choose-engine.ts
@@ -21,6 +21,7 @@
 import type { EnginePlacementRequest } from './engine-placement-request.js';
 import { checkWeights } from './check-weights.js';
 import { REFUSAL_CAUSES } from './refusal-causes.js';
+import { RULED_OUT_REASONS } from './ruled-out-reasons.js';
 
 /** Bytes of a response per output token: one event with its fields. */
 const BYTES_PER_TOKEN = 64;
@@ -40,6 +41,10 @@
   const { prompt, engine, cacheOwner, service } = request;
   const weights = checkWeights(deps, prompt.model);
   const usable = servers.filter(weights.isUsable);
+  deps.trace?.recordRuledOut(
+    servers.filter((server) => !usable.includes(server)),
+    RULED_OUT_REASONS.weights,
+  );
   if (usable.length === 0) return buildRefusal(REFUSAL_CAUSES.weights, CHOICE_TIMES.noServerRetryMs);
 
   const homeDomain = deps.getHomeDomain();
@@ -115,7 +120,7 @@
         isOutdated: weights.isOutdated(server),
       };
     });
-    const placementInput: PlacementInput = {
+    const input: PlacementInput = {
       candidates,
       affinityKey,
       inputTokens: prompt.inputTokens,
@@ -129,8 +134,8 @@
         fetchTokensPerMs: fetchPerMs,
       },
     };
-    if (deps.recordScores !== undefined) deps.recordScores(rankEngines(placementInput));
-    const placement = placeCall(placementInput);
+    deps.trace?.recordScores(rankEngines(input));
+    const placement = placeCall(input);
     const admission = admitCall({
       expectedMs: placement.expectedMs,
       queueMs: placement.queueMs,
