--- a/packages/ask-home/src/create-placement-queue.ts
+++ b/packages/ask-home/src/create-placement-queue.ts
@@ -58,9 +58,9 @@
 
 /**
  * Creates a placement queue. Under overload, calls wait here until a server has free capacity, ordered by priority, then returning
- * callers that were told this time, then by time waited,
- * with a delay for accounts that have more than an equal share; a new call does not overtake queued calls. Queued calls are decided by the same rule as new ones, so a call is refused as soon
- * as more waiting cannot help it.
+ * callers that were told this time, then by time waited, with a delay for accounts that have more than an equal share. A new call does
+ * not overtake queued calls. Queued calls are decided by the same rule as new ones, so a call is refused as soon as more waiting cannot
+ * help it.
  */
 export function createPlacementQueue({
   chooseServer,
