--- a/packages/relay-objects/src/create-relayed-source.ts
+++ b/packages/relay-objects/src/create-relayed-source.ts
@@ -167,10 +167,11 @@
     const dueKinds = [...confirmDueMs].filter(([, dueMs]) => dueMs <= now).map(([kind]) => kind);
     for (const kind of dueKinds)
       setConfirmation(kind, MIN_RETRY_DELAY_MS + pickRandom() * (MAX_RETRY_DELAY_MS - MIN_RETRY_DELAY_MS));
-    const listedKind = dueKinds.find((kind) => pendingLists.has(kind));
+    // A host that starts needs all of its lists; the circuit breaker admits only one while the store is down.
+    const listedKinds = dueKinds.filter((kind) => pendingLists.has(kind));
+    for (const kind of listedKinds) sendToStore(kind);
     const [firstKind, ...otherKinds] = dueKinds;
-    if (listedKind !== undefined) sendToStore(listedKind);
-    if (listedKind !== undefined || firstKind === undefined || !isFollower()) return;
+    if (listedKinds.length > 0 || firstKind === undefined || !isFollower()) return;
     const after = pendingWatches.get(firstKind)?.after;
     const outcome = await callProbe(firstKind);
     if (outcome === undefined || !isFollower()) return;
--- a/packages/relay-objects/test/follow-host.test.ts
+++ b/packages/relay-objects/test/follow-host.test.ts
@@ -261,3 +261,20 @@
     t.is(state.calls, 0);
   },
 );
+
+// One list at a time, each after a further pause of seconds, kept hosts of a fleet that starts anew without a configuration.
+test.serial(
+  'guards against a host that starts and waits for one list after the other beside a relay without copies',
+  async (t) => {
+    const { clock, source } = createFollower(t, 1, ['m']);
+    source.applyKindStates([createState({ kind: 'm' })], 1);
+    const lists = ['k', 'l'].map((kind) => source.listObjects(kind));
+    let listed = 0;
+    for (const list of lists) void list.then(() => (listed += 1));
+    for (let turn = 0; turn < 6; turn += 1) {
+      source.applyKindStates([createState({ kind: 'm' })], 1);
+      await clock.tickAsync(400);
+    }
+    t.is(listed, 2);
+  },
+);
