Continue runs only from memory that was made under one weight version

What callers saw: whole answers whose second part came from an engine with version 1 that went on from memory made under versions 1 and 2 (STALE). Only planned work was under way: new weights, and an engine that left.

Cause: a run was taken to have the version of its dispatch for as long as it lasted. Under an order with `continue` it goes on under newer weights, and chooseTarget and findContinuation compared engines with the version of the dispatch, which Expect-Version repeated.

Change: the weights of a run are followed from its dispatch (head, events, registration, order mark). Its engine is asked before a move and again after the stop; a run whose weights changed, or may have, does not continue elsewhere. Where the engine has ended, nothing newer may be published.

--- a/packages/continue-runs/src/choose-target.ts
+++ b/packages/continue-runs/src/choose-target.ts
@@ -30,6 +30,7 @@
       (candidate) =>
         candidate.id !== source.id &&
         candidate.machine !== source.machine &&
+        input.version !== undefined &&
         candidate.version === input.version &&
         !candidate.isAtRisk &&
         candidate.copies < MAX_COPIES_PER_ENGINE &&
--- a/packages/continue-runs/src/target-input.ts
+++ b/packages/continue-runs/src/target-input.ts
@@ -5,7 +5,7 @@
   /** Tokens that the run holds at its end: prompt and expected output. */
   readonly tokens: number;
   readonly source: Pick<BackupCandidate, 'id' | 'machine' | 'failureDomain'>;
-  /** Weight version that the run has to run under. */
+  /** Weight version that the run has to run under; no engine is chosen when it is not known. */
   readonly version: number | undefined;
   /** Size of one engine's memory, tokens. */
   readonly capacityTokens: number;
--- a/packages/forward-calls/src/attempt-input.ts
+++ b/packages/forward-calls/src/attempt-input.ts
@@ -3,6 +3,7 @@
 import type { CallWork } from '@laburnumshift/track-engines';
 import type { EventSplitter } from './event-splitter.js';
 import type { MatchedCall } from './matched-call.js';
+import type { RunWeights } from './run-weights.js';
 
 /** Parameters of one attempt to send a call to a backend server. */
 export interface AttemptInput {
@@ -19,6 +20,8 @@
   readonly expectedMs: number;
   /** Splits a streamed answer into events. All attempts of one call share it, so that a stream can be resumed. */
   readonly splitter: EventSplitter;
+  /** Weights of the run; `undefined` for a call that never continues from its memory. */
+  readonly runWeights: RunWeights | undefined;
   /** Returns whether another attempt can follow if this one is abandoned now. */
   readonly canRetry: () => boolean;
   /** The run continues at the engine that stopped it, which may be leaving. */
--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -76,6 +76,7 @@
       },
     );
     const buildBrokenOutcome = (reason: string): AttemptOutcome => {
+      input.runWeights?.observeEvents(splitter.getPartialEvent());
       splitter.clearPartialEvent();
       return reply.isHeadSent() ? { kind: 'cut', reason } : { kind: 'broken', reason };
     };
@@ -93,6 +94,7 @@
     const relayEvents = (events: Buffer): void => {
       if (head === undefined) return;
       input.onEvents();
+      input.runWeights?.observeEvents(events);
       progressWatch.observeProgress();
       observed.observeEvents();
       if (!hasFirstEvent) {
@@ -146,6 +148,7 @@
         onHeaders: (received) => {
           head = received;
           tracked.observeBytes();
+          input.runWeights?.observeHead(received);
           // Servers that leave or state a limit refuse calls also when their queue is not full.
           const isFull = received.isNotExecuted && !received.isLeaving && received.limitPerS === undefined;
           if (received.load !== undefined) deps.serverTracker.observeLoad(server.id, received.load, isFull);
--- a/packages/forward-calls/src/find-continuation.ts
+++ b/packages/forward-calls/src/find-continuation.ts
@@ -8,6 +8,7 @@
 import type { MoveEnd } from './move-end.js';
 import type { PendingContinuation } from './pending-continuation.js';
 import type { RunBackup } from './run-backup.js';
+import type { RunWeights } from './run-weights.js';
 
 /**
  * Time to find out whether the engine has ended, milliseconds. Callers drop a stream after a pause of two seconds, and a call that can
@@ -21,6 +22,7 @@
   readonly choice: EngineChoice;
   readonly backup: RunBackup | undefined;
   readonly moveEnd: MoveEnd | undefined;
+  readonly runWeights: RunWeights | undefined;
   readonly outcome: AttemptOutcome;
   readonly isRepeatable: boolean;
   /** Whether the call still uses the cache scope that the run began with, in which its memory lies. */
@@ -46,7 +48,7 @@
 
 /**
  * Finds the attempt by which a broken run continues from memory that was kept of it. Returns `undefined` unless its engine is known to
- * have stopped the run or to have ended, and this host may send calls to an engine with its memory.
+ * have stopped the run or to have ended, the memory is of one weight version, and this host may send calls to an engine with it.
  */
 export async function findContinuation(
   deps: ForwarderDependencies,
@@ -60,9 +62,10 @@
   const memory = listMemory(call.id, attempt);
   if (memory.length === 0) return undefined;
   const boundMs = attempt.isRepeatable ? MAX_REPEATABLE_CONFIRM_MS : MAX_CONFIRM_MS;
-  const isOver =
-    moveEnd?.isStopped === true || (await confirmSourceEnd(deps, choice.server, boundMs, attempt.signal));
-  if (!isOver || isAborted() || !attempt.isSameScope()) return undefined;
+  const isStopped = moveEnd?.isStopped === true;
+  const isOver = isStopped || (await confirmSourceEnd(deps, choice.server, boundMs, attempt.signal));
+  if (!isOver || (await attempt.runWeights?.confirmUniform(isStopped)) !== true) return undefined;
+  if (isAborted() || !attempt.isSameScope()) return undefined;
   const weights = { model: call.prompt?.model ?? '', version: choice.version };
   for (const { from, server: holder, memoryId } of memory) {
     const isReturning = holder.id === choice.server.id;
--- a/packages/forward-calls/src/forwarder-dependencies.ts
+++ b/packages/forward-calls/src/forwarder-dependencies.ts
@@ -46,6 +46,8 @@
   readonly pickRandom: () => number;
   /** Polls a server for its liveness and its running calls. */
   readonly probeServer: EngineControl['probeServer'];
+  /** Reads the state of an engine; not shared, so that it was made after the call. */
+  readonly readReport: EngineControl['readReport'];
   /** Copies the memory of a run to another engine, and frees such memory. */
   readonly moveRun: EngineControl['moveRun'];
   readonly freeHandle: EngineControl['freeHandle'];
--- a/packages/forward-calls/src/run-forward.ts
+++ b/packages/forward-calls/src/run-forward.ts
@@ -15,6 +15,7 @@
 import { chooseRunBackup } from './choose-run-backup.js';
 import { dispatchCall } from './dispatch-call.js';
 import { createEventSplitter } from './create-event-splitter.js';
+import { createRunWeights } from './create-run-weights.js';
 import { decideNextStep } from './decide-next-step.js';
 import { estimateCall } from './estimate-call.js';
 import { estimateOutputTokens } from './estimate-output-tokens.js';
@@ -195,12 +196,18 @@
     const backup = chooseRunBackup(deps, matchedCall, choice, { isRepeatable: isRetryable, excluded });
     if (backup !== undefined) deps.metrics.addToCounter('run_copies_total', { route: route.name });
     const { slowness } = deps.serverTracker.getState(server.id);
+    const mayContinue = service.engine?.hasBackups === true || service.engine?.hasMoves === true;
+    const runWeights =
+      mayContinue && call.prompt !== undefined
+        ? createRunWeights(deps, choice, call.prompt.model)
+        : undefined;
     let connectionMs: number | undefined;
     let lastOwnEventMs: number | undefined;
     const mover =
-      continuations < MAX_CONTINUATIONS
+      continuations < MAX_CONTINUATIONS && runWeights !== undefined
         ? startRunMover(deps, matchedCall, {
             choice,
+            runWeights,
             isRepeatable: isRetryable,
             excluded,
             getLastEventMs: () => lastOwnEventMs,
@@ -238,6 +245,7 @@
       },
       expectedMs: call.prompt === undefined ? 0 : choice.expectedMs,
       splitter,
+      runWeights,
       canRetry: () => hasOtherAttempt(server),
       isReturning: continuation?.isReturning ?? false,
       stoppedSignal: mover?.stoppedSignal,
@@ -274,6 +282,7 @@
             choice,
             backup,
             moveEnd,
+            runWeights,
             outcome: attemptOutcome,
             isRepeatable: isRetryable,
             isSameScope: () => cacheScope === buildScope(choice.version),
@@ -296,10 +305,7 @@
       const readMs = choice.uncachedTokens / deps.serverTracker.getPrefillRate(service.name);
       const decodeMs = (readMonotonicMs() - startedMs - firstMs) / slowness;
       deps.serverTracker.observeRun(service.name, readMs + decodeMs);
-      if (
-        (service.engine?.hasBackups === true || service.engine?.hasMoves === true) &&
-        call.prompt !== undefined
-      )
+      if (mayContinue && call.prompt !== undefined)
         deps.runCopies.tokenTimes.observeRun(service.name, estimateOutputTokens(call.prompt), decodeMs);
     }
     const isRefusedContinuation = continuation !== undefined && attemptOutcome.kind === 'not-run';
@@ -333,6 +339,7 @@
       copyCostMs: backup && Math.round(backup.choice.costMs),
       copyGainMs: backup && Math.round(backup.choice.gainMs),
       continuedFrom: continuation?.from,
+      hasOtherWeights: runWeights?.isUnchanged() === false ? true : undefined,
       move: moveEnd && { reason: moveEnd.reason, step: moveEnd.step, holder: moveEnd.holder?.id },
       end: attemptOutcome.kind,
       connectionMs,
--- a/packages/forward-calls/src/start-run-mover.ts
+++ b/packages/forward-calls/src/start-run-mover.ts
@@ -9,6 +9,7 @@
 } from '@laburnumshift/continue-runs';
 import type { BackendEntry } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
+import { hasPendingOrder } from '@laburnumshift/track-fleet';
 import { buildTargetInput } from './build-target-input.js';
 import type { EngineChoice } from './engine-choice.js';
 import { estimateOutputTokens } from './estimate-output-tokens.js';
@@ -16,6 +17,7 @@
 import type { MatchedCall } from './matched-call.js';
 import type { MoveEnd } from './move-end.js';
 import type { RunMover } from './run-mover.js';
+import type { RunWeights } from './run-weights.js';
 
 /** Pause before a request is sent again, milliseconds: a part of a usual copy. */
 const RETRY_MS = 100;
@@ -32,6 +34,7 @@
 /** The run that may be moved. */
 interface MovableRun {
   readonly choice: EngineChoice;
+  readonly runWeights: RunWeights;
   readonly isRepeatable: boolean;
   readonly excluded: ReadonlySet<string>;
   /** Returns the monotonic time of the last event at this engine, milliseconds; `undefined` before the first one. */
@@ -42,7 +45,7 @@
 export function startRunMover(
   deps: ForwarderDependencies,
   { service, call, endsAtMs }: MatchedCall,
-  { choice, isRepeatable, excluded, getLastEventMs }: MovableRun,
+  { choice, runWeights, isRepeatable, excluded, getLastEventMs }: MovableRun,
 ): RunMover | undefined {
   const { engine } = service;
   const { prompt } = call;
@@ -69,6 +72,11 @@
       deps.notices.getAvailability(source).isLeaving
     );
   };
+  /** A run that is stopped after its engine got other weights could not continue anywhere. */
+  const isMovable = async (): Promise<boolean> => {
+    const entry = deps.fleet.getBackend(source.id);
+    return !(entry !== undefined && hasPendingOrder(entry)) && (await runWeights.confirmUniform(true));
+  };
   const releaseHandle = (handle: string | undefined): void => {
     if (handle !== undefined) void deps.freeHandle(source.address, handle);
   };
@@ -107,6 +115,11 @@
       const step = decideMoveStep({ phase, answer: answer.kind, isKeptAtSource, tries });
       if (isEnded.signal.aborted && !isLast) return 'give-up';
       if (step !== 'again' && step !== 'stop') return step;
+      if (!isLast && !runWeights.isUnchanged()) {
+        releaseHandle(end?.handle);
+        end = undefined;
+        return 'give-up';
+      }
       if (step === 'stop') {
         phase = 'stop';
         tries = 0;
@@ -115,6 +128,7 @@
   };
   const moveRun = async (reason: MoveReason, gainMs: number): Promise<void> => {
     if (reason === 'lagging' && !(await isLagConfirmed())) return;
+    if (!(await isMovable())) return;
     const tried = new Set(excluded);
     for (let targets = 0; targets < MAX_TARGETS && !isEnded.signal.aborted; targets += 1) {
       if (copies.countAll() >= MAX_COPIES) return;
--- a/packages/forward-types/src/edge-codec.ts
+++ b/packages/forward-types/src/edge-codec.ts
@@ -12,6 +12,8 @@
   readonly encodeCall: (call: BackendCall) => string[];
   /** Decodes the head of a backend server's answer; `headers` has names and values alternating. */
   readonly decodeAnswer: (status: number, headers: readonly string[]) => ResponseHead;
+  /** Lists the weight versions that events of a stream name, one for each change of weights; `NaN` for one that cannot be read. */
+  readonly decodeEventVersions: (events: Buffer) => number[];
   /** Encodes the header fields of an answer that the host produces itself, names and values alternating; `retryAfterMs` in milliseconds. */
   readonly encodeRefusal: (callId: string | undefined, retryAfterMs: number | undefined) => string[];
 }
--- a/packages/run-forwarder/src/run-forwarder.ts
+++ b/packages/run-forwarder/src/run-forwarder.ts
@@ -184,6 +184,7 @@
       failureDomain: settings.failureDomain,
       pickRandom: Math.random,
       probeServer: createSharedReportReader(options.control.probeServer),
+      readReport: options.control.readReport,
       moveRun: options.control.moveRun,
       freeHandle: options.control.freeHandle,
       startStallChecks: createSharedInterval(times.stallCheckIntervalMs),
