Count the time since weights were replaced from when this host read them

What callers saw: a host that started while the store turned it away had the cache stores free the pieces of older weights 0.9 to 3.9 s after the newer ones were published, in the middle of fetches by engines (MIXED).

Cause: computeMinReplacedMs, which is to return the shortest possible time, counted weights of the first list from the start of the process. That list is read seconds later while the store does not answer.

The new test of the planner fails without the change (one piece freed too early).

Change: the time counts from the receipt of the weights, which cannot be earlier than their publication.

--- a/packages/keep-pieces/src/create-piece-transfer-planner.ts
+++ b/packages/keep-pieces/src/create-piece-transfer-planner.ts
@@ -63,7 +63,8 @@
   const computeMinReplacedMs = (scope: string): number => {
     const successor = findReplacement(scope);
     if (successor === undefined) return 0;
-    return computeElapsedMs(successor.isInitial ? createdAt : successor.learnedAt);
+    // Weights of the first list, too, may have been published just before this process read them.
+    return computeElapsedMs(successor.learnedAt);
   };
 
   const listReadableStores = (stores: readonly CacheStore[]): CacheStore[] =>
--- a/packages/keep-pieces/test/create-piece-transfer-planner.test.ts
+++ b/packages/keep-pieces/test/create-piece-transfer-planner.test.ts
@@ -175,6 +175,25 @@
   },
 );
 
+// Guards against pieces that are freed while engines still fetch them, by a host that read the weights long after its start (MIXED).
+test.serial('a host that reads its first list late does not free pieces earlier than others', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const { state, freed, transferPlanner, addPieceToStore, setNewWeights } = createFixture();
+  addPieceToStore(OLD, { id: 'a', tokens: 500 });
+  await clock.tickAsync(8700);
+  setNewWeights();
+  if (state.successor !== undefined) state.successor = { ...state.successor, isInitial: true };
+  await clock.tickAsync(6400);
+  await transferPlanner.freeOutdated([STORE]);
+  t.deepEqual(freed, []);
+  await clock.tickAsync(200);
+  await transferPlanner.freeOutdated([STORE]);
+  t.is(freed.length, 1);
+});
+
 test('a source with a busy link is skipped for another engine, and nothing is fetched when all links are busy', (t) => {
   const { serverTracker, state, addPieceToStore, listSources } = createFixture();
   addPieceToStore(OLD, { id: 'a', tokens: 500 });
