Fetch no pieces of weights that were replaced before the first list

What callers saw: nothing yet; an answer could be made from pieces that a store frees during their transfer (MIXED), when a host starts 3 to 6.5 s after newer weights were published.

Cause: computeMaxReplacedMs, which is to return the longest possible time since a replacement, counted weights of the first list from the start of the process, though they may have been published long before. Other hosts free the pieces 6.5 s after the publication.

The new test of the planner fails without the change (the store is named as a source); no run of processes shows it.

Change: weights of the first list count as published at any time before, so a host that starts during a rollout fetches nothing for the older ones.

--- a/packages/keep-pieces/src/create-piece-transfer-planner.ts
+++ b/packages/keep-pieces/src/create-piece-transfer-planner.ts
@@ -1,4 +1,4 @@
-import { computeElapsedMs, readMoment, readMonotonicMs } from '@laburnumshift/clock';
+import { computeElapsedMs, readMonotonicMs } from '@laburnumshift/clock';
 import type { CacheStore, PromptPiece } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import { chooseStore, planFetch } from '@laburnumshift/place-calls';
@@ -43,21 +43,19 @@
   const { serverTracker, events, fleet, control } = options;
   const logger = createLogger('keeper');
   const pendingSaves = new Map<string, PendingSave>();
-  const createdAt = readMoment();
 
   const findReplacement = (scope: string) => {
     const parsed = parseCacheScope(scope);
     return parsed === undefined ? undefined : fleet.findNextWeights(parsed.model, parsed.version);
   };
   /**
-   * Returns the longest possible time since the weights of a scope were replaced, milliseconds; 0 while they are the newest.
-   * Initial weights count from the start of this process.
+   * Returns the longest possible time since the weights of a scope were replaced, milliseconds; 0 while they are the newest, infinite for
+   * weights of the first list, which may have been published at any time before.
    */
   const computeMaxReplacedMs = (scope: string): number => {
     const successor = findReplacement(scope);
     if (successor === undefined) return 0;
-    // It is not known when initial weights were published, only that it was before this process first read them.
-    return computeElapsedMs(successor.isInitial ? createdAt : successor.earliestPublishedAt);
+    return successor.isInitial ? Infinity : computeElapsedMs(successor.earliestPublishedAt);
   };
   /** Returns the shortest possible time since the weights of a scope were replaced, milliseconds; 0 while they are the newest. */
   const computeMinReplacedMs = (scope: string): number => {
--- a/packages/keep-pieces/test/create-piece-transfer-planner.test.ts
+++ b/packages/keep-pieces/test/create-piece-transfer-planner.test.ts
@@ -194,6 +194,16 @@
   t.is(freed.length, 1);
 });
 
+// Guards against fetches of pieces that other hosts free at the same time, by a host that has just started (MIXED).
+test('a host fetches no pieces of weights that were replaced before its first list', (t) => {
+  const { state, addPieceToStore, setNewWeights, listSources } = createFixture();
+  addPieceToStore(OLD, { id: 'a', tokens: 500 });
+  t.is(listSources()[0], STORE.address);
+  setNewWeights();
+  if (state.successor !== undefined) state.successor = { ...state.successor, isInitial: true };
+  t.is(listSources()[0], undefined);
+});
+
 test('a source with a busy link is skipped for another engine, and nothing is fetched when all links are busy', (t) => {
   const { serverTracker, state, addPieceToStore, listSources } = createFixture();
   addPieceToStore(OLD, { id: 'a', tokens: 500 });
