Keep steps of the time of day from ending waits early

What callers saw: nothing yet. After a forward step of a host's time of day, pieces could be freed while engines fetch them (MIXED), a new holder of the lease could order engines beside the one before it (ONE), and a copy of a restored store could count as confirmed at once, with a key that was taken away (CONFIG) or a server that was removed (DRAIN).

Cause: computeElapsedMs returns the larger of two clocks, as ages need it. Waits that must not end early used it too.

Evidence: read by the review, not shown by processes. Five tests with a paused clock and a step of 5 or 6 s fail without the change and pass with it.

Change: computeMinElapsedMs is the monotonic difference, which no step changes and which never exceeds the time that passed; all such waits use it.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,5 +1,6 @@
 /** Reads clocks and sets timers. No other package does so directly; tests pause and advance the clock of the runtime. */
 export { computeElapsedMs } from './compute-elapsed-ms.js';
+export { computeMinElapsedMs } from './compute-min-elapsed-ms.js';
 export { createEarliestTimer } from './create-earliest-timer.js';
 export { createSharedInterval } from './create-shared-interval.js';
 export type { EarliestTimer } from './earliest-timer.js';
--- a/packages/keep-pieces/src/create-piece-transfer-planner.ts
+++ b/packages/keep-pieces/src/create-piece-transfer-planner.ts
@@ -1,4 +1,4 @@
-import { computeElapsedMs, readMonotonicMs } from '@laburnumshift/clock';
+import { computeElapsedMs, computeMinElapsedMs, readMonotonicMs } from '@laburnumshift/clock';
 import type { CacheStore, PromptPiece } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import { chooseStore, planFetch } from '@laburnumshift/place-calls';
@@ -62,7 +62,7 @@
     const successor = findReplacement(scope);
     if (successor === undefined) return 0;
     // Weights of the first list, too, may have been published just before this process read them.
-    return computeElapsedMs(successor.learnedAt);
+    return computeMinElapsedMs(successor.learnedAt);
   };
 
   const listReadableStores = (stores: readonly CacheStore[]): CacheStore[] =>
--- a/packages/keep-pieces/test/create-piece-transfer-planner.test.ts
+++ b/packages/keep-pieces/test/create-piece-transfer-planner.test.ts
@@ -194,6 +194,21 @@
   t.is(freed.length, 1);
 });
 
+// Guards against pieces that are freed too early because the time of day was set forward (MIXED).
+test.serial('a step of the time of day does not free pieces earlier', async (t) => {
+  const clock = installClock();
+  t.teardown(() => {
+    clock.uninstall();
+  });
+  const { freed, transferPlanner, addPieceToStore, setNewWeights } = createFixture();
+  addPieceToStore(OLD, { id: 'a', tokens: 500 });
+  setNewWeights();
+  await clock.tickAsync(2000);
+  clock.setSystemTime(Date.now() + 5000);
+  await transferPlanner.freeOutdated([STORE]);
+  t.deepEqual(freed, []);
+});
+
 // Guards against fetches of pieces that other hosts free at the same time, by a host that has just started (MIXED).
 test('a host fetches no pieces of weights that were replaced before its first list', (t) => {
   const { state, addPieceToStore, setNewWeights, listSources } = createFixture();
--- a/packages/order-revisions/src/create-ordered-store.ts
+++ b/packages/order-revisions/src/create-ordered-store.ts
@@ -1,4 +1,4 @@
-import { computeElapsedMs, readMoment, type Moment } from '@laburnumshift/clock';
+import { computeMinElapsedMs, readMoment, type Moment } from '@laburnumshift/clock';
 import type { ListOutcome, StoredObject, WatchOutcome } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
 import type { WriteResult } from '@laburnumshift/types';
@@ -127,7 +127,7 @@
     },
     era: {
       getEra: () => newestEra,
-      getAgeMs: () => (newestSince === undefined ? Infinity : computeElapsedMs(newestSince)),
+      getAgeMs: () => (newestSince === undefined ? Infinity : computeMinElapsedMs(newestSince)),
       watchRestores,
     },
   };
--- a/packages/order-revisions/test/create-ordered-store.test.ts
+++ b/packages/order-revisions/test/create-ordered-store.test.ts
@@ -143,6 +143,9 @@
     await clock.tickAsync(300);
     await list(2);
     t.deepEqual([era.getEra(), era.getAgeMs()], [2, 300]);
+    // Guards against a lease that is taken over too early after a restore because the time of day was set forward (ONE).
+    clock.setSystemTime(Date.now() + 5000);
+    t.is(era.getAgeMs(), 300);
   },
 );
 
--- a/packages/roll-weights/src/order-weights.ts
+++ b/packages/roll-weights/src/order-weights.ts
@@ -1,4 +1,11 @@
-import { computeElapsedMs, readMoment, runEvery, sleep, type Moment } from '@laburnumshift/clock';
+import {
+  computeElapsedMs,
+  computeMinElapsedMs,
+  readMoment,
+  runEvery,
+  sleep,
+  type Moment,
+} from '@laburnumshift/clock';
 import { createLogger } from '@laburnumshift/logger';
 import { ORDER_STAGES, type OrderMark, type OrderStage } from '@laburnumshift/forward-types';
 import { hasPendingOrder } from '@laburnumshift/track-fleet';
@@ -63,7 +70,7 @@
   };
   /** Whether no order of another holder can still be in transit to the engine. */
   const hasNoForeignOrder = (mark: OrderMark | undefined): boolean => {
-    const heldMs = computeElapsedMs(heldSince);
+    const heldMs = computeMinElapsedMs(heldSince);
     const eraMs = options.era?.getAgeMs() ?? Infinity;
     const minMs = options.bounds.leaseMs + TAKEOVER_MARGIN_MS;
     // Marks of the last holder before a restore of the store may be lost, unless this host held the lease already.
@@ -106,7 +113,7 @@
         return;
       }
       // Reports are delayed, so an accepted order appears in them only after some time.
-      const isPending = accepted !== undefined && computeElapsedMs(accepted) < REPORT_DELAY_MS;
+      const isPending = accepted !== undefined && computeMinElapsedMs(accepted) < REPORT_DELAY_MS;
       if (
         report === undefined ||
         report.isExecutingOrder ||
@@ -165,7 +172,7 @@
       fencing = current;
       heldSince = readMoment();
     }
-    if (current === undefined || computeElapsedMs(heldSince) < NEW_HOLDER_DELAY_MS) return;
+    if (current === undefined || computeMinElapsedMs(heldSince) < NEW_HOLDER_DELAY_MS) return;
     const outdated = listOutdatedEngines(fleet);
     if (outdated.length === 0) return;
     const services = new Set(outdated.map(({ engine }) => engine.service));
--- a/packages/roll-weights/test/order-weights.test.ts
+++ b/packages/roll-weights/test/order-weights.test.ts
@@ -177,6 +177,21 @@
     ),
 );
 
+// Guards against orders of two holders at one time because the time of day was set forward (ONE).
+test.serial('a step of the time of day does not shorten the wait for the orders of another holder', (t) =>
+  runRollout(
+    () => createFixture([], true, { holder: 'host-9', model: 'm', version: 2, stage: 'ordered' }),
+    async ({ sent }, clock) => {
+      clock.setSystemTime(Date.now() + 5000);
+      await clock.tickAsync(140);
+      t.is(sent.length, 0, 'marks of the other holder may still arrive');
+      await clock.tickAsync(2860);
+      t.false(sent.some((order) => order.engine === 'a'));
+      t.true(sent.some((order) => order.engine === 'b'));
+    },
+  ),
+);
+
 for (const [holder, restoredAtMs, firstMs] of [
   ['a new holder', -100, 2900],
   ['a holder that took the lease shortly after the restore', -1000, 2000],
--- a/packages/watch-objects/src/watch-kind.ts
+++ b/packages/watch-objects/src/watch-kind.ts
@@ -1,5 +1,6 @@
 import {
   computeElapsedMs,
+  computeMinElapsedMs,
   readMoment,
   moveMoment,
   sleep,
@@ -76,6 +77,8 @@
   /** Ends the pause after a failed call. */
   let finishPause = (): void => undefined;
 
+  const computeMinSinceMs = (moment: Moment | undefined): number =>
+    moment === undefined ? Infinity : computeMinElapsedMs(moment);
   const computeSinceMs = (moment: Moment | undefined): number =>
     moment === undefined ? Infinity : computeElapsedMs(moment);
   /** Takes over the revision of an answer; returns whether the store was restored since the last one. */
@@ -94,7 +97,7 @@
   };
   /** Returns the time for which answers do not confirm the copy yet, milliseconds; 0 or less when they do. */
   const computeUnconfirmedMs = (): number =>
-    isChangedSinceRestore ? 0 : (restorePolicy.unconfirmedMs ?? 0) - computeSinceMs(lastRecovery);
+    isChangedSinceRestore ? 0 : (restorePolicy.unconfirmedMs ?? 0) - computeMinSinceMs(lastRecovery);
   /** Trusts the last answer, unless the store was restored shortly before and no change came since. */
   const confirmCopy = (): void => {
     if (computeUnconfirmedMs() <= 0) lastTrusted = lastConfirmed;
@@ -169,7 +172,7 @@
    */
   const dropRemovedBefore = (listed: readonly StoredObject[], listedEra: number): readonly StoredObject[] => {
     const { isOlder } = restorePolicy;
-    const believedInMs = RESTORED_RELIST_MS - computeSinceMs(restoredAt);
+    const believedInMs = RESTORED_RELIST_MS - computeMinSinceMs(restoredAt);
     if (isOlder === undefined || believedInMs <= 0) return listed;
     const kept = listed.filter((object) => {
       const removed = objects.has(object.name) ? undefined : history.getRemoved(object.name);
--- a/packages/watch-objects/test/restored-store.test.ts
+++ b/packages/watch-objects/test/restored-store.test.ts
@@ -302,6 +302,32 @@
   t.is(view.readState()?.ageMs, 0, 'other hosts follow the copy meanwhile');
 });
 
+// Guards against keys that were taken away and are accepted again because the time of day was set forward (CONFIG).
+test.serial('a step of the time of day does not confirm a copy of a restored store earlier', async (t) => {
+  const { clock, view, list, watch, listAgain } = start(t, { unconfirmedMs: 2000 });
+  await list(join(1, 9), [createObject('a', join(1, 5))]);
+  await clock.tickAsync(3000);
+  await listAgain(join(2, 8), [createObject('a', join(2, 5))]);
+  clock.setSystemTime(Date.now() + 5000);
+  // The second answer is that to a call which was sent after the step.
+  for (let answers = 0; answers < 2; answers += 1) await watch(join(2, 8), []);
+  t.true(view.getAgeMs() >= 3000);
+});
+
+// Guards against calls to removed servers that a restored store brings back, because the time of day was set forward (DRAIN).
+test.serial(
+  'a step of the time of day does not bring back objects that were removed before a restore',
+  async (t) => {
+    const { clock, view, list, watch, listAgain } = start(t, KEEPS_NEWER);
+    await list(join(1, 9), [createObject('a', join(1, 5))]);
+    await watch(join(1, 10), [remove('a', join(1, 10))]);
+    await listAgain(join(2, 8), []);
+    clock.setSystemTime(Date.now() + 6000);
+    await listAgain(join(2, 9), [createObject('a', join(2, 5))]);
+    t.false(view.objects.has('a'));
+  },
+);
+
 test.serial('a change after a restore, or two seconds, confirm a copy again', async (t) => {
   const { clock, view, list, watch, listAgain } = start(t, { unconfirmedMs: 2000 });
   await list(join(1, 9), [createObject('a', join(1, 5))]);
