Check the bytes of answers before the parser of the runtime gets them

Cause: what an answer is was left to the parser of Node.js. The releases that package.json allows accept different malformed heads, and none refuses all.

Change: packages/check-http checks status line, fields, framing, chunk lines and trailers of each answer on the socket, also of interim ones and however they are split, before Node.js parses them. A faulty answer counts as broken. All clients that read HTTP answers use it. It works on all releases as no parser decides any more what reaches a caller.

--- a/packages/call-backend/src/create-backend-pool.ts
+++ b/packages/call-backend/src/create-backend-pool.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import type net from 'node:net';
 import { parseAddress } from '@laburnumshift/addresses';
+import { watchResponse } from '@laburnumshift/check-http';
 import { startTimer } from '@laburnumshift/clock';
 import type { EdgeCodec } from '@laburnumshift/forward-types';
 import { createLogger } from '@laburnumshift/logger';
@@ -135,7 +136,7 @@
         });
         socket.once('close', stopConnectTimer);
       });
-      request.on('response', (received) => {
+      watchResponse(request, (received) => {
         response = received;
         stopHeaderTimer();
         const head = codec.decodeAnswer(received.statusCode ?? 0, received.rawHeaders);
--- a/packages/call-older-system/src/open-stream.ts
+++ b/packages/call-older-system/src/open-stream.ts
@@ -1,4 +1,5 @@
 import { request as sendRequest } from 'node:http';
+import { watchResponse } from '@laburnumshift/check-http';
 import type { StreamResponse } from './stream-response.js';
 
 /**
@@ -23,7 +24,7 @@
         isConnected = true;
       });
     });
-    request.on('response', (response) => {
+    watchResponse(request, (response) => {
       resolve({ ok: true, response });
     });
     request.on('error', (error) => {
--- a/packages/call-platform/src/send-http-request.ts
+++ b/packages/call-platform/src/send-http-request.ts
@@ -1,4 +1,5 @@
 import { request as openRequest, type Agent, type IncomingMessage } from 'node:http';
+import { watchResponse } from '@laburnumshift/check-http';
 import { startTimer } from '@laburnumshift/clock';
 import type { AttemptResult } from './attempt-result.js';
 import type { PlatformRequest } from './platform-request.js';
@@ -56,7 +57,7 @@
       else socket.once('connect', () => (sent = true));
     });
     request.on('error', fail);
-    request.on('response', (response) => {
+    watchResponse(request, (response) => {
       const retryAfterMs = Number(response.headers['retry-after-ms'] ?? 0);
       readBody(response).then((body) => {
         finish({
--- a/packages/call-service/src/create-connection.ts
+++ b/packages/call-service/src/create-connection.ts
@@ -1,5 +1,6 @@
 import { Agent, request as sendRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { watchResponse } from '@laburnumshift/check-http';
 import { readMonotonicMs, startTimer } from '@laburnumshift/clock';
 import type { CallResponse, PeerError, Result } from '@laburnumshift/types';
 import type { Connection } from './connection.js';
@@ -94,7 +95,7 @@
         request.on('error', (error) => {
           fail('broken', error.message);
         });
-        request.on('response', (response) => {
+        watchResponse(request, (response) => {
           readAnswer(response).then(
             (answer) => {
               if (answer.ok) answeredMs = readMonotonicMs();
--- a/packages/call-store/src/start-request.ts
+++ b/packages/call-store/src/start-request.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { watchResponse } from '@laburnumshift/check-http';
 import { startTimer } from '@laburnumshift/clock';
 import type { PeerError, Result } from '@laburnumshift/types';
 import type { HttpPoolRequest } from './http-pool-request.js';
@@ -65,7 +66,7 @@
         sent = !socket.destroyed;
       }
     });
-    request.on('response', (opened) => {
+    watchResponse(request, (opened) => {
       response = opened;
       opened.on('close', () => signal?.removeEventListener('abort', cancelRequest));
       finish({ ok: true, value: opened });
--- a/packages/relay-events/src/fetch-relay-page.ts
+++ b/packages/relay-events/src/fetch-relay-page.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { watchResponse } from '@laburnumshift/check-http';
 import { startTimer } from '@laburnumshift/clock';
 import { createByteBudget, createByteCollector } from '@laburnumshift/collect-bytes';
 import { unpack } from 'msgpackr';
@@ -31,7 +32,8 @@
     const query = new URLSearchParams({ life, since: String(since), events: wantsEvents ? '1' : '0' });
     if (waitMs > 0) query.set('wait', String(waitMs));
     for (const [kind, after] of wanted) query.append('kind', `${kind}:${String(after)}`);
-    const request = http.get(`http://${address}/?${query.toString()}`, { agent }, (response) => {
+    const request = http.get(`http://${address}/?${query.toString()}`, { agent });
+    watchResponse(request, (response) => {
       const reservation = createByteBudget(MAX_PAGE_BYTES).openReservation();
       const collector = createByteCollector({ maxBytes: MAX_PAGE_BYTES, reservation });
       response.on('data', (part: Buffer) => {
