Take no part of an early answer for a whole one

What callers saw: on other systems, a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written, and the client got that part as complete (MIXED). Here calls ended with 502; the other clients, as for control calls, took the part for the whole answer.

Cause: the parser of Node.js takes a body without a length for complete at any end of its connection. The pool of servers learned of the error first by the order of events, and no test guarded that.

Change: watchResponse ends such an answer with an error when its connection failed or was reset, or ended before the request was written. It looks before the parser does, so the order of later events does not matter.

--- a/packages/check-http/src/watch-response.ts
+++ b/packages/check-http/src/watch-response.ts
@@ -2,9 +2,12 @@
 import type net from 'node:net';
 import { createResponseCheck } from './create-response-check.js';
 
+const BROKEN_OFF = 'the answer broke off';
+
 /**
  * Calls `onResponse` when the head of a valid answer has arrived, instead of a listener for `response`. The first byte that is no part of
- * an answer destroys the request and the answer with an error; `onResponse` is not called after that. To be called before the request gets its connection.
+ * an answer, and the end of a body that was cut off, destroy the request and the answer with an error; `onResponse` is not called after
+ * that. To be called before the request gets its connection.
  */
 export function watchResponse(
   request: http.ClientRequest,
@@ -24,10 +27,22 @@
       const fault = isFaulty ? undefined : check.addBytes(bytes);
       if (fault !== undefined) fail(`bytes that are no answer: ${fault}`);
     };
-    // The parser of Node.js must not get bytes before they are checked.
+    const checkEnd = (): void => {
+      if (!check.isEndingWithConnection()) return;
+      // A connection that was reset has no peer any more. One whose request was not read to its end is reset as well, maybe later.
+      if (socket.remoteAddress === undefined || !request.writableFinished) fail(BROKEN_OFF);
+    };
+    const checkError = (): void => {
+      if (check.isEndingWithConnection()) fail(BROKEN_OFF);
+    };
+    // The parser of Node.js takes a body without a length for complete at any end of its connection, so these listeners come before it.
     socket.prependListener('data', checkBytes);
+    socket.prependListener('end', checkEnd);
+    socket.prependListener('error', checkError);
     request.once('close', () => {
       socket.off('data', checkBytes);
+      socket.off('end', checkEnd);
+      socket.off('error', checkError);
     });
   };
   request.on('socket', watchSocket);
--- a/packages/check-http/test/watch-response.test.ts
+++ b/packages/check-http/test/watch-response.test.ts
@@ -4,13 +4,19 @@
 import test, { type ExecutionContext } from 'ava';
 
 const OK = 'HTTP/1.1 200 OK\r\n';
+/** More bytes than the buffers of two sockets hold. */
+const UPLOAD = Buffer.alloc(16 * 1024 * 1024);
 
 type Outcome =
   | { readonly kind: 'answered'; readonly text: string }
   | { readonly kind: 'failed'; readonly hasHead: boolean };
 
 /** Sends a request to a server that answers its first bytes by `answer`, and returns what its sender gets. */
-const sendRequest = async (t: ExecutionContext, answer: (socket: Socket) => void): Promise<Outcome> => {
+const sendRequest = async (
+  t: ExecutionContext,
+  answer: (socket: Socket) => void,
+  body = Buffer.alloc(0),
+): Promise<Outcome> => {
   const server = net.createServer((socket) => {
     socket.on('error', () => socket.destroy());
     socket.once('data', () => {
@@ -36,7 +42,7 @@
         resolve({ kind: 'answered', text });
       });
     });
-    request.end();
+    request.end(body);
   });
 };
 
@@ -75,3 +81,22 @@
   );
   t.deepEqual(outcome, { kind: 'answered', text: 'hello' });
 });
+
+for (const delayMs of [0, 3, 20, 50])
+  for (const end of ['reset', 'close'] as const)
+    // Guards against the part of an answer that came before a reset being taken for a whole one (MIXED).
+    test(`guards against part of an early answer that looks complete when its upload meets a ${end} after ${String(delayMs)} ms`, async (t) => {
+      const outcome = await sendRequest(
+        t,
+        (socket) => {
+          socket.pause();
+          socket.write(`${OK}\r\nhel`);
+          setTimeout(() => {
+            if (end === 'reset') socket.resetAndDestroy();
+            else socket.destroy();
+          }, delayMs);
+        },
+        UPLOAD,
+      );
+      t.is(outcome.kind, 'failed');
+    });
