Refuse requests whose head is ambiguous on any parser

What callers saw: a request with HTTP/2.0 in its first line was run as HTTP/1.1.

Cause: the listener for callers left the head to the parser of the runtime.

Change: version, names, lengths and transfer codings of each head are checked after the parser. A request that fails gets 400 after the answers to those before it, and what follows it on its connection is not run.

--- a/packages/check-http/src/index.ts
+++ b/packages/check-http/src/index.ts
@@ -1,4 +1,5 @@
-/** Checks the bytes of HTTP/1.1 answers, whatever the parser of the runtime accepts. */
+/** Checks HTTP/1.1 answers, and the heads of requests, whatever the parser of the runtime accepts. */
 export { createResponseCheck } from './create-response-check.js';
+export { findRequestFault } from './find-request-fault.js';
 export type { ResponseCheck } from './response-check.js';
 export { watchResponse } from './watch-response.js';
--- a/packages/forward-calls/src/start-forward-server.ts
+++ b/packages/forward-calls/src/start-forward-server.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import { openListener } from '@laburnumshift/addresses';
+import { findRequestFault } from '@laburnumshift/check-http';
 import { readMonotonicMs, waitForReads } from '@laburnumshift/clock';
 import type { ByteReservation } from '@laburnumshift/collect-bytes';
 import type { CallDecodeFailure, ForwardCall } from '@laburnumshift/forward-types';
@@ -63,6 +64,20 @@
     if (isCut) reply.abort();
     else replyError(codec, reply, callId, 502, undefined);
   };
+  const dropRequestBody = (request: http.IncomingMessage): void => {
+    const maxBytes = fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES;
+    dropBody(request, maxBytes, deps.observeReadBytes);
+  };
+  /** Refuses a malformed request, and takes no more requests of its connection, as it is not certain where they begin. */
+  const refuseMalformed = (socket: net.Socket, detail: string): void => {
+    logger.warn('request could not be parsed', { detail });
+    connections.markClosing(socket);
+    // Before the answers to the requests before it, the caller would take this for one of them.
+    connections.runWhenAnswered(socket, () => {
+      if (socket.writable)
+        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+    });
+  };
   const handleCall = async (
     request: http.IncomingMessage,
     reply: CallerReply,
@@ -78,11 +93,7 @@
       retryAfterMs?: number,
     ): void => {
       const id = 'id' in call ? call.id : undefined;
-      dropBody(
-        request,
-        fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES,
-        deps.observeReadBytes,
-      );
+      dropRequestBody(request);
       replyError(codec, reply, id, status, retryAfterMs);
       deps.metrics.addToCounter('refused_calls_total', { reason });
       const config = fleet.getConfig();
@@ -94,11 +105,7 @@
       return;
     }
     if (!isAdmitted) {
-      dropBody(
-        request,
-        fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES,
-        deps.observeReadBytes,
-      );
+      dropRequestBody(request);
       replyError(codec, reply, call.id, 503, FULL_RETRY_AFTER_MS);
       deps.metrics.addToCounter('refused_calls_total', { reason: 'no room for the call' });
       closeReport.recordRefusal();
@@ -190,11 +197,7 @@
     );
     if (isBehindLast) {
       // No answer can follow the one that closes the connection, so the call must not run.
-      dropBody(
-        request,
-        fleet.getConfig()?.limits.maxBodyBytes ?? DEFAULT_DISCARD_BYTES,
-        deps.observeReadBytes,
-      );
+      dropRequestBody(request);
       logger.info('call not taken: its connection closes after an earlier answer');
       deps.metrics.addToCounter('refused_calls_total', { reason: 'the connection closes' });
       await whenClosed;
@@ -224,6 +227,12 @@
   const server = http.createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, keepAliveTimeout: DEFAULT_IDLE_MS },
     (request, response) => {
+      const fault = connections.isClosing(request.socket) ? undefined : findRequestFault(request);
+      if (fault !== undefined) {
+        dropRequestBody(request);
+        refuseMalformed(request.socket, fault);
+        return;
+      }
       inFlight += 1;
       handleRequest(request, response)
         .catch((error: unknown) => {
@@ -238,13 +247,7 @@
   server.on('clientError', (error, socket) => {
     // Further bytes of a connection that could not be parsed fail as well.
     if (!(socket instanceof net.Socket) || connections.isClosing(socket)) return;
-    logger.warn('request could not be parsed', { detail: error.message });
-    connections.markClosing(socket);
-    // Before the answers to the requests before it, the caller would take this for one of them.
-    connections.runWhenAnswered(socket, () => {
-      if (socket.writable)
-        socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
-    });
+    refuseMalformed(socket, error.message);
   });
   // Before the listener of Node.js, which reads from the connection.
   server.prependListener('connection', (socket) => {
