--- a/packages/forward-calls/src/dispatch-call.ts
+++ b/packages/forward-calls/src/dispatch-call.ts
@@ -76,6 +76,7 @@
       },
     );
     const buildBrokenOutcome = (reason: string): AttemptOutcome => {
+      // An engine may stop a run within the event that names its new weights.
       input.runWeights?.observeEvents(splitter.getPartialEvent());
       splitter.clearPartialEvent();
       return reply.isHeadSent() ? { kind: 'cut', reason } : { kind: 'broken', reason };
