Read the answers of nodes on the command line with the same check

What callers saw: a command that asks a node would print bytes that are no answer as the node's: a head with a blank in a field name, an unknown transfer coding, HTTP/2.0 or status 600.

Change: askNode sends its request by node:http or node:https and reads the answer through watchResponse, like the other clients.

--- a/packages/cli/src/ask-node.ts
+++ b/packages/cli/src/ask-node.ts
@@ -1,5 +1,6 @@
 import { startTimer } from '@laburnumshift/clock';
 import { parseUrl } from './parse-url.js';
+import { readJsonResponse } from './read-json-response.js';
 
 /** Limit for the whole exchange. A node queries all other nodes before it responds, so it may take longer than one call. */
 const TIMEOUT_MS = 8000;
@@ -28,8 +29,8 @@
   });
   try {
     const headers: Record<string, string> = token === undefined ? {} : { authorization: `Bearer ${token}` };
-    const response = await fetch(url, { method, headers, signal: controller.signal });
-    return { kind: 'answered', status: response.status, body: await response.json() };
+    const answer = await readJsonResponse(url, { method, headers, signal: controller.signal });
+    return { kind: 'answered', ...answer };
   } catch (error) {
     const cause = error instanceof Error && error.cause instanceof Error ? error.cause : error;
     return { kind: 'unreachable', detail: cause instanceof Error ? cause.message : String(cause) };
