--- a/review/lib-3/cell.mjs
+++ b/review/lib-3/cell.mjs
@@ -28,6 +28,8 @@
 /** Loopback addresses of this run, so that the fixed metrics port is free. */
 const prefix = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
 export const stationIp = `${prefix}.1`;
+/** Addresses of machines that engines run on. */
+export const buildIp = (number) => `${prefix}.${100 + number}`;
 
 export async function findPort(ip) {
   const server = net.createServer();
@@ -254,7 +256,7 @@
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'));
   const store = new ObjectStore();
   const storeAddress = await store.start(stationIp);
-  for (const server of [...servers, ...stores]) await server.start(stationIp);
+  for (const server of [...servers, ...stores]) await server.start(server.ip ?? stationIp);
   store.write('config', 'main', buildConfig(1, { stores: stores.map(({ address }) => address), ...config }));
   store.write('versions', 'daka510000', { model: 'daka510000', version: 1 });
   for (const server of servers) store.write('servers', server.id, server.describe());
--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -22,7 +22,8 @@
   born = Date.now();
   leavesMs = undefined;
   sequence = 0;
-  isSilent = false;
+  /** Answers that the engine has sent in whole. */
+  answers = 0;
   /** Time that a call takes, milliseconds, and the number of its events where it is a stream. */
   workMs = 20;
   events = 3;
@@ -71,6 +72,9 @@
   }
 
   #receive(request, response) {
+    response.on('finish', () => {
+      this.answers += 1;
+    });
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
     request.on('end', () => {
