Stop reading lists from outside at their first invalid element

What callers saw: one entry of another writer among the servers, 1 MB with numbers in place of models, ended the processes of all hosts within two seconds, and again after each start.

Cause: z.array goes on after an invalid element and keeps a problem of some hundred bytes for each. 500,000 of them take more than the heap of the deploy file; fewer block the event loop.

It is the same with all other schemas that have a list.

Ruled out: JSON.parse of the entry (4 MB for an array of numbers), and the check of the nesting. A bound on the length was weighed: it needs a figure that every sound entry, page and configuration keeps; a check that stops needs none.

Change: packages/check-lists has schemas of lists and records that stop at the first invalid element. All schemas of data from other processes use them; lists with a bound on their length, which zod checks first, and files of the operator stay.

--- a/packages/ask-home/src/answer-schema.ts
+++ b/packages/ask-home/src/answer-schema.ts
@@ -1,8 +1,9 @@
+import { createListSchema } from '@laburnumshift/check-lists';
 import { REFUSAL_CAUSES } from '@laburnumshift/choose-server';
 import * as z from 'zod';
 
 const count = z.number().nonnegative();
-const addresses = z.array(z.string().nullable());
+const addresses = createListSchema(z.string().nullable());
 
 /**
  * Body of an answer datagram. In the datagram it follows the message kind, the sending host, the start time of its process and the
--- a/packages/ask-home/src/placement-request-schema.ts
+++ b/packages/ask-home/src/placement-request-schema.ts
@@ -1,3 +1,4 @@
+import { createListSchema } from '@laburnumshift/check-lists';
 import * as z from 'zod';
 
 const count = z.number().nonnegative();
@@ -15,7 +16,7 @@
       count.describe('input tokens'),
       count.describe('maximum output tokens'),
       count.nullable().describe('expected output tokens'),
-      z.array(z.tuple([z.string(), count])).describe('pieces'),
+      createListSchema(z.tuple([z.string(), count])).describe('pieces'),
     ])
     .nullable()
     .describe('prompt'),
@@ -27,6 +28,6 @@
   count.describe('body size, bytes'),
   z.string().describe('failure domain'),
   z.boolean().describe('whether the call was sent before'),
-  z.array(z.string()).describe('ids of excluded servers'),
+  createListSchema(z.string()).describe('ids of excluded servers'),
   count.optional().describe('time at a server of usual speed, milliseconds; absent when unknown'),
 ]);
--- a/packages/call-engine/src/engine-schemas.ts
+++ b/packages/call-engine/src/engine-schemas.ts
@@ -1,3 +1,4 @@
+import { createListSchema } from '@laburnumshift/check-lists';
 import { z } from 'zod';
 
 const count = z.number().min(0);
@@ -8,7 +9,7 @@
     boot_id: z.string().min(1),
     at: z.number(),
     weight_version: z.string(),
-    adapters: z.array(z.string()),
+    adapters: createListSchema(z.string()),
     role: z.string(),
     leaving: z.boolean(),
     loading: z.boolean(),
@@ -21,7 +22,7 @@
   }),
   pieces: z.object({
     seq: count,
-    pieces: z.array(z.object({ scope: z.string(), chain: z.string() })),
+    pieces: createListSchema(z.object({ scope: z.string(), chain: z.string() })),
   }),
   exported: z.object({ length: count, checksum: z.string().min(1), generation: z.number().int() }),
 } as const;
--- a/packages/call-node/src/message-schemas.ts
+++ b/packages/call-node/src/message-schemas.ts
@@ -1,3 +1,4 @@
+import { createListSchema, createRecordSchema } from '@laburnumshift/check-lists';
 import type { NodeMessages, NodeMessageType } from '@laburnumshift/types';
 import { PRIORITIES } from '@laburnumshift/types';
 import { z } from 'zod';
@@ -30,12 +31,12 @@
     suspect: z.boolean(),
     model: text,
     adapter: text.optional(),
-    pieces: z.array(piece),
+    pieces: createListSchema(piece),
     maxTokens: count,
     remainingMs: time,
     waitMs: time,
     weights: z.looseObject({ perMs: count, perKiloTokenRecomputed: count, perMebibyteMoved: count }),
-    exclude: z.array(text),
+    exclude: createListSchema(text),
     weightVersion: text.optional(),
   }),
   'run-finished': z.looseObject({
@@ -51,7 +52,7 @@
     cacheScope: text,
     service: name,
     account: name,
-    pieces: z.array(piece),
+    pieces: createListSchema(piece),
     cachedPieces: count,
     importedPieces: count,
     computedTokens: count,
@@ -84,7 +85,7 @@
   'journal-finish': journalAttempt.extend({
     answer: z.looseObject({
       status: z.int(),
-      headers: z.record(z.string(), z.string()),
+      headers: createRecordSchema(z.string()),
       body: z.string(),
     }),
   }),
@@ -93,7 +94,7 @@
   'journal-look': z.looseObject({ ...journalCall, issuedAtMs: time.optional() }),
   'config-head': z.looseObject({ generation: z.int().min(0) }),
   'config-get': z.looseObject({ above: z.number(), partial: z.boolean().optional() }),
-  hosts: z.array(
+  hosts: createListSchema(
     z.looseObject({
       host: name,
       kind: z.enum(['node', 'engine', 'store', 'service']),
--- a/packages/call-platform/src/answer-schemas.ts
+++ b/packages/call-platform/src/answer-schemas.ts
@@ -1,3 +1,4 @@
+import { createListSchema } from '@laburnumshift/check-lists';
 import { z } from 'zod';
 
 const versionSchema = z.number().int().min(0);
@@ -13,16 +14,16 @@
   }),
   version: z.object({ version: versionSchema }),
   page: z.object({
-    items: z.array(z.object({ name: z.string(), version: versionSchema, value: z.json() })),
+    items: createListSchema(z.object({ name: z.string(), version: versionSchema, value: z.json() })),
     revision: versionSchema,
     next: z.string().optional(),
   }),
   changes: z.object({
     revision: versionSchema,
-    events: z.array(z.object({ name: z.string(), version: versionSchema, value: z.json() })),
+    events: createListSchema(z.object({ name: z.string(), version: versionSchema, value: z.json() })),
   }),
   hosts: z.object({
-    hosts: z.array(
+    hosts: createListSchema(
       z.object({
         host: z.string().min(1),
         kind: z.enum(['node', 'engine', 'store', 'service']),
--- a/packages/call-store/src/create-store-client.ts
+++ b/packages/call-store/src/create-store-client.ts
@@ -1,3 +1,4 @@
+import { createListSchema } from '@laburnumshift/check-lists';
 import type { PeerError, Result, StoreClient, StoredPiece } from '@laburnumshift/types';
 import { z } from 'zod';
 import { parseResponse } from './parse-response.js';
@@ -23,7 +24,7 @@
   otherShare: rate.max(1),
 });
 
-const pageSchema = z.object({ pieces: z.array(pieceSchema), next: z.string().optional() });
+const pageSchema = z.object({ pieces: createListSchema(pieceSchema), next: z.string().optional() });
 
 function toStoredPiece(store: string, piece: z.infer<typeof pieceSchema>): StoredPiece {
   const { key, tier, generation, length, checksum, bytes } = piece;
--- a/packages/journal-calls/src/record-schema.ts
+++ b/packages/journal-calls/src/record-schema.ts
@@ -1,3 +1,4 @@
+import { createRecordSchema } from '@laburnumshift/check-lists';
 import { z } from 'zod';
 
 const COMMON_FIELDS = { id: z.string(), attemptId: z.string(), at: z.number() };
@@ -21,7 +22,7 @@
   z.object({
     ...COMMON_FIELDS,
     type: z.literal('finished'),
-    answer: z.object({ status: z.number(), headers: z.record(z.string(), z.string()), body: z.string() }),
+    answer: z.object({ status: z.number(), headers: createRecordSchema(z.string()), body: z.string() }),
   }),
   z.object({ ...COMMON_FIELDS, type: z.literal('unknown') }),
   z.object({ ...COMMON_FIELDS, type: z.literal('abandoned') }),
--- a/packages/relay-events/src/relay-page-schema.ts
+++ b/packages/relay-events/src/relay-page-schema.ts
@@ -1,14 +1,15 @@
+import { createListSchema, createRecordSchema } from '@laburnumshift/check-lists';
 import { z } from 'zod';
 
 const CHANGE = z.tuple([
   z.string().describe('engine'),
   z.string().describe('boot id'),
   z.boolean().describe('whether the engine lost all earlier pieces'),
-  z
-    .array(z.number().nonnegative())
-    .describe('per event: twice the index of the scope, plus 1 when the piece was added'),
+  createListSchema(z.number().nonnegative()).describe(
+    'per event: twice the index of the scope, plus 1 when the piece was added',
+  ),
   z.string().describe('piece ids of the events, one per line'),
-  z.array(z.number().nonnegative()).describe('tokens'),
+  createListSchema(z.number().nonnegative()).describe('tokens'),
 ]);
 
 const OBJECT_CHANGE = z.object({
@@ -19,7 +20,7 @@
 /** Changes of one kind of platform objects after the revision `after`; ages in milliseconds. */
 const KIND_CHANGES = z.object({
   after: z.number(),
-  changes: z.array(OBJECT_CHANGE),
+  changes: createListSchema(OBJECT_CHANGE),
   revision: z.number(),
   ageMs: z.number().nonnegative(),
   changedMs: z.number().nonnegative(),
@@ -36,13 +37,13 @@
   /** Time on the clock of the engines, milliseconds; null when it is not known. */
   clockMs: z.number().nullable(),
   /** Engines and stores whose last read by the relay succeeded. */
-  reading: z.array(z.string()),
-  scopes: z.array(z.string()),
-  changes: z.array(CHANGE),
+  reading: createListSchema(z.string()),
+  scopes: createListSchema(z.string()),
+  changes: createListSchema(CHANGE),
   /** Time for which the relay held the request, milliseconds. */
   heldMs: z.number().nonnegative().default(0),
   /** Whether the platform store does not answer the relay. */
   isStoreDown: z.boolean().default(false),
   /** Changes of platform objects by kind; null where the relay does not know the changes after the requested revision. */
-  objects: z.record(z.string(), KIND_CHANGES.nullable()),
+  objects: createRecordSchema(KIND_CHANGES.nullable()),
 });
--- a/packages/run-forwarder/src/explain-schema.ts
+++ b/packages/run-forwarder/src/explain-schema.ts
@@ -1,3 +1,4 @@
+import { createListSchema } from '@laburnumshift/check-lists';
 import { z } from 'zod';
 
 /** Request of the page that explains where a call would go. */
@@ -5,6 +6,6 @@
   method: z.string().min(1).default('POST'),
   target: z.string().startsWith('/', 'does not start with a slash'),
   hostName: z.string().min(1),
-  headers: z.array(z.tuple([z.string().min(1), z.string()])).default([]),
+  headers: createListSchema(z.tuple([z.string().min(1), z.string()])).default([]),
   bodyBytes: z.number().int().nonnegative().default(0),
 });
