Drop pages of cache events that answer an earlier read

An extra answer to a read of cache events counted as that to the next read: events were applied twice, and the position went back.

Cause: reads use kept connections, and any page that matches the schema was taken, although positions and numbers of events show which read it answers.

Positions of another process are not compared. A connection for each read was weighed; reads are long polls of a second for each engine and reader, so connections would multiply.

--- a/packages/forward-types/src/engine-control.ts
+++ b/packages/forward-types/src/engine-control.ts
@@ -29,10 +29,14 @@
     bootId: string,
     pieces: readonly { readonly scope: string; readonly piece: string }[],
   ) => Promise<boolean>;
-  /** Reads the events after position `since`, waiting up to `waitMs` milliseconds; `full` when the engine accepts no more readers. */
+  /**
+   * Reads the events after position `since` of the process `bootId`, waiting up to `waitMs` milliseconds; `full` when the engine accepts no
+   * more readers. A page of that process with events up to `since` is no usable answer.
+   */
   readonly readEvents: (
     address: string,
     since: number,
     waitMs: number,
+    bootId?: string,
   ) => Promise<CacheEventsPage | 'full' | undefined>;
 }
--- a/packages/read-cache-events/src/read-cache-events.ts
+++ b/packages/read-cache-events/src/read-cache-events.ts
@@ -37,7 +37,7 @@
     let since = 0;
     let bootId: string | undefined;
     while (!signal.aborted) {
-      const page = await control.readEvents(address, since, LONG_POLL_MS);
+      const page = await control.readEvents(address, since, LONG_POLL_MS, bootId);
       if (abortControllers.get(engine)?.signal !== signal) return;
       if (page === undefined || page === 'full') {
         if (!failing.has(engine))
