Estimate the memory of a JSON body before it is parsed

One answer to a control call of eight megabytes of empty objects ended the host that read it, and calls failed until its next start.

Cause: the limit and the budget of bodies count their bytes. JSON.parse makes 56 bytes and a reference of each "{}", over twenty times the text, before any schema is checked.

--- a/packages/collect-bytes/src/index.ts
+++ b/packages/collect-bytes/src/index.ts
@@ -6,4 +6,5 @@
 export type { CollectFault } from './collect-fault.js';
 export { createByteBudget } from './create-byte-budget.js';
 export { createByteCollector } from './create-byte-collector.js';
+export { estimateJsonBytes } from './estimate-json-bytes.js';
 export { hasTooSmallChunks } from './has-too-small-chunks.js';
